--- a/admit/limit.go
+++ b/admit/limit.go
@@ -18,8 +18,11 @@
 	cutFactor = 0.9
 	// floorShare is the share of the ceiling below which it never goes.
 	floorShare = 0.25
-	// baseRise lets the base follow a server that became slower for good.
-	baseRise = 1.01
+	// baseRise lets the base follow a server that became slower for good. A
+	// window in which the limit was reached says little about the base, so it
+	// rises less then.
+	baseRise     = 1.01
+	baseRiseFull = 1.001
 )
 
 // Limit adapts the number of requests in flight below a ceiling. It is
@@ -66,10 +69,14 @@
 }
 
 func (l *Limit) judge(latency time.Duration, rate float64) {
+	rise := baseRise
+	if l.full {
+		rise = baseRiseFull
+	}
 	if l.base == 0 || latency < l.base {
 		l.base = latency
 	} else {
-		l.base = time.Duration(float64(l.base) * baseRise)
+		l.base = time.Duration(float64(l.base) * rise)
 	}
 	slow := float64(latency) > slowFactor*float64(l.base)
 	gained := rate > gainFactor*l.lastRate
--- /dev/null
+++ b/admit/queue_test.go
@@ -0,0 +1,223 @@
+// SPDX-License-Identifier: MIT
+
+package admit
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/ryehaven/ryehaven/table"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// model follows every ticket from outside and checks what must hold whatever
+// happens.
+type model struct {
+	now     time.Time
+	queue   *Queue
+	bounds  Settings
+	tickets []*Ticket
+	// was is each ticket's state after the last step.
+	was map[*Ticket]State
+}
+
+// allowed are the steps of a request's life.
+var allowed = map[State][]State{
+	Received:   {Queued, Dispatched, Refused},
+	Queued:     {Queued, Dispatched, Refused},
+	Dispatched: {Dispatched, Answered},
+	Answered:   {Answered},
+	Refused:    {Refused},
+}
+
+func (m *model) pick(t *rapid.T, s State) *Ticket {
+	var able []*Ticket
+	for _, ticket := range m.tickets {
+		if ticket.State() == s {
+			able = append(able, ticket)
+		}
+	}
+	if len(able) == 0 {
+		t.Skip("no such ticket")
+	}
+	return rapid.SampledFrom(able).Draw(t, "ticket")
+}
+
+func (m *model) check(t *rapid.T) {
+	inFlight, queued := 0, 0
+	for _, ticket := range m.tickets {
+		state := ticket.State()
+		legal := false
+		for _, next := range allowed[m.was[ticket]] {
+			legal = legal || next == state
+		}
+		if !legal {
+			t.Fatalf("a ticket went from state %d to %d", m.was[ticket], state)
+		}
+		m.was[ticket] = state
+		switch state {
+		case Dispatched:
+			inFlight++
+		case Queued:
+			queued++
+		case Refused:
+			if ticket.Cause() == NoCause {
+				t.Fatal("refused without a cause")
+			}
+		}
+	}
+	if inFlight != m.queue.InFlight() || queued != m.queue.Waiting() {
+		t.Fatalf("queue counts %d in flight and %d waiting; there are %d and %d",
+			m.queue.InFlight(), m.queue.Waiting(), inFlight, queued)
+	}
+	if inFlight > m.bounds.Slots || queued > m.bounds.Queue {
+		t.Fatalf("%d in flight of %d slots, %d waiting of %d", inFlight, m.bounds.Slots, queued, m.bounds.Queue)
+	}
+}
+
+func TestLifeOfTickets(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		bounds := Settings{
+			Slots:      rapid.IntRange(1, 4).Draw(t, "slots"),
+			Queue:      rapid.IntRange(0, 4).Draw(t, "queue"),
+			FixedLimit: rapid.Bool().Draw(t, "fixed"),
+		}
+		m := &model{now: start, queue: NewQueue(bounds), bounds: bounds, was: map[*Ticket]State{}}
+		t.Repeat(map[string]func(*rapid.T){
+			"": m.check,
+			"offer": func(t *rapid.T) {
+				ticket := &Ticket{
+					Deadline: m.now.Add(time.Duration(rapid.IntRange(-1, 50).Draw(t, "budget")) * time.Millisecond),
+					Priority: table.Priority(rapid.IntRange(0, table.Priorities-1).Draw(t, "priority")),
+				}
+				m.tickets = append(m.tickets, ticket)
+				draining := m.queue.Draining()
+				late := !m.now.Before(ticket.Deadline)
+				evicted := m.queue.Offer(m.now, ticket)
+				if (draining || late) && ticket.State() != Refused {
+					t.Fatal("taken while draining or after its deadline")
+				}
+				if evicted != nil && evicted.Priority <= ticket.Priority {
+					t.Fatal("evicted a ticket that is no less urgent")
+				}
+			},
+			"advance": func(t *rapid.T) {
+				for _, ticket := range m.queue.Advance(m.now) {
+					if ticket.State() == Dispatched && !m.now.Before(ticket.Deadline) {
+						t.Fatal("dispatched after its deadline")
+					}
+				}
+			},
+			"done": func(t *rapid.T) {
+				m.queue.Done(m.now, m.pick(t, Dispatched), rapid.Bool().Draw(t, "ok"))
+			},
+			"cancel queued": func(t *rapid.T) {
+				if !m.queue.Cancel(m.pick(t, Queued)) {
+					t.Fatal("a queued ticket could not be cancelled")
+				}
+			},
+			"cancel dispatched": func(t *rapid.T) {
+				if m.queue.Cancel(m.pick(t, Dispatched)) {
+					t.Fatal("a dispatched ticket was said not to have run")
+				}
+			},
+			"drain": func(t *rapid.T) { m.queue.SetDraining(rapid.Bool().Draw(t, "draining")) },
+			"flush": func(*rapid.T) { m.queue.Flush() },
+			"time passes": func(t *rapid.T) {
+				m.now = m.now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "ms")) * time.Millisecond)
+			},
+		})
+	})
+}
+
+// full returns a queue with every slot taken and answers of 10 ms behind it.
+func full(s Settings) (*Queue, []*Ticket) {
+	q := NewQueue(s)
+	var taken []*Ticket
+	for range s.Slots {
+		t := &Ticket{Deadline: start.Add(time.Hour)}
+		q.Offer(start, t)
+		q.Done(start.Add(10*time.Millisecond), t, true)
+	}
+	for range s.Slots {
+		t := &Ticket{Deadline: start.Add(time.Hour)}
+		q.Offer(start.Add(10*time.Millisecond), t)
+		taken = append(taken, t)
+	}
+	return q, taken
+}
+
+func TestWhatCannotMeetItsDeadlineIsRefusedAtOnce(t *testing.T) {
+	now := start.Add(10 * time.Millisecond)
+	tests := []struct {
+		budget time.Duration
+		want   State
+	}{
+		{5 * time.Millisecond, Refused},
+		{14 * time.Millisecond, Refused},
+		{16 * time.Millisecond, Queued},
+		{time.Second, Queued},
+	}
+	for _, test := range tests {
+		q, _ := full(Settings{Slots: 2, Queue: 10})
+		ticket := &Ticket{Deadline: now.Add(test.budget)}
+		q.Offer(now, ticket)
+		if ticket.State() != test.want {
+			t.Errorf("with %v left the state is %d, want %d", test.budget, ticket.State(), test.want)
+		}
+		if after := q.RetryAfter(); after < 5*time.Millisecond || after > 30*time.Millisecond {
+			t.Errorf("come back after %v; answers come every 5 ms", after)
+		}
+	}
+}
+
+func TestUrgentGoesFirstAndMakesRoom(t *testing.T) {
+	now := start.Add(10 * time.Millisecond)
+	q, taken := full(Settings{Slots: 1, Queue: 2})
+	bulk := &Ticket{Deadline: now.Add(time.Hour), Priority: table.Bulk}
+	normal := &Ticket{Deadline: now.Add(time.Hour), Priority: table.Normal}
+	urgent := &Ticket{Deadline: now.Add(time.Hour), Priority: table.Urgent}
+	q.Offer(now, bulk)
+	q.Offer(now, normal)
+	if evicted := q.Offer(now, urgent); evicted != bulk || bulk.Cause() != Overload {
+		t.Fatalf("evicted %+v, want the bulk ticket", evicted)
+	}
+	q.Done(now, taken[0], true)
+	if left := q.Advance(now); len(left) != 1 || left[0] != urgent {
+		t.Errorf("next is %+v, want the urgent ticket", left)
+	}
+}
+
+func TestLimitFollowsAServerThatGainsNothing(t *testing.T) {
+	var l Limit
+	l.SetCeiling(12)
+	now := start
+	// Half the slots are worth having: beyond six in flight, time grows with
+	// the number in flight and the rate stays.
+	answer := func(n int) {
+		for range n {
+			value := l.Value()
+			took := 5 * time.Millisecond * time.Duration(max(value, 6)) / 6
+			now = now.Add(took / time.Duration(value))
+			l.Observe(now, took, true)
+		}
+	}
+	for range 200 { // Quiet times teach what the server can do.
+		now = now.Add(time.Millisecond)
+		l.Observe(now, 5*time.Millisecond, false)
+	}
+	answer(2000)
+	if v := l.Value(); v < 5 || v > 10 {
+		t.Errorf("limit is %d for a server worth 6 slots", v)
+	}
+	for range 2000 {
+		now = now.Add(time.Millisecond)
+		l.Observe(now, 5*time.Millisecond, false)
+	}
+	if v := l.Value(); v != 12 {
+		t.Errorf("limit is %d once the server is quick again, want 12", v)
+	}
+}
--- /dev/null
+++ b/backend/backend_test.go
@@ -0,0 +1,244 @@
+// SPDX-License-Identifier: MIT
+
+package backend
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// rawServer answers each connection with a script, so that tests decide every
+// byte and every close.
+func rawServer(t *testing.T, script func(c net.Conn, number int)) (address string, conns *atomic.Int64) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	conns = new(atomic.Int64)
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				script(c, int(conns.Add(1)))
+			}()
+		}
+	}()
+	return listener.Addr().String(), conns
+}
+
+// readRequest reads one request without a body.
+func readRequest(r *bufio.Reader) bool {
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return false
+		}
+		if line == "\r\n" {
+			return true
+		}
+	}
+}
+
+func newPool(address string) *Pool {
+	return &Pool{Address: address, MaxConns: 4, IdleLimit: time.Second, DialLimit: time.Second}
+}
+
+func send(t *testing.T, p *Pool, fresh bool) (*Exchange, error) {
+	t.Helper()
+	e, err := p.Open(fresh)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var r fasthttp.Request
+	r.SetRequestURI("/x")
+	r.Header.SetHost("s")
+	return e, e.Send(&r, time.Now().Add(2*time.Second))
+}
+
+func TestBodyEnds(t *testing.T) {
+	tests := []struct {
+		name   string
+		answer string
+		body   string
+		whole  bool
+	}{
+		{"length", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", "hello", true},
+		{"length cut", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello", "hello", false},
+		{"length cut at start", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", "", false},
+		{"chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", "hello", true},
+		{"chunked cut between chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", "hello", false},
+		{"chunked cut within a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhello", "hello", false},
+		{"none", "HTTP/1.1 204 No Content\r\n\r\n", "", true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			address, _ := rawServer(t, func(c net.Conn, _ int) {
+				readRequest(bufio.NewReader(c))
+				io.WriteString(c, test.answer)
+			})
+			e, err := send(t, newPool(address), false)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer e.Finish(false)
+			var body []byte
+			if e.Body() != nil {
+				body, err = io.ReadAll(e.Body())
+			}
+			if whole := err == nil; whole != test.whole {
+				t.Errorf("whole is %t, want %t (error %v)", whole, test.whole, err)
+			}
+			if !strings.HasPrefix(test.body, string(body)) || (test.whole && string(body) != test.body) {
+				t.Errorf("body is %q, want %q", body, test.body)
+			}
+		})
+	}
+}
+
+// A server that closes kept connections as the next request arrives: the
+// library and the pool must not send that request a second time by themselves.
+func TestNeverSentTwice(t *testing.T) {
+	var requests atomic.Int64
+	address, conns := rawServer(t, func(c net.Conn, _ int) {
+		r := bufio.NewReader(c)
+		readRequest(r)
+		requests.Add(1)
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		if readRequest(r) {
+			requests.Add(1) // The second request is read and not answered.
+		}
+	})
+	p := newPool(address)
+	e, err := send(t, p, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadAll(e.Body()); err != nil {
+		t.Fatal(err)
+	}
+	e.Finish(true)
+	e, err = send(t, p, false)
+	if !errors.Is(err, ErrStale) {
+		t.Errorf("error is %v, want ErrStale", err)
+	}
+	e.Finish(false)
+	if n := requests.Load(); n != 2 {
+		t.Errorf("server read %d requests, want 2", n)
+	}
+	if n := conns.Load(); n != 1 {
+		t.Errorf("%d connections were opened, want 1", n)
+	}
+}
+
+func TestFreshConnectionNeverCarriedARequest(t *testing.T) {
+	address, conns := rawServer(t, func(c net.Conn, _ int) {
+		r := bufio.NewReader(c)
+		for readRequest(r) {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	p := newPool(address)
+	for i := range 3 {
+		e, err := send(t, p, true)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if e.conn.used {
+			t.Errorf("request %d got a used connection", i)
+		}
+		io.Copy(io.Discard, e.Body())
+		e.Finish(true)
+	}
+	if p.Dials.Load() < 3 || conns.Load() < 3 {
+		t.Errorf("%d connections for 3 requests", p.Dials.Load())
+	}
+	if p.Reused.Load() != 0 {
+		t.Errorf("%d connections were used again", p.Reused.Load())
+	}
+}
+
+func TestClosedIdleConnectionIsSeen(t *testing.T) {
+	address, _ := rawServer(t, func(c net.Conn, _ int) {
+		readRequest(bufio.NewReader(c))
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	})
+	p := newPool(address)
+	for range 3 {
+		e, err := send(t, p, false)
+		if err != nil {
+			t.Fatalf("after a close by the server: %v", err)
+		}
+		io.Copy(io.Discard, e.Body())
+		e.Finish(true)
+		waitClosed(t, p)
+	}
+}
+
+// waitClosed waits until the server's close of the idle connection is here.
+func waitClosed(t *testing.T, p *Pool) {
+	t.Helper()
+	p.mu.Lock()
+	c := p.idle[0]
+	p.mu.Unlock()
+	c.SetReadDeadline(time.Now().Add(2 * time.Second))
+	if _, err := c.reader.Peek(1); err != io.EOF {
+		t.Fatalf("waiting for the close: %v", err)
+	}
+	c.SetReadDeadline(time.Time{})
+}
+
+func TestConnectionsAreBounded(t *testing.T) {
+	block := make(chan struct{})
+	defer close(block)
+	address, _ := rawServer(t, func(net.Conn, int) { <-block })
+	p := newPool(address)
+	p.MaxConns = 2
+	for range 2 {
+		if _, err := p.Open(false); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := p.Open(false); !errors.Is(err, ErrConnections) {
+		t.Errorf("error is %v, want ErrConnections", err)
+	}
+}
+
+func TestAbortEndsSend(t *testing.T) {
+	address, _ := rawServer(t, func(c net.Conn, _ int) {
+		io.Copy(io.Discard, c) // It reads until the client closes.
+	})
+	p := newPool(address)
+	e, err := p.Open(false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() {
+		var r fasthttp.Request
+		r.SetRequestURI("/x")
+		r.Header.SetHost("s")
+		done <- e.Send(&r, time.Now().Add(time.Minute))
+	}()
+	e.Abort()
+	if err := <-done; err == nil {
+		t.Error("Send succeeded after Abort")
+	}
+	e.Finish(false)
+	if p.open != 0 {
+		t.Errorf("%d connections are still open", p.open)
+	}
+}
--- /dev/null
+++ b/balance/balance_test.go
@@ -0,0 +1,209 @@
+// SPDX-License-Identifier: MIT
+
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/ryehaven/ryehaven/wire"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+func newTestPool(n int, options Options) *Pool {
+	p := NewPool(options)
+	specs := make([]Spec, n)
+	for i := range specs {
+		specs[i] = Spec{Name: fmt.Sprint("s", i), Node: fmt.Sprint("n", i), Weight: 1, Slots: 4}
+	}
+	p.Update(start, specs)
+	return p
+}
+
+// shares picks often and returns how often each server was picked.
+func shares(p *Pool, now time.Time, n int) map[string]float64 {
+	rng := newRand()
+	counts := map[string]float64{}
+	for range n {
+		if s := p.Pick(now, rng, nil); s != nil {
+			counts[s.Name] += 1 / float64(n)
+		}
+	}
+	return counts
+}
+
+func answer(p *Pool, now time.Time, s *Server, r Result) {
+	p.Sent(now, s)
+	p.Ended(now, s, r)
+}
+
+func TestPickAvoidsTrouble(t *testing.T) {
+	now := start.Add(time.Second)
+	tests := []struct {
+		name    string
+		trouble func(p *Pool, s *Server)
+		// most is the largest share that the server may still get.
+		most float64
+	}{
+		{"suspected", func(p *Pool, s *Server) { p.Suspect(now, s, true) }, 0},
+		{"unreachable", func(p *Pool, s *Server) { p.Unreachable(now, s) }, 0},
+		{"draining", func(p *Pool, s *Server) { answer(p, now, s, Result{Refused: wire.ReasonDraining}) }, 0},
+		{"full", func(p *Pool, s *Server) {
+			answer(p, now, s, Result{Refused: wire.ReasonOverload, RetryAfter: time.Second})
+		}, 0},
+		{"leaving", func(_ *Pool, s *Server) { s.Leaving = true }, 0},
+		{"fails fast", func(p *Pool, s *Server) {
+			for range 3 {
+				answer(p, now, s, Result{Failed: true, Latency: time.Microsecond})
+			}
+		}, 0.1},
+		{"keeps failing", func(p *Pool, s *Server) {
+			for range ejectConsecutive {
+				answer(p, now, s, Result{Failed: true})
+			}
+		}, 0},
+		{"busy by its report", func(p *Pool, s *Server) {
+			answer(p, now, s, Result{Latency: 5 * time.Millisecond, Load: &wire.Load{Seq: 1, InFlight: 4, Queued: 4, Limit: 4}})
+		}, 0.1},
+		{"silent with work", func(p *Pool, s *Server) {
+			answer(p, now.Add(-time.Second), s, Result{Latency: time.Millisecond})
+			p.Sent(now.Add(-100*time.Millisecond), s)
+		}, 0.1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p := newTestPool(4, Options{})
+			for _, s := range p.Servers()[1:] {
+				answer(p, now, s, Result{Latency: 5 * time.Millisecond})
+			}
+			test.trouble(p, p.Servers()[0])
+			if share := shares(p, now, 2000)["s0"]; share > test.most {
+				t.Errorf("the server still gets a share of %.2f, at most %.2f is right", share, test.most)
+			}
+		})
+	}
+}
+
+func TestTroubledServersAreBetterThanNone(t *testing.T) {
+	p := newTestPool(2, Options{})
+	for _, s := range p.Servers() {
+		p.Suspect(start, s, true)
+	}
+	if p.Pick(start, newRand(), nil) == nil {
+		t.Error("nothing is picked although only suspicion speaks against it")
+	}
+	for _, s := range p.Servers() {
+		s.Leaving = true
+	}
+	if s := p.Pick(start, newRand(), nil); s != nil {
+		t.Errorf("leaving server %s is picked", s.Name)
+	}
+}
+
+func TestStaleReportsDecay(t *testing.T) {
+	p := newTestPool(2, Options{})
+	busy := p.Servers()[0]
+	answer(p, start, busy, Result{Latency: 5 * time.Millisecond, Load: &wire.Load{Seq: 1, InFlight: 8, Limit: 4}})
+	answer(p, start, p.Servers()[1], Result{Latency: 5 * time.Millisecond, Load: &wire.Load{Seq: 1, Limit: 4}})
+	if share := shares(p, start, 1000)["s0"]; share > 0.05 {
+		t.Errorf("a server just reported busy gets %.2f", share)
+	}
+	if load := p.load(start.Add(10*reportDecay), busy); load > 0.01 {
+		t.Errorf("after ten times the decay %.2f of the report is left", load)
+	}
+}
+
+func TestOlderReportDoesNotReplaceNewer(t *testing.T) {
+	p := newTestPool(1, Options{})
+	s := p.Servers()[0]
+	answer(p, start, s, Result{Load: &wire.Load{Seq: 5, InFlight: 3}})
+	answer(p, start, s, Result{Load: &wire.Load{Seq: 4, InFlight: 9}})
+	if s.report.InFlight != 3 {
+		t.Errorf("report says %d in flight, the newest said 3", s.report.InFlight)
+	}
+}
+
+func TestNearServersUntilTheyAreLoaded(t *testing.T) {
+	p := newTestPool(4, Options{})
+	for i, s := range p.Servers() {
+		if i > 0 {
+			s.Distance = 20 * time.Millisecond
+		}
+		answer(p, start, s, Result{Latency: 5 * time.Millisecond})
+	}
+	if share := shares(p, start, 2000)["s0"]; share < 0.6 {
+		t.Errorf("the near server gets %.2f", share)
+	}
+	near := p.Servers()[0]
+	answer(p, start, near, Result{Latency: 5 * time.Millisecond, Load: &wire.Load{Seq: 1, InFlight: 4, Queued: 40, Limit: 4}})
+	if share := shares(p, start, 2000)["s0"]; share > 0.05 {
+		t.Errorf("the loaded near server gets %.2f", share)
+	}
+}
+
+func TestReturningServerStartsSlowly(t *testing.T) {
+	p := newTestPool(3, Options{})
+	s := p.Servers()[0]
+	for range ejectConsecutive {
+		answer(p, start, s, Result{Failed: true})
+	}
+	if !s.Ejected(start) {
+		t.Fatal("not ejected")
+	}
+	s.failures = 0 // Only the ramp is looked at here.
+	back := start.Add(ejectFirst + time.Millisecond)
+	early := shares(p, back, 4000)["s0"]
+	late := shares(p, back.Add(rampTime), 4000)["s0"]
+	if early > 0.15 || late < 0.25 {
+		t.Errorf("share is %.2f at its return and %.2f after the ramp", early, late)
+	}
+}
+
+// Never are more than half of a service's servers ejected, and while one
+// server is not leaving, something is picked.
+func TestEjectionIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 7).Draw(t, "servers")
+		p := newTestPool(n, Options{})
+		now := start
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			s := p.Servers()[rapid.IntRange(0, n-1).Draw(t, "server")]
+			answer(p, now, s, Result{Failed: rapid.IntRange(0, 3).Draw(t, "failed") > 0})
+			ejected := 0
+			for _, s := range p.Servers() {
+				if s.Ejected(now) {
+					ejected++
+				}
+			}
+			if 2*ejected > n {
+				t.Fatalf("%d of %d servers are ejected", ejected, n)
+			}
+			if p.Pick(now, newRand(), nil) == nil {
+				t.Fatal("nothing is picked")
+			}
+		}
+	})
+}
+
+func TestUpdateKeepsWhatIsKnown(t *testing.T) {
+	p := newTestPool(2, Options{})
+	answer(p, start, p.Servers()[0], Result{Latency: 9 * time.Millisecond})
+	p.Update(start, []Spec{
+		{Name: "s0", Node: "n0", Weight: 2, Slots: 4},
+		{Name: "s1", Node: "elsewhere", Weight: 1, Slots: 4},
+	})
+	if s := p.Servers()[0]; s.latency == 0 || s.Weight != 2 {
+		t.Errorf("server that stayed is %+v", s)
+	}
+	if s := p.Servers()[1]; s.rampFrom.IsZero() {
+		t.Error("a server on a new node does not start slowly")
+	}
+}
--- a/cmd/ryehaven-standin/main.go
+++ b/cmd/ryehaven-standin/main.go
@@ -26,6 +26,7 @@
 type serverCommand struct {
 	Address   string `required:"" help:"IP number and port to listen on."`
 	Name      string `default:"standin" help:"Name in the answers."`
+	Runs      string `help:"File to which the number of each request is added when its work begins."`
 	Behaviour string `default:"{\"slots\":12,\"service_us\":2000}" help:"Behaviour as JSON; see package standin."`
 }
 
@@ -39,7 +40,15 @@
 	if err != nil {
 		return err
 	}
-	return standin.New(c.Name, b).HTTP().Serve(listener)
+	server := standin.New(c.Name, b)
+	if c.Runs != "" {
+		server.RunLog, err = os.OpenFile(c.Runs, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return err
+		}
+	}
+	fmt.Println("listening on", listener.Addr())
+	return server.HTTP().Serve(listener)
 }
 
 type platformCommand struct {
@@ -61,6 +70,7 @@
 	if err != nil {
 		return err
 	}
+	fmt.Println("listening on", listener.Addr())
 	server := &fasthttp.Server{Handler: store.Handle, MaxRequestBodySize: 4 << 20}
 	return server.Serve(listener)
 }
--- /dev/null
+++ b/internal/faultproxy/faultproxy.go
@@ -0,0 +1,180 @@
+// SPDX-License-Identifier: MIT
+
+// Package faultproxy is a small TCP proxy that injects faults between two
+// processes: cuts, one-way cuts, delay and drip. docs/design/proofs.md says
+// why it is our own.
+package faultproxy
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// Fault is what the proxy does to both directions or to one. The zero value
+// passes everything on.
+type Fault struct {
+	// Refuse closes new connections at once and Cut closes those that are open.
+	Refuse bool
+	Cut    bool
+	// HoldForward and HoldBackward keep what comes from the dialing and from
+	// the accepting side, as a link does that loses every packet one way.
+	HoldForward  bool
+	HoldBackward bool
+	// Delay holds up every piece of data.
+	Delay time.Duration
+	// BytesPerSecond bounds the rate of each direction, 0 not at all.
+	BytesPerSecond int
+}
+
+// Proxy passes connections on to a target. Make it with New.
+type Proxy struct {
+	listener net.Listener
+
+	mu     sync.Mutex
+	target string
+	fault  Fault
+	// changed is closed when the fault changes.
+	changed chan struct{}
+	conns   map[net.Conn]struct{}
+	closed  bool
+}
+
+// New listens on a free port of loopback. Connections are refused until
+// SetTarget.
+func New() (*Proxy, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &Proxy{listener: listener, changed: make(chan struct{}), conns: map[net.Conn]struct{}{}}
+	go p.accept()
+	return p, nil
+}
+
+// Address returns where the proxy listens.
+func (p *Proxy) Address() string { return p.listener.Addr().String() }
+
+// SetTarget makes new connections go to an address.
+func (p *Proxy) SetTarget(address string) {
+	p.mu.Lock()
+	p.target = address
+	p.mu.Unlock()
+}
+
+// Set replaces the fault.
+func (p *Proxy) Set(f Fault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fault = f
+	close(p.changed)
+	p.changed = make(chan struct{})
+	if f.Cut {
+		for c := range p.conns {
+			c.Close()
+		}
+	}
+}
+
+// Close ends the proxy and its connections.
+func (p *Proxy) Close() {
+	p.listener.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	close(p.changed)
+	p.changed = make(chan struct{})
+	for c := range p.conns {
+		c.Close()
+	}
+}
+
+func (p *Proxy) state() (f Fault, target string, changed chan struct{}, closed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fault, p.target, p.changed, p.closed
+}
+
+func (p *Proxy) accept() {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.serve(c)
+	}
+}
+
+func (p *Proxy) serve(dialing net.Conn) {
+	defer dialing.Close()
+	fault, target, _, _ := p.state()
+	if fault.Refuse || target == "" {
+		return
+	}
+	accepting, err := net.Dial("tcp", target)
+	if err != nil {
+		return
+	}
+	defer accepting.Close()
+	if !p.add(dialing, accepting) {
+		return
+	}
+	defer p.remove(dialing, accepting)
+	var both sync.WaitGroup
+	both.Go(func() { p.pass(dialing, accepting, func(f Fault) bool { return f.HoldForward }) })
+	both.Go(func() { p.pass(accepting, dialing, func(f Fault) bool { return f.HoldBackward }) })
+	both.Wait()
+}
+
+func (p *Proxy) add(conns ...net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range conns {
+		p.conns[c] = struct{}{}
+	}
+	return !p.closed
+}
+
+func (p *Proxy) remove(conns ...net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range conns {
+		delete(p.conns, c)
+	}
+}
+
+const chunk = 4 << 10
+
+// pass copies one direction. Its end closes both connections, which is enough
+// for protocols that do not close halfway.
+func (p *Proxy) pass(from, to net.Conn, held func(Fault) bool) {
+	defer from.Close()
+	defer to.Close()
+	buf := make([]byte, chunk)
+	for {
+		n, err := from.Read(buf)
+		if !p.suffer(n, held) {
+			return
+		}
+		if _, writeErr := to.Write(buf[:n]); writeErr != nil || err != nil {
+			return
+		}
+	}
+}
+
+// suffer lets the fault act on n bytes and reports whether to go on.
+func (p *Proxy) suffer(n int, held func(Fault) bool) bool {
+	fault, _, changed, closed := p.state()
+	for held(fault) && !closed {
+		<-changed
+		fault, _, changed, closed = p.state()
+	}
+	pause := fault.Delay
+	if fault.BytesPerSecond > 0 {
+		pause += time.Duration(n) * time.Second / time.Duration(fault.BytesPerSecond)
+	}
+	if pause > 0 {
+		time.Sleep(pause)
+	}
+	return !closed
+}
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -35,6 +35,9 @@
 	counters *Counters
 	opened   time.Time
 
+	// starting keeps requests in the order of their numbers on the way.
+	starting sync.Mutex
+
 	mu     sync.Mutex
 	calls  map[uint64]*Call
 	asks   map[uint64]chan *wire.Reply
@@ -87,6 +90,8 @@
 // nothing of the request left this node.
 func (c *Conn) Start(r *wire.Request) (*Call, error) {
 	call := &Call{conn: c, head: make(chan Head, 1), in: newPipe(), out: newAllowance()}
+	c.starting.Lock()
+	defer c.starting.Unlock()
 	c.mu.Lock()
 	if c.err != nil {
 		c.mu.Unlock()
--- a/peer/writer.go
+++ b/peer/writer.go
@@ -83,13 +83,14 @@
 func (w *writer) flush() bool {
 	for {
 		w.mu.Lock()
-		out := w.buf
-		w.buf = w.spare[:0]
-		closed := w.err != nil
-		w.mu.Unlock()
-		if len(out) == 0 {
+		if len(w.buf) == 0 {
+			closed := w.err != nil
+			w.mu.Unlock()
 			return !closed
 		}
+		out := w.buf
+		w.buf, w.spare = w.spare[:0], nil
+		w.mu.Unlock()
 		w.nc.SetWriteDeadline(time.Now().Add(writeLimit))
 		if _, err := w.nc.Write(out); err != nil {
 			w.close(eris.Wrap(err, "write to peer"))
@@ -99,7 +100,9 @@
 		if cap(out) > keepBuffer {
 			out = nil
 		}
+		w.mu.Lock()
 		w.spare = out
+		w.mu.Unlock()
 	}
 }
 
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,70 @@
+// SPDX-License-Identifier: MIT
+
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestAgain(t *testing.T) {
+	base := Attempt{Repeatable: true, Replayable: true, Attempts: 1, Others: 2, Left: time.Second}
+	with := func(change func(a *Attempt)) Attempt {
+		a := base
+		change(&a)
+		return a
+	}
+	tests := []struct {
+		name    string
+		attempt Attempt
+		want    bool
+	}{
+		{"answered", with(func(a *Attempt) { a.Outcome = Answered }), false},
+		{"not run", with(func(a *Attempt) { a.Outcome = NotRun }), true},
+		{"not run, not repeatable", with(func(a *Attempt) { a.Outcome = NotRun; a.Repeatable = false }), true},
+		{"overloaded, not repeatable", with(func(a *Attempt) { a.Outcome = Overloaded; a.Repeatable = false }), true},
+		{"unknown", with(func(a *Attempt) { a.Outcome = Unknown }), true},
+		{"unknown, not repeatable", with(func(a *Attempt) { a.Outcome = Unknown; a.Repeatable = false }), false},
+		{"silent, not repeatable", with(func(a *Attempt) { a.Outcome = Silent; a.Repeatable = false }), false},
+		{"server error", with(func(a *Attempt) { a.Outcome = ServerError }), true},
+		{"server error, not repeatable", with(func(a *Attempt) { a.Outcome = ServerError; a.Repeatable = false }), false},
+		{"server error from further down", with(func(a *Attempt) { a.Outcome = ServerError; a.NoRetry = true }), false},
+		{"body not kept", with(func(a *Attempt) { a.Outcome = NotRun; a.Replayable = false }), false},
+		{"no other server", with(func(a *Attempt) { a.Outcome = Overloaded; a.Others = 0 }), false},
+		{"no time", with(func(a *Attempt) { a.Outcome = NotRun; a.Left = 0 }), false},
+		{"enough attempts", with(func(a *Attempt) { a.Outcome = NotRun; a.Attempts = MaxAttempts }), false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if got := Again(test.attempt); got != test.want {
+				t.Errorf("Again is %t, want %t", got, test.want)
+			}
+		})
+	}
+}
+
+// In any stretch of time, retries stay within the share of fresh requests,
+// the floor and what may be saved up.
+func TestBudgetBoundsRetries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := Budget{Share: rapid.Float64Range(0, 0.5).Draw(t, "share")}
+		now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		began := now
+		fresh, retries := 0, 0
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "fresh") {
+				b.Fresh(now)
+				fresh++
+			} else if b.Take(now) {
+				retries++
+			}
+		}
+		most := b.Share*float64(fresh) + FloorPerSecond*(now.Sub(began).Seconds()+1)
+		if float64(retries) > most+1e-6 {
+			t.Fatalf("%d retries; at most %.1f are paid for", retries, most)
+		}
+	})
+}
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -59,7 +59,7 @@
 			name, line, column := p.key(e)
 			p.findings.Add(line, column, "%q must not be an array of tables", name)
 		case unstable.KeyValue:
-			p.keyValue(e)
+			p.keyValue(p.prefix, e)
 		}
 	}
 	p.addSyntaxError(text, p.toml.Error())
@@ -94,9 +94,17 @@
 	return strings.Join(parts, "."), line, column
 }
 
-func (p *parser) keyValue(e *unstable.Node) {
+// keyValue takes a key with its value, or every key of an inline table.
+func (p *parser) keyValue(prefix string, e *unstable.Node) {
 	name, line, column := p.key(e)
-	name = p.prefix + name
+	name = prefix + name
+	if e.Value().Kind == unstable.InlineTable {
+		it := e.Value().Children()
+		for it.Next() {
+			p.keyValue(name+".", it.Node())
+		}
+		return
+	}
 	if first, ok := p.seen[name]; ok {
 		p.findings.Add(line, column, "%s is set twice, first in line %d", name, first)
 		return
--- a/standin/server.go
+++ b/standin/server.go
@@ -33,6 +33,9 @@
 	Name string
 	// Reports counts how often the server was asked for its report.
 	Reports atomic.Int64
+	// RunLog gets the number of each request when its work begins; it may be
+	// nil.
+	RunLog io.Writer
 
 	started time.Time
 	client  fasthttp.Client
@@ -160,6 +163,9 @@
 	s.total++
 	if number != "" {
 		s.runs[number]++
+		if s.RunLog != nil {
+			fmt.Fprintln(s.RunLog, number)
+		}
 	}
 }
 
