admit: a request that waits far longer than expected is refused at once

Cause: the gate expected a wait from the average time of answers alone. With every slot held by requests of 1.5 s and an average of 2 ms, a request was queued for an expected 2 ms and held until its deadline of 500 ms, although other servers were idle. Ruled out: the stop itself (its own requests were all answered), and the choice of the server (entries cannot know how long a request will take).

Now the expected wait is at least as long as the server has answered nothing, and a queued request is given up at twice its expected wait and 5 ms; a refusal is not run, so that the entry asks another server in the same millisecond.

node: the end of a stop no longer waits without bound for callers.

e2e: leaving servers (server, row, host list, node), planned stops, frozen gates and entries.

--- a/admit/queue.go
+++ b/admit/queue.go
@@ -47,6 +47,8 @@
 	state      State
 	cause      Cause
 	dispatched time.Time
+	// patience is until when it waits in the queue; see Queue.wait.
+	patience time.Time
 }
 
 // State returns where the ticket is in its life.
@@ -72,6 +74,9 @@
 	draining bool
 	inFlight int
 	queued   int
+	// lastDone is when a request was last answered, or when the first of
+	// those in flight was dispatched.
+	lastDone time.Time
 	waiting  [table.Priorities][]*Ticket
 	service  average
 }
@@ -127,7 +132,7 @@
 	case !q.meetsDeadline(now, t):
 		q.refuse(t, Overload)
 	case q.queued < q.settings.Queue:
-		q.push(t)
+		q.push(now, t)
 	default:
 		evicted = q.popNewestBelow(t.Priority)
 		if evicted == nil {
@@ -135,13 +140,15 @@
 			return nil
 		}
 		q.refuse(evicted, Overload)
-		q.push(t)
+		q.push(now, t)
 	}
 	return evicted
 }
 
 // Advance dispatches queued tickets while there is room and refuses those
-// whose deadline has passed. It returns every ticket that left the queue.
+// whose deadline has passed or whose wait has become much longer than it was
+// to be: another server may take them at once. It returns every ticket that
+// left the queue.
 func (q *Queue) Advance(now time.Time) []*Ticket {
 	left := q.expire(now)
 	for p := range q.waiting {
@@ -166,6 +173,7 @@
 	t.state = Answered
 	busy := q.inFlight >= q.Limit()
 	q.inFlight--
+	q.lastDone = now
 	if !ok {
 		return
 	}
@@ -217,12 +225,18 @@
 	if q.settings.NoDeadlineBound {
 		return true
 	}
+	return q.wait(now, t.Priority)+q.service.value <= t.Deadline.Sub(now)
+}
+
+// wait is the time that a new ticket is expected to queue: one interval for
+// each that goes before it, and at least as long as the server has answered
+// nothing.
+func (q *Queue) wait(now time.Time, p table.Priority) time.Duration {
 	ahead := 1
-	for p := table.Priority(0); p <= t.Priority; p++ {
-		ahead += len(q.waiting[p])
+	for i := table.Priority(0); i <= p; i++ {
+		ahead += len(q.waiting[i])
 	}
-	wait := time.Duration(ahead) * q.interval()
-	return wait+q.service.value <= t.Deadline.Sub(now)
+	return max(time.Duration(ahead)*q.interval(), now.Sub(q.lastDone))
 }
 
 // interval is the expected time between two answers at the present limit.
@@ -230,8 +244,16 @@
 	return q.service.value / time.Duration(q.Limit())
 }
 
-func (q *Queue) push(t *Ticket) {
+// A ticket is given up patienceFactor times its expected wait, and
+// patienceLeast more, after it was queued.
+const (
+	patienceFactor = 2
+	patienceLeast  = 5 * time.Millisecond
+)
+
+func (q *Queue) push(now time.Time, t *Ticket) {
 	t.state = Queued
+	t.patience = now.Add(patienceFactor*q.wait(now, t.Priority) + patienceLeast)
 	q.waiting[t.Priority] = append(q.waiting[t.Priority], t)
 	q.queued++
 }
@@ -262,21 +284,36 @@
 	for p := range q.waiting {
 		for i := 0; i < len(q.waiting[p]); {
 			t := q.waiting[p][i]
-			if now.Before(t.Deadline) {
+			cause := q.overdue(now, t)
+			if cause == NoCause {
 				i++
 				continue
 			}
 			q.remove(p, i)
-			q.refuse(t, Expired)
+			q.refuse(t, cause)
 			expired = append(expired, t)
 		}
 	}
 	return expired
 }
 
+// overdue is why a queued ticket must be refused now, if it must.
+func (q *Queue) overdue(now time.Time, t *Ticket) Cause {
+	switch {
+	case !now.Before(t.Deadline):
+		return Expired
+	case !now.Before(t.patience) && !q.settings.NoDeadlineBound:
+		return Overload
+	}
+	return NoCause
+}
+
 func (q *Queue) dispatch(now time.Time, t *Ticket) {
 	t.state = Dispatched
 	t.dispatched = now
+	if q.inFlight == 0 {
+		q.lastDone = now
+	}
 	q.inFlight++
 }
 
--- a/admit/queue_test.go
+++ b/admit/queue_test.go
@@ -174,6 +174,27 @@
 	}
 }
 
+// A request that waits much longer than it was to is refused at once, not at
+// its deadline: the requests before it may be far slower than usual.
+func TestLongWaitEndsBeforeTheDeadline(t *testing.T) {
+	now := start.Add(10 * time.Millisecond)
+	q, _ := full(Settings{Slots: 2, Queue: 10})
+	ticket := &Ticket{Deadline: now.Add(time.Hour)}
+	q.Offer(now, ticket)
+	if left := q.Advance(now.Add(8 * time.Millisecond)); len(left) != 0 {
+		t.Fatal("given up although it may still be on time")
+	}
+	q.Advance(now.Add(20 * time.Millisecond))
+	if ticket.State() != Refused || ticket.Cause() != Overload {
+		t.Errorf("after 20 ms in a queue of 5 ms the state is %d", ticket.State())
+	}
+	late := &Ticket{Deadline: now.Add(50 * time.Millisecond)}
+	q.Offer(now.Add(30*time.Millisecond), late)
+	if late.State() != Refused {
+		t.Error("queued behind a server that has answered nothing for longer than is left")
+	}
+}
+
 func TestUrgentGoesFirstAndMakesRoom(t *testing.T) {
 	now := start.Add(10 * time.Millisecond)
 	q, taken := full(Settings{Slots: 1, Queue: 2})
--- /dev/null
+++ b/internal/e2e/drain_test.go
@@ -0,0 +1,275 @@
+// SPDX-License-Identifier: MIT
+
+package e2e
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/ryehaven/ryehaven/client"
+	"github.com/ryehaven/ryehaven/command"
+	"github.com/ryehaven/ryehaven/internal/process"
+	"github.com/ryehaven/ryehaven/platform"
+	"github.com/ryehaven/ryehaven/standin"
+	"github.com/ryehaven/ryehaven/table"
+
+	"github.com/valyala/fasthttp"
+)
+
+// put sends a value to a stand-in's control path.
+func put(t *testing.T, url string, v any) {
+	t.Helper()
+	body, err := json.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI(url)
+	request.Header.SetMethod("PUT")
+	request.SetBody(body)
+	if err := fasthttp.DoTimeout(request, response, 5*time.Second); err != nil || response.StatusCode() != 200 {
+		t.Fatalf("put %s: status %d, error %v", url, response.StatusCode(), err)
+	}
+}
+
+// publishHosts writes the platform's list with the first host leaving or not.
+func publishHosts(t *testing.T, s *process.Site, leaving bool) {
+	t.Helper()
+	var hosts []platform.Host
+	for _, n := range s.Nodes {
+		hosts = append(hosts, platform.Host{Host: n.Host, Address: n.Peer.Address(), Zone: n.Zone, Region: "region", State: platform.HostLive})
+	}
+	if leaving {
+		hosts[0].State = platform.HostLeaving
+		hosts[0].ChangedMillis = time.Now().UnixMilli()
+	}
+	body, err := json.Marshal(hosts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.Client.Put(context.Background(), platform.HostsKey, "", body); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// runsOf counts the runs of one server.
+func runsOf(t *testing.T, s *process.Site, i int) int {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join(s.Config.Dir, s.Servers[i].Name+".runs"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return strings.Count(string(text), "\n")
+}
+
+// newWorkAfter is the brief's "a few seconds", as the issue states it.
+const newWorkAfter = 2 * time.Second
+
+func TestLeavingServerGetsNoNewWork(t *testing.T) {
+	tests := []struct {
+		name  string
+		leave func(t *testing.T, s *process.Site)
+	}{
+		{"the server says so", func(t *testing.T, s *process.Site) {
+			b := s.Config.Behaviour
+			b.Draining = true
+			put(t, "http://"+s.Servers[0].Address+standin.BehaviourPath, b)
+		}},
+		{"its row says so", func(t *testing.T, s *process.Site) {
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			result, err := command.SetState(ctx, s.Client, "", s.Servers[0].Name, table.Leaving)
+			if err != nil || result.Outcome != command.Accepted {
+				t.Fatalf("%+v, error %v", result, err)
+			}
+		}},
+		{"the platform's list says so", func(t *testing.T, s *process.Site) { publishHosts(t, s, true) }},
+		{"its node is told to stop", signalNode(0, syscall.SIGTERM)},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := start(t, 5, nil)
+			w := startWorkload(callers(s.Nodes[3:]), workers)
+			time.Sleep(before)
+			if runsOf(t, s, 0) == 0 {
+				t.Fatal("the server has no work before it leaves")
+			}
+			test.leave(t, s)
+			time.Sleep(newWorkAfter)
+			settled := runsOf(t, s, 0)
+			time.Sleep(during)
+			if now := runsOf(t, s, 0); now != settled {
+				t.Errorf("%d requests began at a leaving server after %v", now-settled, newWorkAfter)
+			}
+			all := w.end()
+			checkPromises(t, s, all)
+			checkAllAnswered(t, all)
+		})
+	}
+}
+
+// A planned stop of nodes that are entry and gate at once, under load on
+// connections that are kept: every request is answered, and the process ends
+// by itself with code 0.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	s := start(t, 5, nil)
+	w := startWorkload(callers(s.Nodes[3:]), workers)
+	through := startStopper(s.Nodes[0].Caller, 8)
+	for range 4 { // They are in flight at several gates when the stop begins.
+		through.sendLong(s.Nodes[0].Caller)
+		through.sendLong(s.Nodes[3].Caller)
+	}
+	time.Sleep(before)
+	if err := s.Nodes[0].Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if code := s.Nodes[0].Wait(); code != 0 {
+		t.Errorf("exit code is %d", code)
+	}
+	failed := through.end()
+	for _, message := range failed {
+		t.Errorf("a request through the stopping node: %s", message)
+	}
+	if through.answered == 0 {
+		t.Error("nothing went through the stopping node")
+	}
+	all := w.end()
+	checkPromises(t, s, all)
+	checkAllAnswered(t, all)
+}
+
+// stopper sends through one node on kept connections, with idle times between,
+// until the node takes no new connection.
+type stopper struct {
+	*workload
+	answered int
+	failed   []string
+}
+
+func startStopper(caller string, workers int) *stopper {
+	s := &stopper{workload: &workload{stop: make(chan struct{})}}
+	for i := range workers {
+		s.wait.Go(func() { s.sendUntilGone(caller, time.Duration(i)*100*time.Millisecond) })
+	}
+	return s
+}
+
+// sendLong sends one request that takes longer than the stop waits at least.
+func (s *stopper) sendLong(caller string) {
+	s.wait.Go(func() {
+		c := client.New([]string{caller})
+		answer, err := c.Do(client.Request{Service: service, Method: "POST", Path: "/wait/1500", Limit: 5 * time.Second})
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if err != nil || answer.Status != 200 {
+			s.failed = append(s.failed, fmt.Sprintf("long request through %s: status %d, error %v", caller, answer.Status, err))
+		}
+	})
+}
+
+// sendUntilGone keeps one connection, as a caller that honours Keep-Alive.
+func (s *stopper) sendUntilGone(caller string, pause time.Duration) {
+	host := &fasthttp.HostClient{Addr: caller, MaxConns: 1, MaxIdleConnDuration: 900 * time.Millisecond, MaxIdemponentCallAttempts: 1}
+	request := fasthttp.AcquireRequest()
+	response := fasthttp.AcquireResponse()
+	for {
+		request.SetRequestURI("http://" + caller + "/stop")
+		request.UseHostHeader = true
+		request.Header.SetHost(service)
+		request.Header.SetMethod("POST")
+		request.Header.Set(standin.RunField, "stop")
+		err := host.DoTimeout(request, response, 5*time.Second)
+		refused := err != nil && strings.Contains(err.Error(), "connection refused")
+		s.mu.Lock()
+		switch {
+		case refused:
+		case err != nil:
+			s.failed = append(s.failed, err.Error())
+		case response.StatusCode() != 200:
+			s.failed = append(s.failed, string(response.Body()))
+		default:
+			s.answered++
+		}
+		s.mu.Unlock()
+		if refused {
+			return
+		}
+		time.Sleep(pause)
+	}
+}
+
+// end waits until the node is gone for every worker.
+func (s *stopper) end() []string {
+	s.wait.Wait()
+	return s.failed
+}
+
+// Requests that a frozen gate reads only after their deadline do not run.
+func TestFrozenGateDoesNotRunWhatOutlivedItsDeadline(t *testing.T) {
+	s := start(t, 4, nil)
+	waitServed(t, callers(s.Nodes[3:]))
+	for i := range s.Servers {
+		signalNode(i, syscall.SIGSTOP)(t, s)
+	}
+	all := sendOnce(s.Nodes[3].Caller, 40, 300*time.Millisecond)
+	for i := range s.Servers {
+		signalNode(i, syscall.SIGCONT)(t, s)
+	}
+	waitServed(t, callers(s.Nodes[3:]))
+	time.Sleep(after)
+	checkNothingRan(t, s, all)
+}
+
+// Requests that a frozen entry reads only after their callers have closed
+// their connections do not run.
+func TestFrozenEntryDoesNotRunWhatItsCallerGaveUp(t *testing.T) {
+	s := start(t, 4, nil)
+	waitServed(t, callers(s.Nodes[3:]))
+	signalNode(3, syscall.SIGSTOP)(t, s)
+	all := sendOnce(s.Nodes[3].Caller, 40, 300*time.Millisecond)
+	signalNode(3, syscall.SIGCONT)(t, s)
+	waitServed(t, callers(s.Nodes[3:]))
+	time.Sleep(after)
+	checkNothingRan(t, s, all)
+}
+
+// sendOnce sends n requests at once that are not repeatable, and gives up on
+// each after a limit by closing its connection.
+func sendOnce(caller string, n int, limit time.Duration) []string {
+	var numbers []string
+	w := &workload{}
+	for i := range n {
+		number := "late." + string(rune('a'+i%26)) + string(rune('a'+i/26))
+		numbers = append(numbers, number)
+		w.wait.Go(func() {
+			c := client.New([]string{caller})
+			_, _ = c.Do(client.Request{Service: service, Method: "POST", Path: "/run", Limit: limit,
+				Header: map[string]string{standin.RunField: number}}) // It is to fail.
+		})
+	}
+	w.wait.Wait()
+	return numbers
+}
+
+func checkNothingRan(t *testing.T, s *process.Site, numbers []string) {
+	t.Helper()
+	runs, err := s.Runs()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, number := range numbers {
+		if runs[number] > 0 {
+			t.Errorf("request %s ran after its time", number)
+		}
+	}
+}
--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -15,6 +15,10 @@
 	"github.com/ryehaven/ryehaven/client"
 	"github.com/ryehaven/ryehaven/internal/process"
 	"github.com/ryehaven/ryehaven/standin"
+
+	// The processes under test are built from these; the import makes a kept
+	// test result worthless once they change.
+	_ "github.com/ryehaven/ryehaven/node"
 )
 
 // programs is where the commands were built.
@@ -87,6 +91,8 @@
 	body       string
 	at         time.Time
 	took       time.Duration
+	// detail says why it was not answered.
+	detail string
 }
 
 // workload sends numbered requests from some workers until stopped.
@@ -138,6 +144,9 @@
 		Limit:   500 * time.Millisecond,
 	})
 	one.took = time.Since(one.at)
+	if err != nil {
+		one.detail = err.Error()
+	}
 	switch {
 	case errors.Is(err, client.ErrNotRun):
 		one.ending = notRun
@@ -167,6 +176,16 @@
 	return counts
 }
 
+// checkAllAnswered is for faults that no caller may notice.
+func checkAllAnswered(t *testing.T, all []sent) {
+	t.Helper()
+	for _, one := range all {
+		if one.ending != answered {
+			t.Errorf("request %s of %d was not answered: %s", one.number, len(all), one.detail)
+		}
+	}
+}
+
 // checkPromises holds what callers were told against what ran.
 func checkPromises(t *testing.T, s *process.Site, all []sent) {
 	t.Helper()
--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -149,7 +149,7 @@
 	if counts[answered] == 0 {
 		t.Error("nothing was answered at all")
 	}
-	if f.name == "none" && counts[answered] != len(all) {
-		t.Errorf("%d of %d requests failed without a fault", len(all)-counts[answered], len(all))
+	if f.name == "none" {
+		checkAllAnswered(t, all)
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -219,8 +219,10 @@
 	}
 	cancel()
 	n.closeListeners()
-	_ = callers.Shutdown() // Its listener is closed and nothing is served.
-	_ = admin.Shutdown()
+	ended, done := context.WithTimeout(context.Background(), farewell)
+	defer done()
+	_ = callers.ShutdownWithContext(ended) // What stop left is cut off now.
+	_ = admin.ShutdownWithContext(ended)
 	n.dialer.Close()
 	n.peerServer.Close()
 	wait.Wait()
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -443,17 +443,36 @@
 	}
 }
 
-func TestRequestNumbersMustRise(t *testing.T) {
-	address, _ := start(t, &handler{request: func(*Stream) {}})
+// dialRaw opens a connection whose frames the test writes itself.
+func dialRaw(t *testing.T, address string) (net.Conn, *wire.Reader) {
+	t.Helper()
 	nc, err := net.Dial("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer nc.Close()
+	t.Cleanup(func() { nc.Close() })
 	r := wire.NewReader(nc)
 	if _, err := dialHandshake(nc, r, Identity{Host: "raw", Key: testKey}, time.Second); err != nil {
 		t.Fatal(err)
 	}
+	return nc, r
+}
+
+// A request that lay unread for longer than its budget has no time left.
+func TestTimeUnreadIsTakenOffTheBudget(t *testing.T) {
+	left := make(chan time.Duration, 1)
+	address, _ := start(t, &handler{request: func(s *Stream) { left <- time.Until(s.Deadline) }})
+	nc, _ := dialRaw(t, address)
+	time.Sleep(300 * time.Millisecond)
+	writeFrame(nc, &wire.Request{ID: 1, SentMicros: 0, BudgetMicros: 200_000, Last: true})
+	if d := <-left; d > 0 {
+		t.Errorf("%v are left of 200 ms after 300 ms unread", d)
+	}
+}
+
+func TestRequestNumbersMustRise(t *testing.T) {
+	address, _ := start(t, &handler{request: func(*Stream) {}})
+	nc, r := dialRaw(t, address)
 	writeFrame(nc, &wire.Request{ID: 2, BudgetMicros: 1e9, Last: true})
 	writeFrame(nc, &wire.Request{ID: 2, BudgetMicros: 1e9, Last: true})
 	nc.SetReadDeadline(time.Now().Add(5 * time.Second))
--- a/standin/server.go
+++ b/standin/server.go
@@ -220,8 +220,9 @@
 	return true
 }
 
-// Answer paths: /bytes/N answers N bytes, /echo the request's body, anything
-// else a line with the server's name, the run number and the path.
+// answer knows these paths: /bytes/N answers N bytes, /echo the request's
+// body, /wait/MS after that many milliseconds more, and anything else at once,
+// with a line of the server's name, the run number and the path.
 func (s *Server) answer(ctx *fasthttp.RequestCtx) {
 	ctx.Response.Header.Set(RunField, string(ctx.Request.Header.Peek(RunField)))
 	path := string(ctx.Path())
@@ -234,6 +235,14 @@
 		ctx.SetBodyStream(&pattern{left: n}, n)
 		return
 	}
+	if pause, ok := strings.CutPrefix(path, "/wait/"); ok {
+		ms, err := strconv.Atoi(pause)
+		if err != nil {
+			ctx.Error("time is not a number\n", fasthttp.StatusBadRequest)
+			return
+		}
+		time.Sleep(time.Duration(ms) * time.Millisecond)
+	}
 	if path == "/echo" && ctx.RequestBodyStream() != nil {
 		body := ctx.Request.Body()
 		ctx.SetBody(body)
