--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -120,6 +120,30 @@
 	}
 }
 
+// A server that joins, or that was slow a while ago, is asked again although
+// its peers are quick.
+func TestUnknownAndFormerlySlowServersAreAsked(t *testing.T) {
+	p := newTestPool(3, Options{})
+	quick := p.Servers()[1:]
+	for _, s := range quick {
+		answer(p, start, s, Result{Latency: 100 * time.Microsecond})
+	}
+	if share := shares(p, start, 3000)["s0"]; share < 0.1 {
+		t.Errorf("a server that never answered gets %.2f", share)
+	}
+	answer(p, start, p.Servers()[0], Result{Latency: 100 * time.Millisecond})
+	if share := shares(p, start, 3000)["s0"]; share > 0.05 {
+		t.Errorf("a server that is slow now gets %.2f", share)
+	}
+	later := start.Add(10 * latencyDecay)
+	for _, s := range quick {
+		answer(p, later, s, Result{Latency: 100 * time.Microsecond})
+	}
+	if share := shares(p, later, 3000)["s0"]; share < 0.1 {
+		t.Errorf("a server that was slow 5 s ago gets %.2f", share)
+	}
+}
+
 func TestOlderReportDoesNotReplaceNewer(t *testing.T) {
 	p := newTestPool(1, Options{})
 	s := p.Servers()[0]
--- a/balance/eject.go
+++ b/balance/eject.go
@@ -22,6 +22,7 @@
 
 func (s *Server) failed(now time.Time, p *Pool) {
 	s.consecutive++
+	s.lastFailure = now
 	s.failures += failureShare * (1 - s.failures)
 	if p.options.NoEjection || s.Ejected(now) {
 		return
--- a/balance/expect.go
+++ b/balance/expect.go
@@ -12,8 +12,13 @@
 	// reportDecay is the time in which the others' part of a report loses
 	// all but 1/e of its worth.
 	reportDecay = 100 * time.Millisecond
-	// defaultService stands for the service time of a server that has not
-	// answered yet.
+	// latencyDecay is the same for how much a server's latency differs from
+	// its peers'. Without it a server that was slow once would never be asked
+	// again, and nobody would learn that it is quick.
+	latencyDecay = 500 * time.Millisecond
+	// failureDecay is the same for the share of failures.
+	failureDecay = 2 * time.Second
+	// defaultService stands for the service time while no server has answered.
 	defaultService = 5 * time.Millisecond
 	// silenceFactor is how many usual latencies without any answer make a
 	// server with outstanding work look slow.
@@ -24,11 +29,11 @@
 )
 
 // expected is the time that a request is expected to take at the server, in
-// seconds.
-func (p *Pool) expected(now time.Time, s *Server) float64 {
-	service := s.serviceTime()
+// seconds. best is the shortest latency of the service's servers.
+func (p *Pool) expected(now time.Time, s *Server, best time.Duration) float64 {
+	service := s.serviceTime(now, best)
 	if !p.options.NoSilence {
-		service = max(service, s.silence(now))
+		service = max(service, s.silence(now, service))
 	}
 	limit := float64(s.Slots)
 	if s.report.Limit > 0 && !p.options.NoReports {
@@ -42,28 +47,51 @@
 	if busy > 1 {
 		seconds += service.Seconds() * (busy - 1)
 	}
-	seconds *= 1 + failurePenalty*s.failures
+	seconds *= 1 + failurePenalty*s.failures*decay(now.Sub(s.lastFailure), failureDecay)
 	if !p.options.NoDistance {
 		seconds += s.Distance.Seconds()
 	}
 	return seconds
 }
 
-func (s *Server) serviceTime() time.Duration {
-	if s.latency > 0 {
-		return s.latency
+// decay is what is left after an age of something that decays in a time.
+func decay(age, in time.Duration) float64 {
+	return math.Exp(-float64(age) / float64(in))
+}
+
+// best is the shortest latency of the servers that have answered.
+func (p *Pool) best() time.Duration {
+	best := time.Duration(0)
+	for _, s := range p.servers {
+		if s.latency > 0 && (best == 0 || s.latency < best) {
+			best = s.latency
+		}
+	}
+	if best == 0 {
+		return defaultService
+	}
+	return best
+}
+
+// serviceTime is the server's own latency while it is news, and more and more
+// the best of its peers as it grows old: an old guess must not keep a server
+// from being asked, and one request tells how it is.
+func (s *Server) serviceTime(now time.Time, best time.Duration) time.Duration {
+	if s.latency == 0 {
+		return best
 	}
-	return defaultService
+	own := float64(s.latency-best) * decay(now.Sub(s.answeredAt), latencyDecay)
+	return best + time.Duration(own)
 }
 
 // silence is how long the server has answered nothing although it has work
 // from this entry, once that is longer than usual; else 0.
-func (s *Server) silence(now time.Time) time.Duration {
+func (s *Server) silence(now time.Time, usual time.Duration) time.Duration {
 	if s.outstanding == 0 {
 		return 0
 	}
 	silent := now.Sub(s.lastProgress)
-	if silent < silenceFactor*s.serviceTime() {
+	if silent < silenceFactor*usual {
 		return 0
 	}
 	return silent
@@ -80,6 +108,5 @@
 	if others <= 0 {
 		return own
 	}
-	age := now.Sub(s.reportAt)
-	return own + others*math.Exp(-float64(age)/float64(reportDecay))
+	return own + others*decay(now.Sub(s.reportAt), reportDecay)
 }
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -90,8 +90,9 @@
 	if choices == 0 {
 		choices = DefaultChoices
 	}
-	return least(p.draw(now, rng, candidates, choices), 0, func(s *Server) float64 {
-		return p.expected(now, s)
+	best := p.best()
+	return clearlyLeast(p.draw(now, rng, candidates, choices), func(s *Server) float64 {
+		return p.expected(now, s, best)
 	})
 }
 
@@ -172,6 +173,23 @@
 	return best
 }
 
+// margin is the share by which a score must be less to count. Guesses that are
+// as good as equal are left to the draw, so that no server is starved and
+// entries with the same guesses do not all go to the same one.
+const margin = 0.1
+
+// clearlyLeast returns the element with the least score, or an earlier one
+// that is within the margin of it.
+func clearlyLeast(servers []*Server, score func(*Server) float64) *Server {
+	best, bestScore := servers[0], score(servers[0])
+	for _, s := range servers[1:] {
+		if v := score(s); v < (1-margin)*bestScore {
+			best, bestScore = s, v
+		}
+	}
+	return best
+}
+
 func outstandingScore(s *Server) float64 { return float64(s.outstanding) }
 
 // nearness scales the chance of being drawn by distance.
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -35,7 +35,9 @@
 	reportAt       time.Time
 	ownAtReport    int
 	latency        time.Duration
+	answeredAt     time.Time
 	failures       float64
+	lastFailure    time.Time
 	consecutive    int
 	ejections      int
 	ejectedUntil   time.Time
@@ -141,6 +143,7 @@
 	case r.Abandoned:
 	case r.TimedOut:
 		s.latency = max(s.latency, r.Latency)
+		s.answeredAt = now
 	case r.Refused != 0:
 		s.lastProgress = now
 		s.refused(now, r)
@@ -148,6 +151,7 @@
 		s.failed(now, p)
 	default:
 		s.lastProgress = now
+		s.answeredAt = now
 		s.answered(r.Latency)
 	}
 }
@@ -175,13 +179,16 @@
 func (s *Server) answered(latency time.Duration) {
 	s.consecutive = 0
 	s.failures -= failureShare * s.failures
-	if s.latency == 0 || latency > s.latency {
+	switch {
+	case s.latency == 0:
+		s.latency = latency
+	case latency > s.latency:
 		// A jump up is believed faster than a fall, so that a server that
 		// became slow is left quickly.
 		s.latency += time.Duration(2 * latencyShare * float64(latency-s.latency))
-		return
+	default:
+		s.latency += time.Duration(latencyShare * float64(latency-s.latency))
 	}
-	s.latency += time.Duration(latencyShare * float64(latency-s.latency))
 }
 
 // Unreachable takes note that no connection to the server's node was had.
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -16,8 +16,11 @@
 // attempt is one sending of a request to one server and how it ended.
 type attempt struct {
 	server *balance.Server
-	call   *peer.Call
-	began  time.Time
+	// name and node are the server's, read under the service's lock.
+	name  string
+	node  string
+	call  *peer.Call
+	began time.Time
 
 	outcome retry.Outcome
 	// response is set when the server answered.
@@ -42,11 +45,11 @@
 		return nil
 	}
 	s.pool.Sent(a.began, a.server)
-	node := a.server.Node
+	a.name, a.node = a.server.Name, a.server.Node
 	s.mu.Unlock()
 	r.tried = append(r.tried, a.server)
 	r.attempts++
-	suspected := e.send(r, a, node)
+	suspected := e.send(r, a)
 	if a.call != nil {
 		e.await(r, a, suspected)
 	}
@@ -55,8 +58,8 @@
 
 // send starts the call or ends the attempt as not run. It returns a channel
 // that is closed when the node becomes suspected.
-func (e *Entry) send(r *request, a *attempt, node string) <-chan struct{} {
-	conn, err := e.dialer.Get(node, min(e.settings.ConnectLimit, time.Until(r.deadline)))
+func (e *Entry) send(r *request, a *attempt) <-chan struct{} {
+	conn, err := e.dialer.Get(a.node, min(e.settings.ConnectLimit, time.Until(r.deadline)))
 	if err != nil {
 		e.endUnreachable(r, a)
 		return nil
@@ -72,7 +75,7 @@
 		suspected = nil // It was chosen for want of another; wait for it.
 	}
 	m := r.message
-	m.Server = a.server.Name
+	m.Server = a.name
 	m.BudgetMicros = left.Microseconds()
 	call, err := conn.Start(&m)
 	if err != nil {
--- a/entry/reply.go
+++ b/entry/reply.go
@@ -67,7 +67,7 @@
 	for _, f := range m.Header {
 		response.Header.Add(f.Name, f.Value)
 	}
-	response.Header.Set(header.Server, a.server.Name)
+	response.Header.Set(header.Server, a.name)
 	if m.NoRetry {
 		response.Header.Set(header.Retry, header.No)
 	}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -275,6 +275,7 @@
 		}
 		_ = server.http.Shutdown()
 	}
+	s.Store.SetFaults(platformtest.Faults{Down: true}) // It ends the watches.
 	if s.platform != nil {
 		_ = s.platform.Shutdown()
 	}
