--- a/admit/limit.go
+++ b/admit/limit.go
@@ -6,7 +6,7 @@
 
 // The window over which a Limit judges a server, and its thresholds.
 const (
-	windowLength = 50 * time.Millisecond
+	windowLength = 500 * time.Millisecond
 	windowLeast  = 8
 	// slowFactor is how much slower than its base a full server answers
 	// before the limit is lowered.
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -118,6 +118,20 @@
 // Service returns the moving average of the server's own time.
 func (q *Queue) Service() time.Duration { return q.service.value }
 
+// stallFactor is how many usual service times without any answer make a
+// server with work look stalled.
+const stallFactor = 1.5
+
+// Stalled returns how long the server has answered nothing although it has
+// work, once that is longer than usual; else 0.
+func (q *Queue) Stalled(now time.Time) time.Duration {
+	silent := now.Sub(q.lastDone)
+	if q.inFlight == 0 || q.service.value == 0 || float64(silent) < stallFactor*float64(q.service.value) {
+		return 0
+	}
+	return silent
+}
+
 // Offer takes a received ticket. Afterwards it is Dispatched, Queued or
 // Refused. A ticket of lower priority that had to make room for it is
 // returned, Refused.
--- a/admit/queue_test.go
+++ b/admit/queue_test.go
@@ -226,15 +226,15 @@
 			l.Observe(now, took, true)
 		}
 	}
-	for range 200 { // Quiet times teach what the server can do.
+	for range 2000 { // Quiet times teach what the server can do.
 		now = now.Add(time.Millisecond)
 		l.Observe(now, 5*time.Millisecond, false)
 	}
-	answer(2000)
+	answer(20_000)
 	if v := l.Value(); v < 5 || v > 10 {
 		t.Errorf("limit is %d for a server worth 6 slots", v)
 	}
-	for range 2000 {
+	for range 20_000 {
 		now = now.Add(time.Millisecond)
 		l.Observe(now, 5*time.Millisecond, false)
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -115,8 +116,13 @@
 	if share := shares(p, start, 1000)["s0"]; share > 0.05 {
 		t.Errorf("a server just reported busy gets %.2f", share)
 	}
-	if load := p.load(start.Add(10*reportDecay), busy); load > 0.01 {
-		t.Errorf("after ten times the decay %.2f of the report is left", load)
+	service := 5 * time.Millisecond
+	if load := p.load(start, busy, service); load < 7 {
+		t.Errorf("load is %.2f by a fresh report of 8", load)
+	}
+	mean := p.meanOthers()
+	if load := p.load(start.Add(10*reportDecayServices*service), busy, service); math.Abs(load-mean) > 0.1 {
+		t.Errorf("load is %.2f by an old report, the mean is %.2f", load, mean)
 	}
 }
 
--- a/balance/expect.go
+++ b/balance/expect.go
@@ -9,9 +9,10 @@
 
 // How an expected time is put together.
 const (
-	// reportDecay is the time in which the others' part of a report loses
-	// all but 1/e of its worth.
-	reportDecay = 100 * time.Millisecond
+	// reportDecayServices is the time, in service times, in which the others'
+	// part of a report loses all but 1/e of its worth: what was in flight then
+	// has been answered and replaced since.
+	reportDecayServices = 1
 	// latencyDecay is the same for how much a server's latency differs from
 	// its peers'. Without it a server that was slow once would never be asked
 	// again, and nobody would learn that it is quick.
@@ -23,6 +24,11 @@
 	// silenceFactor is how many usual latencies without any answer make a
 	// server with outstanding work look slow.
 	silenceFactor = 2
+	// stallBelieved is how long a report of a stall is believed; the gate says
+	// so as soon as its server answers again.
+	stallBelieved = 100 * time.Millisecond
+	// stallPenalty is how many usual latencies a stall is expected to last on.
+	stallPenalty = 3
 	// failurePenalty lengthens the expected time of a server all of whose
 	// requests fail.
 	failurePenalty = 20
@@ -31,15 +37,18 @@
 // expected is the time that a request is expected to take at the server, in
 // seconds. best is the shortest latency of the service's servers.
 func (p *Pool) expected(now time.Time, s *Server, best time.Duration) float64 {
-	service := s.serviceTime(now, best)
+	service := p.serviceTime(now, s, best)
 	if !p.options.NoSilence {
 		service = max(service, s.silence(now, service))
 	}
+	if !p.options.NoNotices {
+		service = max(service, s.stalled(now, service))
+	}
 	limit := float64(s.Slots)
 	if s.report.Limit > 0 && !p.options.NoReports {
 		limit = float64(s.report.Limit)
 	}
-	busy := (p.load(now, s) + 1) / (limit * s.Weight * s.ramp(now))
+	busy := (p.load(now, s, service) + 1) / (limit * s.Weight * s.ramp(now))
 	// Below the limit nothing waits, yet a busier server is more likely to be
 	// met by others' work; above it each further limit's worth of requests
 	// costs one service time.
@@ -59,12 +68,23 @@
 	return math.Exp(-float64(age) / float64(in))
 }
 
-// best is the shortest latency of the servers that have answered.
+// usual is what a request takes at the server while nothing waits there: the
+// gate's own average of the server's time, or the entry's of whole answers
+// while there is no report. The first does not count waiting, which load
+// counts; the second does, and counts it twice.
+func (p *Pool) usual(s *Server) time.Duration {
+	if s.report.ServiceMicros > 0 && !p.options.NoReports {
+		return time.Duration(s.report.ServiceMicros) * time.Microsecond
+	}
+	return s.latency
+}
+
+// best is the shortest usual time of the servers that have answered.
 func (p *Pool) best() time.Duration {
 	best := time.Duration(0)
 	for _, s := range p.servers {
-		if s.latency > 0 && (best == 0 || s.latency < best) {
-			best = s.latency
+		if usual := p.usual(s); usual > 0 && (best == 0 || usual < best) {
+			best = usual
 		}
 	}
 	if best == 0 {
@@ -73,14 +93,15 @@
 	return best
 }
 
-// serviceTime is the server's own latency while it is news, and more and more
+// serviceTime is the server's usual time while it is news, and more and more
 // the best of its peers as it grows old: an old guess must not keep a server
 // from being asked, and one request tells how it is.
-func (s *Server) serviceTime(now time.Time, best time.Duration) time.Duration {
-	if s.latency == 0 {
+func (p *Pool) serviceTime(now time.Time, s *Server, best time.Duration) time.Duration {
+	usual := p.usual(s)
+	if usual == 0 {
 		return best
 	}
-	own := float64(s.latency-best) * decay(now.Sub(s.answeredAt), latencyDecay)
+	own := float64(usual-best) * decay(now.Sub(s.answeredAt), latencyDecay)
 	return best + time.Duration(own)
 }
 
@@ -97,16 +118,46 @@
 	return silent
 }
 
+// stalled is how long the server's gate has seen no answer, if its last report
+// said so and is still news; else 0.
+func (s *Server) stalled(now time.Time, usual time.Duration) time.Duration {
+	if s.report.StalledMicros == 0 {
+		return 0
+	}
+	age := now.Sub(s.reportAt)
+	if age > stallBelieved {
+		return 0
+	}
+	return stallPenalty*usual + time.Duration(s.report.StalledMicros)*time.Microsecond + age
+}
+
 // load is the number of requests expected at the server's gate: the entry's
-// own, and what is left of the others' part of the last report.
-func (p *Pool) load(now time.Time, s *Server) float64 {
+// own, which it knows, and those of others. The others' part of the last report
+// fades into the mean over all servers, so that a server heard of just now and
+// one heard of long ago are compared fairly.
+func (p *Pool) load(now time.Time, s *Server, service time.Duration) float64 {
 	own := float64(s.outstanding)
 	if p.options.NoReports || s.reportAt.IsZero() {
 		return own
 	}
-	others := float64(s.report.InFlight + s.report.Queued - s.ownAtReport)
-	if others <= 0 {
-		return own
+	mean := p.meanOthers()
+	news := decay(now.Sub(s.reportAt), reportDecayServices*service)
+	return own + mean + (s.others()-mean)*news
+}
+
+// others is the others' part of the last report.
+func (s *Server) others() float64 {
+	return float64(max(s.report.InFlight+s.report.Queued-s.ownAtReport, 0))
+}
+
+// meanOthers is the mean of the others' parts over the servers with a report.
+func (p *Pool) meanOthers() float64 {
+	sum, n := 0.0, 0
+	for _, s := range p.servers {
+		if !s.reportAt.IsZero() {
+			sum += s.others()
+			n++
+		}
 	}
-	return own + others*decay(now.Sub(s.reportAt), reportDecay)
+	return sum / float64(max(n, 1))
 }
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -42,6 +42,8 @@
 	NoReports bool
 	// NoSilence ignores how long a server has answered nothing.
 	NoSilence bool
+	// NoNotices ignores what gates tell of stalls.
+	NoNotices bool
 	// NoEjection never ejects.
 	NoEjection bool
 	// NoDistance ignores availability zones.
@@ -101,7 +103,7 @@
 func (p *Pool) Others(now time.Time, tried Tried) int {
 	n := 0
 	for _, s := range p.servers {
-		if !tried.Has(s) && s.trouble(now) == noTrouble {
+		if !tried.Has(s) && p.troubleOf(now, s) == noTrouble {
 			n++
 		}
 	}
@@ -121,16 +123,21 @@
 	leaving
 )
 
-func (s *Server) trouble(now time.Time) trouble {
+// troubleOf is the reason not to take a server. The baselines know only what
+// any client would: servers that leave or cannot be reached.
+func (p *Pool) troubleOf(now time.Time, s *Server) trouble {
+	baseline := p.options.Policy != "" && p.options.Policy != Expected
 	switch {
 	case s.Leaving:
 		return leaving
 	case now.Before(s.drainingUntil):
 		return draining
-	case s.suspected:
-		return suspected
 	case now.Before(s.unreachableTil):
 		return unreachable
+	case baseline:
+		return noTrouble
+	case s.suspected:
+		return suspected
 	case s.Ejected(now):
 		return ejected
 	case now.Before(s.fullUntil):
@@ -147,7 +154,7 @@
 		if tried.Has(s) {
 			continue
 		}
-		t := s.trouble(now)
+		t := p.troubleOf(now, s)
 		if t == leaving || t > best {
 			continue
 		}
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -125,6 +125,9 @@
 
 // How results are weighed.
 const (
+	// orderedFor is how long after a report an older one is told apart by its
+	// number; a gate whose host's clock went back numbers from lower on.
+	orderedFor   = 5 * time.Second
 	latencyShare = 0.2
 	failureShare = 0.1
 	// drainingFor is how long a refusal for draining is believed.
@@ -156,8 +159,17 @@
 	}
 }
 
+// Learn takes a report that a gate sent unasked.
+func (p *Pool) Learn(now time.Time, server string, load wire.Load) {
+	for _, s := range p.servers {
+		if s.Name == server {
+			s.learn(now, load)
+		}
+	}
+}
+
 func (s *Server) learn(now time.Time, load wire.Load) {
-	if load.Seq <= s.report.Seq && now.Sub(s.reportAt) < time.Second {
+	if load.Seq <= s.report.Seq && now.Sub(s.reportAt) < orderedFor {
 		return
 	}
 	s.report = load
--- /dev/null
+++ b/cmd/ryehaven-load/overhead.go
@@ -0,0 +1,182 @@
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"fmt"
+	"os"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"github.com/ryehaven/ryehaven/header"
+	"github.com/ryehaven/ryehaven/internal/process"
+	"github.com/ryehaven/ryehaven/standin"
+)
+
+type overheadCommand struct {
+	processFlags
+	Callers []int         `default:"1,12,64" help:"Numbers of callers, each with one request at a time."`
+	Length  time.Duration `default:"4s" help:"Length of each of the runs, which take turns."`
+	Rounds  int           `default:"3" help:"Runs of each kind."`
+	Work    time.Duration `default:"1ms" help:"The server's time for a request."`
+	Post    bool          `help:"Send requests that are not repeatable."`
+}
+
+const overheadSlots = 12
+
+// Run compares calls through an entry and a gate, in processes of their own,
+// with calls straight to the server.
+func (c *overheadCommand) Run() error {
+	s, stop, err := c.start(process.Config{
+		Service:   "termostat",
+		Nodes:     2,
+		Servers:   1,
+		Zones:     []string{"zone"},
+		Columns:   map[string]string{"slots": fmt.Sprint(overheadSlots), "queue": "1000", "deadline_ms": "5000"},
+		Behaviour: standin.Behaviour{Slots: overheadSlots, ServiceMicros: c.Work.Microseconds()},
+		Settings:  "",
+	})
+	if err != nil {
+		return err
+	}
+	defer stop()
+	method := fasthttp.MethodGet
+	if c.Post {
+		method = fasthttp.MethodPost
+	}
+	fmt.Printf("%s, server's time %v, %d slots, %d rounds of %v in turn\n\n", method, c.Work, overheadSlots, c.Rounds, c.Length)
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 1, ' ', 0)
+	fmt.Fprintln(w, "| callers\t| way\t| calls/s\t| p50 ms\t| p99 ms\t| p99.9 ms\t| entry us/call\t| gate us/call\t| entry MB\t| gate MB\t|")
+	fmt.Fprintln(w, "| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t|")
+	for _, callers := range c.Callers {
+		if err := c.compare(w, s, callers, method); err != nil {
+			return err
+		}
+	}
+	return w.Flush()
+}
+
+// way is one way to the server and what was measured on it.
+type way struct {
+	name    string
+	address string
+	latency *hdrhistogram.Histogram
+	length  time.Duration
+	entry   time.Duration
+	gate    time.Duration
+}
+
+func (c *overheadCommand) compare(w *tabwriter.Writer, s *process.Site, callers int, method string) error {
+	ways := []*way{
+		{name: "direct", address: s.Servers[0].Address},
+		{name: "through", address: s.Nodes[1].Caller},
+	}
+	var entry, gate usage
+	for range c.Rounds {
+		for _, way := range ways {
+			before, err := usages(s)
+			if err != nil {
+				return err
+			}
+			began := time.Now()
+			latency, err := closedLoop(way.address, method, callers, c.Length)
+			if err != nil {
+				return err
+			}
+			after, err := usages(s)
+			if err != nil {
+				return err
+			}
+			way.length += time.Since(began)
+			gate, entry = after[0], after[1]
+			way.gate += after[0].cpu - before[0].cpu
+			way.entry += after[1].cpu - before[1].cpu
+			if way.latency == nil {
+				way.latency = latency
+			} else {
+				way.latency.Merge(latency)
+			}
+		}
+	}
+	for _, way := range ways {
+		calls := float64(way.latency.TotalCount())
+		ms := func(q float64) float64 { return float64(way.latency.ValueAtQuantile(q)) / 1e6 }
+		fmt.Fprintf(w, "| %d\t| %s\t| %.0f\t| %.3f\t| %.3f\t| %.3f\t| %.0f\t| %.0f\t| %.1f\t| %.1f\t|\n",
+			callers, way.name, calls/way.length.Seconds(), ms(50), ms(99), ms(99.9),
+			float64(way.entry.Microseconds())/calls, float64(way.gate.Microseconds())/calls,
+			float64(entry.resident)/1e6, float64(gate.resident)/1e6)
+	}
+	added := func(q float64) float64 {
+		return float64(ways[1].latency.ValueAtQuantile(q)-ways[0].latency.ValueAtQuantile(q)) / 1e6
+	}
+	fmt.Fprintf(w, "| %d\t| added\t| \t| %.3f\t| %.3f\t| %.3f\t| \t| \t| \t| \t|\n", callers, added(50), added(99), added(99.9))
+	return nil
+}
+
+// usages reads the use of every node.
+func usages(s *process.Site) ([]usage, error) {
+	all := make([]usage, len(s.Nodes))
+	for i, n := range s.Nodes {
+		var err error
+		if all[i], err = usageOf(n.PID()); err != nil {
+			return nil, err
+		}
+	}
+	return all, nil
+}
+
+// closedLoop sends one request after the other from each caller on a
+// connection of its own, and returns latencies in nanoseconds.
+func closedLoop(address, method string, callers int, length time.Duration) (*hdrhistogram.Histogram, error) {
+	const most = int64(10 * time.Second)
+	all := hdrhistogram.New(1000, most, digits)
+	var mu sync.Mutex
+	var failed error
+	var wait sync.WaitGroup
+	end := time.Now().Add(length)
+	for range callers {
+		wait.Go(func() {
+			own := hdrhistogram.New(1000, most, digits)
+			err := sendUntil(end, address, method, own)
+			mu.Lock()
+			defer mu.Unlock()
+			all.Merge(own)
+			if err != nil {
+				failed = err
+			}
+		})
+	}
+	wait.Wait()
+	return all, failed
+}
+
+const digits = 3
+
+func sendUntil(end time.Time, address, method string, latency *hdrhistogram.Histogram) error {
+	host := &fasthttp.HostClient{Addr: address, MaxConns: 1, MaxIdemponentCallAttempts: 1}
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + address + "/x")
+	request.UseHostHeader = true
+	request.Header.SetHost("termostat")
+	request.Header.SetMethod(method)
+	request.Header.Set(header.Deadline, "5000")
+	for time.Now().Before(end) {
+		began := time.Now()
+		if err := host.Do(request, response); err != nil {
+			return err
+		}
+		if response.StatusCode() != fasthttp.StatusOK {
+			return eris.Errorf("status %d: %s", response.StatusCode(), response.Body())
+		}
+		_ = latency.RecordValue(time.Since(began).Nanoseconds()) // Longer ones do not occur.
+	}
+	return nil
+}
--- /dev/null
+++ b/command/command_test.go
@@ -0,0 +1,237 @@
+// SPDX-License-Identifier: MIT
+
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/ryehaven/ryehaven/internal/finding"
+	"github.com/ryehaven/ryehaven/platform"
+	"github.com/ryehaven/ryehaven/platform/platformtest"
+	"github.com/ryehaven/ryehaven/table"
+)
+
+// text returns a valid table that differs by a number.
+func text(n int) []byte {
+	return fmt.Appendf(nil, "service,server,host,zone,address,state,slots\ns,a,h,z,127.0.0.1:1,,%d\n", n+1)
+}
+
+// outcomes that a run of Apply may end with, in a model of what is stored.
+type applied struct {
+	result Result
+	err    error
+	n      int
+	from   table.Generation
+}
+
+// Whatever is lost, down, stale or raced, what Apply says agrees with what the
+// platform holds and has held.
+func TestApplyAgreesWithThePlatform(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		faults := rapid.SliceOfN(rapid.IntRange(0, 4), 1, 12).Draw(rt, "faults")
+		operators := rapid.IntRange(1, 4).Draw(rt, "operators")
+		edits := rapid.IntRange(1, 4).Draw(rt, "edits")
+		synctest.Test(t, func(t *testing.T) { runOperators(t, rt, faults, operators, edits) })
+	})
+}
+
+func runOperators(t *testing.T, rt *rapid.T, faults []int, operators, edits int) {
+	var store platformtest.Store
+	history := &recorder{Store: &store, accepted: map[table.Generation]string{}}
+	stop := make(chan struct{})
+	go func() {
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(70 * time.Millisecond):
+			}
+			store.SetFaults(faultOf(faults[i%len(faults)]))
+		}
+	}()
+	results := make(chan applied, operators*edits)
+	for operator := range operators {
+		go func() {
+			for edit := range edits {
+				results <- history.edit(operator*edits + edit)
+			}
+		}()
+	}
+	for range operators * edits {
+		history.check(rt, <-results)
+	}
+	close(stop)
+	synctest.Wait()
+}
+
+func faultOf(n int) platformtest.Faults {
+	return []platformtest.Faults{
+		{}, {LostReplies: 2}, {Down: true}, {StaleReads: 1}, {Delay: 30 * time.Millisecond},
+	}[n]
+}
+
+// recorder notes every table that the platform ever accepted.
+type recorder struct {
+	*platformtest.Store
+	mu       sync.Mutex
+	accepted map[table.Generation]string
+}
+
+// Put implements platform.Client.
+func (r *recorder) Put(ctx context.Context, key, tag string, body []byte) (string, error) {
+	newTag, err := r.Store.Put(ctx, key, tag, body)
+	if err == nil || errors.Is(err, platform.ErrUnknown) {
+		e, decodeErr := platform.DecodeEnvelope(body)
+		if decodeErr != nil {
+			panic(decodeErr)
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.accepted[e.Generation] != "" {
+			panic("a generation was accepted twice")
+		}
+		r.accepted[e.Generation] = e.Table
+	}
+	return newTag, err
+}
+
+// edit applies a table of its own from the newest generation that it reads.
+func (r *recorder) edit(n int) applied {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	from := table.Generation(0)
+	if e, _, err := readTable(ctx, r); err == nil {
+		from = e.Generation
+	}
+	result, err := Apply(ctx, r, Change{File: "t", Text: text(n), From: from})
+	return applied{result, err, n, from}
+}
+
+func (r *recorder) check(t *rapid.T, a applied) {
+	var as []table.Generation
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for generation, held := range r.accepted {
+		if held == string(text(a.n)) {
+			as = append(as, generation)
+		}
+	}
+	switch {
+	case a.err != nil:
+		if len(as) > 0 {
+			t.Fatalf("error %v for a table that was accepted as %v", a.err, as)
+		}
+	case a.result.Outcome == Accepted:
+		if len(as) != 1 || as[0] != a.result.Generation {
+			t.Fatalf("told accepted as %d, the platform accepted %v", a.result.Generation, as)
+		}
+		if a.result.Generation <= a.from {
+			t.Fatalf("generation went from %d to %d", a.from, a.result.Generation)
+		}
+	case a.result.Outcome == Raced:
+		if len(as) > 0 {
+			t.Fatalf("told not accepted, the platform accepted %v", as)
+		}
+	case a.result.Outcome == Unknown:
+		if len(as) > 1 {
+			t.Fatalf("accepted twice: %v", as)
+		}
+	default:
+		t.Fatalf("outcome %q", a.result.Outcome)
+	}
+}
+
+func mustApply(t *testing.T, c platform.Client, change Change, want Outcome, generation table.Generation) Result {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	change.File = "t"
+	result, err := Apply(ctx, c, change)
+	if err != nil || result.Outcome != want || result.Generation != generation {
+		t.Fatalf("%+v, error %v; want %s at %d", result, err, want, generation)
+	}
+	return result
+}
+
+func TestApplyInTurn(t *testing.T) {
+	var s platformtest.Store
+	mustApply(t, &s, Change{Text: text(1)}, Accepted, 1)
+	mustApply(t, &s, Change{Text: text(1), From: 1}, Unchanged, 1)
+	mustApply(t, &s, Change{Text: text(2), From: 1}, Accepted, 2)
+	theirs := mustApply(t, &s, Change{Text: text(3), From: 1}, Raced, 2).Theirs
+	if len(theirs) != 1 || theirs[0].Column != "slots" || theirs[0].Old != "4" || theirs[0].New != "3" {
+		t.Errorf("the other operator's changes are %v", theirs)
+	}
+}
+
+// A write whose reply is lost and over which another operator then writes is
+// still known to have been accepted.
+func TestLostReplyThenWrittenOver(t *testing.T) {
+	var s platformtest.Store
+	mustApply(t, &s, Change{Text: text(1)}, Accepted, 1)
+	over := &writeOver{Store: &s, t: t}
+	s.SetFaults(platformtest.Faults{LostReplies: 1})
+	mustApply(t, over, Change{Text: text(2), From: 1}, Accepted, 2)
+}
+
+// writeOver lets another operator write after the first lost reply.
+type writeOver struct {
+	*platformtest.Store
+	t    *testing.T
+	done bool
+}
+
+// Put implements platform.Client.
+func (w *writeOver) Put(ctx context.Context, key, tag string, body []byte) (string, error) {
+	newTag, err := w.Store.Put(ctx, key, tag, body)
+	if errors.Is(err, platform.ErrUnknown) && !w.done {
+		w.done = true
+		mustApply(w.t, w.Store, Change{Text: text(9), From: 2}, Accepted, 3)
+	}
+	return newTag, err
+}
+
+func TestRestoredPlatform(t *testing.T) {
+	var s platformtest.Store
+	mustApply(t, &s, Change{Text: text(1)}, Accepted, 1)
+	// Nodes hold generation 7; a table at 2 would never be in force.
+	mustApply(t, &s, Change{Text: text(2), From: 1, Nodes: 7}, Raced, 1)
+	mustApply(t, &s, Change{Text: text(2), From: 7, Nodes: 7}, Accepted, 8)
+}
+
+func TestApplyRefusesAFaultyTable(t *testing.T) {
+	var s platformtest.Store
+	_, err := Apply(context.Background(), &s, Change{File: "t.csv", Text: []byte("service\n")})
+	var found *finding.Error
+	if !errors.As(err, &found) {
+		t.Errorf("error is %v", err)
+	}
+	if s.Calls() != (platformtest.Calls{}) {
+		t.Error("the platform was asked about a faulty table")
+	}
+}
+
+func TestDrain(t *testing.T) {
+	var s platformtest.Store
+	mustApply(t, &s, Change{Text: text(1)}, Accepted, 1)
+	result, err := SetState(context.Background(), &s, "", "a", table.Leaving)
+	if err != nil || result.Outcome != Accepted {
+		t.Fatalf("%+v, error %v", result, err)
+	}
+	e, _, _ := readTable(context.Background(), &s)
+	parsed, err := table.Parse("t", []byte(e.Table))
+	if err != nil || parsed.Service("s").Servers[0].State != table.Leaving {
+		t.Errorf("table is %s, error %v", e.Table, err)
+	}
+	if _, err := SetState(context.Background(), &s, "", "none", table.Leaving); !errors.Is(err, table.ErrNoSuchServer) {
+		t.Errorf("error is %v", err)
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/ryehaven/ryehaven/peer"
 	"github.com/ryehaven/ryehaven/retry"
 	"github.com/ryehaven/ryehaven/table"
+	"github.com/ryehaven/ryehaven/wire"
 )
 
 // Settings of an entry.
@@ -23,6 +24,8 @@
 	Balance balance.Options
 	// NoRetries makes one attempt only, for comparison.
 	NoRetries bool
+	// NoHedges sends no second attempt beside a first, for comparison.
+	NoHedges bool
 	// ConnectLimit bounds the wait for a connection to a node.
 	ConnectLimit time.Duration
 	// WordLimit bounds the wait for the gate's word after a cancel.
@@ -46,6 +49,9 @@
 	// Retries counts attempts after the first, and RetriesDenied those that
 	// the budget did not pay for.
 	Retries, RetriesDenied atomic.Int64
+	// Hedges counts second attempts beside a first, and HedgesWon those that
+	// answered first.
+	Hedges, HedgesWon atomic.Int64
 	// CallerGone counts requests whose caller closed its connection.
 	CallerGone atomic.Int64
 }
@@ -87,6 +93,8 @@
 	policy table.Policy
 	pool   *balance.Pool
 	budget retry.Budget
+	hedges retry.Budget
+	delay  retry.Delay
 	meter  burn.Meter
 	rng    *rand.Rand
 }
@@ -144,6 +152,7 @@
 	defer s.mu.Unlock()
 	s.policy = row.Policy
 	s.budget.Share = row.RetryShare
+	s.hedges.Share = min(retry.HedgeShare, row.RetryShare)
 	s.pool.Update(now, specs)
 }
 
@@ -204,6 +213,17 @@
 	}
 }
 
+// Notice takes what a gate tells unasked.
+func (e *Entry) Notice(n *wire.Notice) {
+	s, _ := e.service(n.Service)
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	s.pool.Learn(time.Now(), n.Server, n.Load)
+	s.mu.Unlock()
+}
+
 // watch makes Tick close r.gone when the caller closes its connection.
 func (e *Entry) watch(r *request) {
 	e.activeMu.Lock()
--- a/entry/handle.go
+++ b/entry/handle.go
@@ -93,10 +93,7 @@
 			break
 		}
 		res.last = a
-		switch a.outcome {
-		case retry.Unknown, retry.Silent, retry.ServerError:
-			res.mayHaveRun = true
-		}
+		r.mayHaveRun = r.mayHaveRun || a.outcome.MayHaveRun()
 		if a.outcome == retry.Answered || a.final || !e.again(r, a) {
 			break
 		}
@@ -104,6 +101,7 @@
 			answered = e.keepAnswer(a)
 		}
 	}
+	res.mayHaveRun = r.mayHaveRun
 	if res.last != nil && res.last.response == nil && answered != nil && !res.last.final {
 		res.last = answered // A server's own error says more than a refusal.
 	}
@@ -141,7 +139,7 @@
 	if !allowed {
 		return false
 	}
-	if !s.budget.Take(now) {
+	if !s.budget.Take(now, a.outcome.Cost()) {
 		e.Counters.RetriesDenied.Add(1)
 		return false
 	}
@@ -153,5 +151,6 @@
 	s.mu.Lock()
 	s.used = now
 	s.budget.Fresh(now)
+	s.hedges.Fresh(now)
 	s.mu.Unlock()
 }
--- a/entry/request.go
+++ b/entry/request.go
@@ -30,6 +30,9 @@
 
 	attempts int
 	tried    balance.Tried
+	hedged   bool
+	// mayHaveRun says that some attempt may have run the request.
+	mayHaveRun bool
 }
 
 // serviceName returns the service that a Host field names: its first label.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -83,6 +83,8 @@
 	seq        uint64
 	bucket     measure.Bucket
 	measuring  bool
+	// saidStalled is what entries were told last.
+	saidStalled bool
 }
 
 // New returns a gate for a row.
@@ -165,9 +167,23 @@
 		Limit:         g.queue.Limit(),
 		ServiceMicros: g.queue.Service().Microseconds(),
 		Draining:      g.drain != 0,
+		StalledMicros: g.queue.Stalled(time.Now()).Microseconds(),
 	}
 }
 
+// Notice returns what entries must hear unasked: that the server has stalled,
+// or that it answers again. ok is false when there is no such news.
+func (g *Gate) Notice(now time.Time) (n *wire.Notice, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	stalled := g.queue.Stalled(now) > 0
+	if stalled == g.saidStalled {
+		return nil, false
+	}
+	g.saidStalled = stalled
+	return &wire.Notice{Service: g.row.Service, Server: g.row.Name, Load: g.load()}, true
+}
+
 // Busy returns how many requests have not been answered yet.
 func (g *Gate) Busy() int {
 	g.mu.Lock()
--- a/internal/e2e/drain_test.go
+++ b/internal/e2e/drain_test.go
@@ -6,8 +6,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"os"
-	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -65,11 +63,11 @@
 // runsOf counts the runs of one server.
 func runsOf(t *testing.T, s *process.Site, i int) int {
 	t.Helper()
-	text, err := os.ReadFile(filepath.Join(s.Config.Dir, s.Servers[i].Name+".runs"))
+	runs, err := s.RunsOf(s.Servers[i])
 	if err != nil {
 		t.Fatal(err)
 	}
-	return strings.Count(string(text), "\n")
+	return runs
 }
 
 // newWorkAfter is the brief's "a few seconds", as the issue states it.
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -46,6 +46,9 @@
 	// Columns are the service row's cells.
 	Columns   map[string]string
 	Behaviour standin.Behaviour
+	// FillServices adds services of FillServers servers each to the table, on
+	// hosts that do not exist, to give it a size.
+	FillServices, FillServers int
 	// Settings is added to every node's settings file.
 	Settings string
 }
@@ -223,7 +226,20 @@
 		n := s.Nodes[i]
 		table += fmt.Sprintf("%s,%s,%s,%s,%s,%s\n", s.Config.Service, server.Name, n.Host, n.Zone, server.Address, blanks)
 	}
-	return table
+	return table + s.fill(blanks)
+}
+
+// fill returns the rows of services on hosts that do not exist.
+func (s *Site) fill(blanks string) string {
+	var b strings.Builder
+	for i := range s.Config.FillServices {
+		fmt.Fprintf(&b, "fill-%d,*,,,,%s\n", i, blanks)
+		for j := range s.Config.FillServers {
+			zone := s.Config.Zones[j%len(s.Config.Zones)]
+			fmt.Fprintf(&b, "fill-%d,fill-%d-%d,host-of-%d-%d,%s,127.0.%d.%d:9000,%s\n", i, i, j, i, j, zone, i%256, j%256, blanks)
+		}
+	}
+	return b.String()
 }
 
 // WaitGeneration waits until nodes hold at least a generation and know each
@@ -262,6 +278,15 @@
 	return runs, nil
 }
 
+// RunsOf counts the runs at one server, over its restarts.
+func (s *Site) RunsOf(server *Server) (int, error) {
+	text, err := os.ReadFile(filepath.Join(s.Config.Dir, server.Name+".runs"))
+	return strings.Count(string(text), "\n"), err
+}
+
+// PID returns the number of a node's process.
+func (n *Node) PID() int { return n.process.cmd.Process.Pid }
+
 // Log returns what a process has written.
 func (n *Node) Log() []string { return n.process.lines() }
 
--- /dev/null
+++ b/member/member_test.go
@@ -0,0 +1,184 @@
+// SPDX-License-Identifier: MIT
+
+package member
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func record(n int) Record {
+	return Record{Host: fmt.Sprint("h", n), Incarnation: 100, Address: fmt.Sprint("a", n), Zone: fmt.Sprint("z", n%2)}
+}
+
+// Records that reach two views in any order, any number of times, leave both
+// with the same records and digests.
+func TestViewsAgreeWhateverTheOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		records := rapid.SliceOf(rapid.Custom(func(t *rapid.T) Record {
+			r := record(rapid.IntRange(1, 5).Draw(t, "host"))
+			r.Incarnation = rapid.Uint64Range(1, 3).Draw(t, "incarnation")
+			r.Address = fmt.Sprint(r.Host, r.Incarnation) // An author has one address.
+			r.State = State(rapid.IntRange(0, 1).Draw(t, "state"))
+			return r
+		})).Draw(t, "records")
+		first, second := NewView(record(0)), NewView(record(0))
+		for _, r := range records {
+			first.Merge(start, []Record{r})
+		}
+		for _, i := range rand.Perm(len(records)) {
+			second.Merge(start, []Record{records[i], records[0]})
+		}
+		if first.Digest() != second.Digest() {
+			t.Fatalf("views differ:\n%v\n%v", first.All(), second.All())
+		}
+		if d := first.Differing(second.Digest()); len(d) != 0 {
+			t.Fatalf("equal views differ by %v", d)
+		}
+		for _, r := range first.All() {
+			for _, other := range records {
+				if other.Host == r.Host && other.newer(r) {
+					t.Fatalf("%+v is held although %+v was seen", r, other)
+				}
+			}
+		}
+	})
+}
+
+func TestDifferingBucketsBringViewsTogether(t *testing.T) {
+	a, b := NewView(record(0)), NewView(record(1))
+	for n := range 40 {
+		if n%3 == 0 {
+			a.Merge(start, []Record{record(n + 2)})
+		} else {
+			b.Merge(start, []Record{record(n + 2)})
+		}
+	}
+	toB, toA := a.Differing(b.Digest()), b.Differing(a.Digest())
+	a.Merge(start, toA)
+	b.Merge(start, toB)
+	if a.Digest() != b.Digest() || a.Len() != 42 {
+		t.Errorf("views have %d and %d nodes", a.Len(), b.Len())
+	}
+}
+
+func TestOwnNameByAnotherAuthor(t *testing.T) {
+	self := record(0)
+	tests := []struct {
+		name        string
+		heard       Record
+		incarnation uint64
+		state       State
+		replaced    bool
+	}{
+		{"an older incarnation", Record{Host: "h0", Incarnation: 50, Address: "a9", State: Gone}, 100, Live, false},
+		{"its own past with a later clock", Record{Host: "h0", Incarnation: 500, Address: "a0"}, 501, Live, false},
+		{"a new host elsewhere", Record{Host: "h0", Incarnation: 500, Address: "a9"}, 100, Live, true},
+		{"the list says leaving", Record{Host: "h0", Incarnation: 100, Address: "a0", State: Leaving}, 100, Leaving, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			v := NewView(self)
+			v.Merge(start, []Record{test.heard})
+			got := v.Self()
+			if got.Incarnation != test.incarnation || got.State != test.state || v.Replaced() != test.replaced {
+				t.Errorf("self is %+v, replaced %t", got, v.Replaced())
+			}
+		})
+	}
+}
+
+func TestTheListAndWhatNodesSay(t *testing.T) {
+	listed := func(leaving bool, changed int64) []Listed {
+		return []Listed{{Host: "h1", Address: "a1", Zone: "z1", Leaving: leaving, ChangedMillis: changed}}
+	}
+	v := NewView(record(0))
+	steps := []struct {
+		name  string
+		act   func()
+		state State
+	}{
+		{"listed only", func() { v.List(start, listed(false, 0)) }, Live},
+		{"heard itself", func() { v.Merge(start, []Record{record(1)}) }, Live},
+		{"a mark meant for the incarnation before", func() { v.List(start, listed(true, 99)) }, Live},
+		{"a mark meant for it", func() { v.List(start, listed(true, 150)) }, Leaving},
+		{"its own older word", func() { v.Merge(start, []Record{record(1)}) }, Leaving},
+		{"the lagging list", func() { v.List(start, listed(false, 120)) }, Leaving},
+		{"the mark is taken back", func() { v.List(start, listed(false, 200)) }, Live},
+		{"the old mark, late", func() { v.List(start, listed(true, 100)) }, Live},
+	}
+	for _, step := range steps {
+		step.act()
+		if r, ok := v.Record("h1"); !ok || r.State != step.state {
+			t.Fatalf("%s: record is %+v, want state %v", step.name, r, step.state)
+		}
+	}
+	v.List(start, nil)
+	if _, ok := v.Record("h1"); !ok {
+		t.Error("a host that the list forgot is forgotten")
+	}
+}
+
+func TestRankIsAPlaceInTheZone(t *testing.T) {
+	const nodes = 20
+	views := make([]*View, nodes)
+	for i := range views {
+		views[i] = NewView(record(i))
+		for j := range nodes {
+			views[i].Merge(start, []Record{record(j)})
+		}
+	}
+	for _, zone := range []int{0, 1} {
+		seen := map[int]bool{}
+		for i := zone; i < nodes; i += 2 {
+			seen[views[i].Rank("watch")] = true
+		}
+		for rank := range nodes / 2 {
+			if !seen[rank] {
+				t.Errorf("zone %d has nobody at rank %d", zone, rank)
+			}
+		}
+	}
+}
+
+func TestNodesThatGoAreForgottenLate(t *testing.T) {
+	v := NewView(record(0))
+	v.Merge(start, []Record{record(1)})
+	before := NewView(record(0)).Digest()
+	gone := record(1)
+	gone.State = Gone
+	v.Merge(start, []Record{gone})
+	v.Tidy(start.Add(forgetGone - 1))
+	v.Merge(start, []Record{record(1)})
+	if r, _ := v.Record("h1"); r.State != Gone {
+		t.Errorf("an old record brought back a node that has gone: %+v", r)
+	}
+	v.Tidy(start.Add(forgetGone))
+	if _, ok := v.Record("h1"); ok || v.Digest() != before {
+		t.Error("the node is not forgotten")
+	}
+}
+
+func TestUnreachableNodesAreAskedLess(t *testing.T) {
+	v := NewView(record(0))
+	v.Merge(start, []Record{record(1), record(2)})
+	v.Failed(start, "h1")
+	rng := rand.New(rand.NewPCG(1, 1))
+	for range 20 {
+		if s := v.Sample(start, rng, 5, ""); len(s) != 1 || s[0].Host != "h2" {
+			t.Fatalf("sample is %v", s)
+		}
+	}
+	if s := v.Sample(start.Add(leaveAlone), rng, 5, ""); len(s) != 2 {
+		t.Errorf("after the pause the sample is %v", s)
+	}
+	if s := v.Sample(start.Add(leaveAlone), rng, 5, "z0"); len(s) != 1 || s[0].Host != "h2" {
+		t.Errorf("sample of zone z0 is %v", s)
+	}
+}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -34,6 +34,8 @@
 		metric.Count("entry_attempts", "requests", "requests sent to gates", &c.Attempts),
 		metric.Count("entry_retries", "requests", "attempts after the first", &c.Retries),
 		metric.Count("entry_retries_denied", "requests", "attempts that the retry budget did not pay for", &c.RetriesDenied),
+		metric.Count("entry_hedges", "requests", "second attempts sent while the first had not answered", &c.Hedges),
+		metric.Count("entry_hedges_won", "requests", "requests that the second attempt answered first", &c.HedgesWon),
 		metric.Count("entry_caller_gone", "requests", "requests whose caller closed its connection", &c.CallerGone),
 		metric.Count("entry_connections", "connections", "callers' open connections", &n.openConns),
 	}
@@ -83,6 +85,7 @@
 		metric.Count("peer_dials", "connections", "connections opened", &c.Dials),
 		metric.Count("peer_dial_failures", "connections", "connections that could not be opened", &c.DialFailures),
 		metric.Count("peer_suspicions", "events", "nodes that were silent while they had work", &c.Suspicions),
+		metric.Count("peer_notices", "messages", "stalls and their ends told to entries", &n.told),
 		metric.Count("peer_accepted", "connections", "connections that other nodes have open here", &c.Accepted),
 		metric.Count("peer_dialed", "connections", "connections that this node has open", &c.Dialed),
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/ryehaven/ryehaven/entry"
 	"github.com/ryehaven/ryehaven/gate"
@@ -40,6 +41,11 @@
 	maxPeerConns   = 4096
 	// tableBytesPerSecond leaves most of the 22 KB/s for digests and records.
 	tableBytesPerSecond = 12 << 10
+	// noticesPerSecond bounds the notices that a node sends, each of about 60
+	// bytes, over all entries.
+	noticesPerSecond = 100
+	// stallEvery is how often gates are looked at for a stall.
+	stallEvery = 2 * time.Millisecond
 )
 
 // Node is one process of the system.
@@ -58,8 +64,11 @@
 	holder     *spread.Holder
 	spread     *spread.Spread
 	metrics    metric.Set
-	stopping   atomic.Bool
-	openConns  atomic.Int64
+	// notices bounds what gates tell entries unasked.
+	notices   *rate.Limiter
+	told      atomic.Int64
+	stopping  atomic.Bool
+	openConns atomic.Int64
 
 	mu      sync.Mutex
 	applied *table.Snapshot
@@ -92,6 +101,8 @@
 		MaxConns:       maxPeerConns,
 	}
 	n.entry = entry.New(n.entrySettings(), n.dialer)
+	n.dialer.OnNotice = n.entry.Notice
+	n.notices = rate.NewLimiter(noticesPerSecond, noticesPerSecond)
 	n.holder = &spread.Holder{Log: n.log, OnTaken: n.apply}
 	n.spread = spread.New(spreadSettings(s), n.log, n.holder, member.NewView(n.record(incarnation)), n.dialer, client, n.viewChanged)
 	n.metrics = n.describe()
@@ -142,6 +153,7 @@
 	return entry.Settings{
 		Balance:           n.settings.Experiment.Balance,
 		NoRetries:         n.settings.Experiment.NoRetries,
+		NoHedges:          n.settings.Experiment.NoHedges,
 		ConnectLimit:      connectLimit,
 		WordLimit:         wordLimit,
 		BodyIdleLimit:     n.settings.Limits.BodyIdle,
@@ -207,6 +219,7 @@
 	serve("operators", func() error { return admin.Serve(n.admin) })
 	wait.Go(func() { n.spread.Run(background) })
 	wait.Go(func() { n.runTicks(background) })
+	wait.Go(func() { n.runNotices(background) })
 	n.log.Info("node started",
 		zap.String("caller", n.CallerAddress()),
 		zap.String("peer", n.PeerAddress()),
@@ -243,6 +256,36 @@
 	}
 }
 
+// runNotices tells entries of gates whose servers stall or answer again.
+func (n *Node) runNotices(ctx context.Context) {
+	ticker := time.NewTicker(stallEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			n.sendNotices(now)
+		}
+	}
+}
+
+func (n *Node) sendNotices(now time.Time) {
+	for _, g := range n.everyGate() {
+		notice, ok := g.Notice(now)
+		if !ok {
+			continue
+		}
+		most := int(n.notices.TokensAt(now))
+		if most <= 0 {
+			continue
+		}
+		told := n.peerServer.Notify(now, notice, most)
+		n.notices.AllowN(now, told)
+		n.told.Add(int64(told))
+	}
+}
+
 func (n *Node) tick(now time.Time) {
 	n.dialer.Check(now)
 	n.entry.Tick(now)
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -34,6 +34,7 @@
 	w        *writer
 	counters *Counters
 	opened   time.Time
+	onNotice func(n *wire.Notice)
 
 	// starting keeps requests in the order of their numbers on the way.
 	starting sync.Mutex
@@ -61,7 +62,7 @@
 
 func newSuspicion() *suspicion { return &suspicion{raised: make(chan struct{})} }
 
-func openConn(nc net.Conn, self Identity, counters *Counters, limit time.Duration) (*Conn, error) {
+func openConn(nc net.Conn, self Identity, counters *Counters, limit time.Duration, onNotice func(*wire.Notice)) (*Conn, error) {
 	reader := wire.NewReader(bufio.NewReaderSize(nc, readBuffer))
 	peer, err := dialHandshake(nc, reader, self, limit)
 	if err != nil {
@@ -78,6 +79,7 @@
 		calls:    map[uint64]*Call{},
 		asks:     map[uint64]chan *wire.Reply{},
 		lastUsed: now,
+		onNotice: onNotice,
 	}
 	c.suspicion.Store(newSuspicion())
 	counters.Dialed.Add(1)
@@ -304,6 +306,11 @@
 		}
 	case *wire.Reply:
 		return c.receiveReply(m)
+	case *wire.Notice:
+		if c.onNotice != nil {
+			c.onNotice(m)
+		}
+		return nil
 	case *wire.Pong:
 		return nil
 	default:
--- a/peer/counters.go
+++ b/peer/counters.go
@@ -30,7 +30,7 @@
 
 func isControl(kind wire.Kind) bool {
 	switch kind {
-	case wire.KindPing, wire.KindPong, wire.KindAsk, wire.KindReply:
+	case wire.KindPing, wire.KindPong, wire.KindAsk, wire.KindReply, wire.KindNotice:
 		return true
 	}
 	return false
--- a/peer/dialer.go
+++ b/peer/dialer.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/ryehaven/ryehaven/wire"
 )
 
 // ErrDialing is returned while a connection is still being opened after the
@@ -23,6 +25,9 @@
 	Limit time.Duration
 	// IdleLimit is how long a connection is kept without use.
 	IdleLimit time.Duration
+	// OnNotice is called with what gates tell unasked; it must not wait and
+	// may be nil.
+	OnNotice func(n *wire.Notice)
 
 	mu        sync.Mutex
 	slots     map[string]*slot
@@ -111,7 +116,7 @@
 	d.Counters.Dials.Add(1)
 	nc, err := net.DialTimeout("tcp", address, d.Limit)
 	if err == nil {
-		s.conn, err = openConn(nc, d.Self, d.Counters, d.Limit)
+		s.conn, err = openConn(nc, d.Self, d.Counters, d.Limit, d.OnNotice)
 	}
 	if err != nil {
 		d.Counters.DialFailures.Add(1)
--- a/peer/server.go
+++ b/peer/server.go
@@ -121,6 +121,34 @@
 	mu      sync.Mutex
 	streams map[uint64]*Stream
 	lastID  uint64
+	// lastRequest is when the newest request came.
+	lastRequest time.Time
+}
+
+// Notify tells a notice to up to most entries that sent a request of late,
+// and returns to how many it went.
+func (s *Server) Notify(now time.Time, n *wire.Notice, most int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	told := 0
+	for a := range s.conns { // In random order: over time, all are told.
+		if told == most {
+			break
+		}
+		if a.sentSince(now.Add(-lately)) && a.w.send(n) == nil {
+			told++
+		}
+	}
+	return told
+}
+
+// lately is how long after a request an entry is told of the gate's state.
+const lately = time.Second
+
+func (a *accepted) sentSince(since time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.lastRequest.After(since)
 }
 
 func (a *accepted) readAll(r *wire.Reader) error {
@@ -188,6 +216,7 @@
 	}
 	a.mu.Lock()
 	a.streams[m.ID] = s
+	a.lastRequest = now
 	a.mu.Unlock()
 	a.server.Handler.Request(s)
 	return nil
--- /dev/null
+++ b/retry/hedge.go
@@ -0,0 +1,48 @@
+// SPDX-License-Identifier: MIT
+
+package retry
+
+import "time"
+
+// HedgeShare is the share of requests that may be hedged: sent to a second
+// server before the first has answered.
+const HedgeShare = 0.1
+
+// Delay learns after which time a request has waited unusually long, so that
+// it is worth hedging. The zero value hedges nothing until it has learned. It
+// is not safe for concurrent use.
+type Delay struct {
+	median float64
+	seen   int
+}
+
+const (
+	// hedgeMedians is the delay in median latencies. The median says what is
+	// usual also while a tenth of the requests are held up, which a quantile of
+	// the tail does not.
+	hedgeMedians = 1.5
+	// learnFirst is how many answers must have been seen.
+	learnFirst = 20
+	// learnStep is the share by which one answer moves the estimate.
+	learnStep = 0.025
+)
+
+// Observe takes the latency of an answer. It follows the median by stochastic
+// approximation (Robbins and Monro 1951): equal steps up and down balance
+// where half of the values lie below.
+func (d *Delay) Observe(latency time.Duration) {
+	d.seen++
+	switch v := float64(latency); {
+	case d.median == 0:
+		d.median = v
+	case v > d.median:
+		d.median *= 1 + learnStep
+	default:
+		d.median *= 1 - learnStep
+	}
+}
+
+// After returns the delay; ok is false until enough was seen.
+func (d *Delay) After() (delay time.Duration, ok bool) {
+	return time.Duration(hedgeMedians * d.median), d.seen >= learnFirst
+}
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -24,6 +24,11 @@
 	Silent
 )
 
+// MayHaveRun reports whether an attempt that ended so may have run.
+func (o Outcome) MayHaveRun() bool {
+	return o == ServerError || o == Unknown || o == Silent
+}
+
 // Attempt describes the attempt that just ended.
 type Attempt struct {
 	Outcome    Outcome
@@ -88,13 +93,25 @@
 	b.tokens = min(b.tokens+b.Share, MaxTokens)
 }
 
+// Cost is what an attempt after one with this outcome takes from the budget.
+// What was refused cost its server nothing, so that another attempt adds no
+// more than a message; it is cheap, yet not free.
+func (o Outcome) Cost() float64 {
+	if o == NotRun || o == Overloaded {
+		return refusedCost
+	}
+	return 1
+}
+
+const refusedCost = 0.1
+
 // Take pays for one retry and reports whether there was enough.
-func (b *Budget) Take(now time.Time) bool {
+func (b *Budget) Take(now time.Time, cost float64) bool {
 	b.fill(now)
-	if b.tokens < 1 {
+	if b.tokens < cost {
 		return false
 	}
-	b.tokens--
+	b.tokens -= cost
 	return true
 }
 
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -3,6 +3,7 @@
 package retry
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -58,7 +59,7 @@
 			if rapid.Bool().Draw(t, "fresh") {
 				b.Fresh(now)
 				fresh++
-			} else if b.Take(now) {
+			} else if b.Take(now, 1) {
 				retries++
 			}
 		}
@@ -68,3 +69,22 @@
 		}
 	})
 }
+
+func TestDelayIsAboveTheUsualAndNotFarAbove(t *testing.T) {
+	var d Delay
+	rng := rand.New(rand.NewPCG(1, 1))
+	if _, ok := d.After(); ok {
+		t.Error("a delay without any answer")
+	}
+	for range 5000 {
+		latency := time.Duration(8+4*rng.Float64()) * time.Millisecond
+		if rng.IntN(8) == 0 {
+			latency = 100 * time.Millisecond // A tail beyond the high quantile.
+		}
+		d.Observe(latency)
+	}
+	after, ok := d.After()
+	if !ok || after < 12*time.Millisecond || after > 24*time.Millisecond {
+		t.Errorf("delay is %v, the usual latency is 8 to 12 ms", after)
+	}
+}
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -73,6 +73,8 @@
 	{"experiment.choices", "how many servers are drawn; for comparison", false, integer(func(s *Settings) *int { return &s.Experiment.Balance.Choices }, 0, 1000)},
 	{"experiment.no_reports", "ignore the gates' reports; for comparison", false, truth(func(s *Settings) *bool { return &s.Experiment.Balance.NoReports })},
 	{"experiment.no_silence", "ignore that a server is silent; for comparison", false, truth(func(s *Settings) *bool { return &s.Experiment.Balance.NoSilence })},
+	{"experiment.no_notices", "ignore what gates tell of stalls; for comparison", false, truth(func(s *Settings) *bool { return &s.Experiment.Balance.NoNotices })},
+	{"experiment.no_hedges", "never hedge; for comparison", false, truth(func(s *Settings) *bool { return &s.Experiment.NoHedges })},
 	{"experiment.no_ejection", "never eject a server; for comparison", false, truth(func(s *Settings) *bool { return &s.Experiment.Balance.NoEjection })},
 	{"experiment.no_distance", "ignore zones; for comparison", false, truth(func(s *Settings) *bool { return &s.Experiment.Balance.NoDistance })},
 	{"experiment.no_retries", "never retry; for comparison", false, truth(func(s *Settings) *bool { return &s.Experiment.NoRetries })},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -101,6 +101,7 @@
 type Experiment struct {
 	Balance         balance.Options
 	NoRetries       bool
+	NoHedges        bool
 	FixedLimit      bool
 	NoDeadlineBound bool
 }
--- a/standin/server.go
+++ b/standin/server.go
@@ -17,6 +17,7 @@
 
 	"github.com/ryehaven/ryehaven/gate"
 	"github.com/ryehaven/ryehaven/header"
+	"github.com/ryehaven/ryehaven/internal/sock"
 )
 
 // RunField is the header field that numbers a request; the answer repeats it.
@@ -149,8 +150,9 @@
 		ctx.Error("failed\n", fasthttp.StatusInternalServerError)
 		return
 	}
-	s.thaw()
-	s.labour(b)
+	if !s.thaw(ctx) || !s.labour(ctx, b) {
+		return // The caller has closed the connection: cancelled.
+	}
 	if b.NextService != "" && !s.callNext(ctx, b) {
 		return
 	}
@@ -169,31 +171,45 @@
 	}
 }
 
-// thaw waits while the server is frozen.
-func (s *Server) thaw() {
+// cancelCheck is how often a request under way looks for its cancellation.
+const cancelCheck = 2 * time.Millisecond
+
+// thaw waits while the server is frozen, and reports whether the answer is
+// still wanted.
+func (s *Server) thaw(ctx *fasthttp.RequestCtx) bool {
 	for {
 		b, _, changed := s.current()
 		if !b.Frozen {
-			return
+			return true
+		}
+		select {
+		case <-changed:
+		case <-time.After(cancelCheck):
+			if !sock.PeerOpen(ctx.Conn()) {
+				return false
+			}
 		}
-		<-changed
 	}
 }
 
-// labour spends the work of one request at the pace of each moment.
-func (s *Server) labour(b Behaviour) {
+// labour spends the work of one request at the pace of each moment, and
+// reports whether the answer is still wanted.
+func (s *Server) labour(ctx *fasthttp.RequestCtx, b Behaviour) bool {
 	left := b.work()
 	for left > 0 {
-		factor, holds := b.pace(time.Now(), s.started)
+		began := time.Now()
+		factor, holds := b.pace(began, s.started)
 		need := time.Duration(float64(left) * factor)
-		if need <= holds {
-			time.Sleep(need)
-			return
+		time.Sleep(min(need, holds, cancelCheck))
+		if need <= cancelCheck && need <= holds {
+			return true
+		}
+		if !sock.PeerOpen(ctx.Conn()) {
+			return false
 		}
-		began := time.Now()
-		time.Sleep(holds)
 		left -= time.Duration(float64(time.Since(began)) / factor)
 	}
+	return true
 }
 
 // callNext sends a call on and reports whether it was answered.
--- a/wire/message.go
+++ b/wire/message.go
@@ -24,6 +24,7 @@
 	KindPong      Kind = 21
 	KindAsk       Kind = 30
 	KindReply     Kind = 31
+	KindNotice    Kind = 40
 )
 
 // Message is one of the types of this package.
@@ -122,6 +123,16 @@
 	ServiceMicros int64
 	// Draining says that the gate takes no new work.
 	Draining bool
+	// StalledMicros is how long the server has answered nothing although it
+	// has work, once that is longer than usual; else 0.
+	StalledMicros int64
+}
+
+// Notice tells an entry unasked that a gate's state has changed much.
+type Notice struct {
+	Service string
+	Server  string
+	Load    Load
 }
 
 // Response starts the answer of a request that was run.
@@ -253,6 +264,9 @@
 // Kind implements Message.
 func (*Ask) Kind() Kind { return KindAsk }
 
+// Kind implements Message.
+func (*Notice) Kind() Kind { return KindNotice }
+
 // Kind implements Message.
 func (*Reply) Kind() Kind { return KindReply }
 
@@ -287,6 +301,8 @@
 		return new(Ask)
 	case KindReply:
 		return new(Reply)
+	case KindNotice:
+		return new(Notice)
 	}
 	return nil
 }
--- /dev/null
+++ b/wire/wire_test.go
@@ -0,0 +1,90 @@
+// SPDX-License-Identifier: MIT
+
+package wire
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"reflect"
+	"testing"
+)
+
+var samples = []Message{
+	&Hello{Version: 1, Host: "h", Incarnation: 5, Nonce: []byte{1}},
+	&Request{ID: 1, SentMicros: 2, BudgetMicros: 3, Service: "s", Server: "a", Method: "GET", URI: "/",
+		Header: []Field{{"A", "b"}}, Length: LengthUnknown, Repeatable: true, Priority: 1, Body: []byte("x"), Last: true},
+	&Data{ID: 1 << 60, Bytes: bytes.Repeat([]byte("y"), 100_000), Last: true},
+	&Credit{ID: 3, Bytes: 4},
+	&Cancel{ID: 9},
+	&Response{ID: 1, Status: 200, Header: []Field{}, Length: 5, NoRetry: true, Load: Load{Seq: 1, InFlight: 2, Queued: 3, Limit: 4, ServiceMicros: 5, Draining: true}},
+	&Refusal{ID: 1, Reason: ReasonShed, RetryAfterMicros: 7},
+	&Reset{ID: 1, Message: "why"},
+	&Notice{Service: "s", Server: "a", Load: Load{StalledMicros: 9}},
+	&Ping{Seq: 1}, &Pong{Seq: 1},
+	&Ask{ID: 1, Topic: "t", Payload: []byte{0}}, &Reply{ID: 1, Error: "e"},
+}
+
+func TestFramesPassWhole(t *testing.T) {
+	var stream []byte
+	for _, m := range samples {
+		var err error
+		if stream, err = Append(stream, m); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r := NewReader(bytes.NewReader(stream))
+	total := 0
+	for _, want := range samples {
+		got, err := r.Next(MaxFrame)
+		if err != nil || !reflect.DeepEqual(got, want) {
+			t.Fatalf("got %+v, error %v; want %+v", got, err, want)
+		}
+		total += r.LastSize()
+	}
+	if _, err := r.Next(MaxFrame); err != io.EOF {
+		t.Errorf("at the end: %v", err)
+	}
+	if total != len(stream) {
+		t.Errorf("frames of %d bytes in a stream of %d", total, len(stream))
+	}
+}
+
+func TestFramesAreBounded(t *testing.T) {
+	if _, err := Append(nil, &Data{Bytes: make([]byte, MaxFrame)}); !errors.Is(err, ErrFrameTooLarge) {
+		t.Errorf("too large a message: %v", err)
+	}
+	frame, _ := Append(nil, &Data{Bytes: make([]byte, 1000)})
+	if _, err := NewReader(bytes.NewReader(frame)).Next(100); !errors.Is(err, ErrFrameTooLarge) {
+		t.Errorf("too large a frame: %v", err)
+	}
+	if _, err := NewReader(bytes.NewReader(frame[:50])).Next(MaxFrame); !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("a frame that was cut: %v", err)
+	}
+	if _, err := NewReader(bytes.NewReader([]byte{0, 0, 0, 1, 99})).Next(MaxFrame); !errors.Is(err, ErrUnknownKind) {
+		t.Errorf("unknown kind: %v", err)
+	}
+}
+
+func FuzzReader(f *testing.F) {
+	for _, m := range samples {
+		frame, err := Append(nil, m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(frame)
+	}
+	f.Add([]byte{0, 0, 0, 5, 10, 0xdd, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, stream []byte) {
+		r := NewReader(bytes.NewReader(stream))
+		for {
+			m, err := r.Next(MaxHandshakeFrame)
+			if err != nil {
+				return
+			}
+			if _, err := Append(nil, m); err != nil {
+				t.Fatalf("a message that was read cannot be written: %v", err)
+			}
+		}
+	})
+}
