node: an idle node wakes ten times a second instead of six hundred times

Two tickers, of 2 and 10 ms, woke it 600 times a second. Ruled out: the exchange of digests (one a second) and the measuring calls.

One loop now ticks every 4 ms while there is a request at the node and every 100 ms while there is none; the first request wakes it.

entry: the wait for an attempt and its hedge is a type of its own with one short method for each event, instead of one long function that called itself.

--- a/admit/queue_test.go
+++ b/admit/queue_test.go
@@ -242,3 +242,22 @@
 		t.Errorf("limit is %d once the server is quick again, want 12", v)
 	}
 }
+
+func TestStalled(t *testing.T) {
+	q, taken := full(Settings{Slots: 2, Queue: 2})
+	began := start.Add(10 * time.Millisecond)
+	if d := q.Stalled(began.Add(12 * time.Millisecond)); d != 0 {
+		t.Errorf("stalled for %v within the usual time of 10 ms", d)
+	}
+	if d := q.Stalled(began.Add(20 * time.Millisecond)); d != 20*time.Millisecond {
+		t.Errorf("stalled for %v, want 20 ms", d)
+	}
+	q.Done(began.Add(21*time.Millisecond), taken[0], true)
+	if d := q.Stalled(began.Add(22 * time.Millisecond)); d != 0 {
+		t.Errorf("stalled for %v after an answer", d)
+	}
+	q.Done(began.Add(23*time.Millisecond), taken[1], true)
+	if d := q.Stalled(began.Add(time.Hour)); d != 0 {
+		t.Errorf("an idle server is stalled for %v", d)
+	}
+}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -73,6 +73,10 @@
 		{"busy by its report", func(p *Pool, s *Server) {
 			answer(p, now, s, Result{Latency: 5 * time.Millisecond, Load: &wire.Load{Seq: 1, InFlight: 4, Queued: 4, Limit: 4}})
 		}, 0.1},
+		{"stalled by its gate's notice", func(p *Pool, s *Server) {
+			answer(p, now, s, Result{Latency: 5 * time.Millisecond})
+			p.Learn(now, s.Name, wire.Load{Seq: 9, InFlight: 1, Limit: 4, StalledMicros: 8000})
+		}, 0.1},
 		{"silent with work", func(p *Pool, s *Server) {
 			answer(p, now.Add(-time.Second), s, Result{Latency: time.Millisecond})
 			p.Sent(now.Add(-100*time.Millisecond), s)
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -53,7 +53,8 @@
 	if a.call == nil {
 		return a
 	}
-	return e.await(r, a, suspected)
+	race := &race{entry: e, request: r, first: a, suspected: suspected}
+	return race.run()
 }
 
 // send starts the call or ends the attempt as not run. It returns a channel
@@ -99,111 +100,6 @@
 	}
 }
 
-// await waits until the attempt, or a hedge beside it, has an outcome, and
-// returns the one that decides.
-func (e *Entry) await(r *request, a *attempt, suspected <-chan struct{}) *attempt {
-	deadline := time.NewTimer(time.Until(r.deadline))
-	defer deadline.Stop()
-	var hedgeAt <-chan time.Time
-	if delay, ok := e.hedgeDelay(r); ok {
-		timer := time.NewTimer(delay)
-		defer timer.Stop()
-		hedgeAt = timer.C
-	}
-	var hedge *attempt
-	var hedgeHead <-chan peer.Head
-	for {
-		select {
-		case head := <-a.call.Head():
-			e.endHead(r, a, head)
-			if hedge != nil && a.outcome != retry.Answered {
-				r.mayHaveRun = r.mayHaveRun || a.outcome.MayHaveRun()
-				return e.await(r, hedge, nil) // The hedge goes on alone.
-			}
-			e.dropLoser(r, hedge)
-			return a
-		case head := <-hedgeHead:
-			hedgeHead = nil
-			e.endHead(r, hedge, head)
-			if hedge.outcome == retry.Answered {
-				e.Counters.HedgesWon.Add(1)
-				e.dropLoser(r, a)
-				return hedge
-			}
-			r.mayHaveRun = r.mayHaveRun || hedge.outcome.MayHaveRun()
-			hedge = nil // The first attempt goes on alone.
-		case <-hedgeAt:
-			hedgeAt = nil
-			if hedge = e.hedge(r); hedge != nil {
-				hedgeHead = hedge.call.Head()
-			}
-		case <-suspected:
-			suspected = nil
-			if r.message.Repeatable && hedge == nil {
-				e.endSilent(r, a)
-				return a
-			}
-		case <-r.gone:
-			e.Counters.CallerGone.Add(1)
-			e.dropLoser(r, hedge)
-			e.dropLoser(r, a)
-			a.outcome, a.final = retry.Unknown, true
-			return a
-		case <-deadline.C:
-			e.dropLoser(r, hedge)
-			r.mayHaveRun = r.mayHaveRun || hedge != nil
-			e.endDeadline(r, a)
-			return a
-		}
-	}
-}
-
-// hedgeDelay is when the request is to be hedged; ok is false when never.
-func (e *Entry) hedgeDelay(r *request) (time.Duration, bool) {
-	if e.settings.NoHedges || r.hedged || !r.message.Repeatable || !r.message.Last {
-		return 0, false
-	}
-	r.service.mu.Lock()
-	defer r.service.mu.Unlock()
-	return r.service.delay.After()
-}
-
-// hedge sends the request to a second server beside the first, if the budget
-// and the servers allow it; else it returns nil.
-func (e *Entry) hedge(r *request) *attempt {
-	r.hedged = true
-	now := time.Now()
-	a := &attempt{began: now}
-	s := r.service
-	s.mu.Lock()
-	if s.pool.Others(now, r.tried) == 0 || !s.hedges.Take(now, 1) {
-		s.mu.Unlock()
-		return nil
-	}
-	a.server = s.pool.Pick(now, s.rng, r.tried)
-	s.pool.Sent(now, a.server)
-	a.name, a.node = a.server.Name, a.server.Node
-	s.mu.Unlock()
-	r.tried = append(r.tried, a.server)
-	r.attempts++
-	e.send(r, a)
-	if a.call == nil {
-		return nil
-	}
-	e.Counters.Hedges.Add(1)
-	return a
-}
-
-// dropLoser gives up an attempt that is no longer needed. That it has taken so
-// long already says something of its server.
-func (e *Entry) dropLoser(r *request, a *attempt) {
-	if a == nil {
-		return
-	}
-	a.call.Abandon()
-	e.end(r, a, balance.Result{Latency: time.Since(a.began), TimedOut: true})
-}
-
 // endHead ends an attempt by what the gate said.
 func (e *Entry) endHead(r *request, a *attempt, head peer.Head) {
 	took := time.Since(a.began)
@@ -294,10 +190,3 @@
 	s.pool.Ended(time.Now(), a.server, result)
 	s.mu.Unlock()
 }
-
-// observe teaches the service's hedge delay.
-func (s *service) observe(latency time.Duration) {
-	s.mu.Lock()
-	s.delay.Observe(latency)
-	s.mu.Unlock()
-}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -213,6 +213,13 @@
 	}
 }
 
+// Active returns how many requests are under way.
+func (e *Entry) Active() int {
+	e.activeMu.Lock()
+	defer e.activeMu.Unlock()
+	return len(e.active)
+}
+
 // Notice takes what a gate tells unasked.
 func (e *Entry) Notice(n *wire.Notice) {
 	s, _ := e.service(n.Service)
--- a/entry/handle.go
+++ b/entry/handle.go
@@ -93,7 +93,7 @@
 			break
 		}
 		res.last = a
-		r.mayHaveRun = r.mayHaveRun || a.outcome.MayHaveRun()
+		r.note(a)
 		if a.outcome == retry.Answered || a.final || !e.again(r, a) {
 			break
 		}
--- /dev/null
+++ b/entry/race.go
@@ -0,0 +1,174 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"time"
+
+	"github.com/ryehaven/ryehaven/balance"
+	"github.com/ryehaven/ryehaven/peer"
+	"github.com/ryehaven/ryehaven/retry"
+)
+
+// race waits for the first of an attempt and the hedge that may join it.
+type race struct {
+	entry   *Entry
+	request *request
+	first   *attempt
+	// hedge is nil while there is none.
+	hedge *attempt
+	// suspected is closed when the first attempt's node becomes suspected.
+	suspected <-chan struct{}
+}
+
+// run waits until an attempt decides, and returns it.
+func (w *race) run() *attempt {
+	deadline := time.NewTimer(time.Until(w.request.deadline))
+	defer deadline.Stop()
+	var hedgeAt <-chan time.Time
+	if delay, ok := w.entry.hedgeDelay(w.request); ok {
+		timer := time.NewTimer(delay)
+		defer timer.Stop()
+		hedgeAt = timer.C
+	}
+	for {
+		var decided *attempt
+		select {
+		case head := <-w.first.call.Head():
+			decided = w.firstEnded(head)
+		case head := <-w.hedgeHead():
+			decided = w.hedgeEnded(head)
+		case <-hedgeAt:
+			hedgeAt = nil
+			w.hedge = w.entry.hedge(w.request)
+		case <-w.suspected:
+			decided = w.firstSuspected()
+		case <-w.request.gone:
+			decided = w.callerGone()
+		case <-deadline.C:
+			decided = w.deadlinePassed()
+		}
+		if decided != nil {
+			return decided
+		}
+	}
+}
+
+func (w *race) hedgeHead() <-chan peer.Head {
+	if w.hedge == nil {
+		return nil
+	}
+	return w.hedge.call.Head()
+}
+
+// firstEnded takes the end of the first attempt. Unless it was answered, a
+// hedge goes on in its place.
+func (w *race) firstEnded(head peer.Head) *attempt {
+	first := w.first
+	w.entry.endHead(w.request, first, head)
+	if w.hedge == nil {
+		return first
+	}
+	if first.outcome == retry.Answered {
+		w.entry.dropLoser(w.request, w.hedge)
+		return first
+	}
+	w.request.note(first)
+	w.first, w.hedge, w.suspected = w.hedge, nil, nil
+	return nil
+}
+
+// hedgeEnded takes the end of the hedge. Unless it was answered, the first
+// attempt goes on alone.
+func (w *race) hedgeEnded(head peer.Head) *attempt {
+	hedge := w.hedge
+	w.entry.endHead(w.request, hedge, head)
+	if hedge.outcome != retry.Answered {
+		w.request.note(hedge)
+		w.hedge = nil
+		return nil
+	}
+	w.entry.Counters.HedgesWon.Add(1)
+	w.entry.dropLoser(w.request, w.first)
+	return hedge
+}
+
+// firstSuspected gives up a repeatable attempt at a silent node.
+func (w *race) firstSuspected() *attempt {
+	w.suspected = nil
+	if !w.request.message.Repeatable || w.hedge != nil {
+		return nil
+	}
+	w.entry.endSilent(w.request, w.first)
+	return w.first
+}
+
+func (w *race) callerGone() *attempt {
+	w.entry.Counters.CallerGone.Add(1)
+	w.entry.dropLoser(w.request, w.hedge)
+	w.entry.dropLoser(w.request, w.first)
+	w.first.outcome, w.first.final = retry.Unknown, true
+	return w.first
+}
+
+func (w *race) deadlinePassed() *attempt {
+	if w.hedge != nil {
+		w.request.mayHaveRun = true
+		w.entry.dropLoser(w.request, w.hedge)
+	}
+	w.entry.endDeadline(w.request, w.first)
+	return w.first
+}
+
+// hedgeDelay is when the request is to be hedged; ok is false when never.
+func (e *Entry) hedgeDelay(r *request) (time.Duration, bool) {
+	if e.settings.NoHedges || r.hedged || !r.message.Repeatable || !r.message.Last {
+		return 0, false
+	}
+	r.service.mu.Lock()
+	defer r.service.mu.Unlock()
+	return r.service.delay.After()
+}
+
+// hedge sends the request to a second server beside the first, if the budget
+// and the servers allow it; else it returns nil.
+func (e *Entry) hedge(r *request) *attempt {
+	r.hedged = true
+	now := time.Now()
+	a := &attempt{began: now}
+	s := r.service
+	s.mu.Lock()
+	if s.pool.Others(now, r.tried) == 0 || !s.hedges.Take(now, 1) {
+		s.mu.Unlock()
+		return nil
+	}
+	a.server = s.pool.Pick(now, s.rng, r.tried)
+	s.pool.Sent(now, a.server)
+	a.name, a.node = a.server.Name, a.server.Node
+	s.mu.Unlock()
+	r.tried = append(r.tried, a.server)
+	r.attempts++
+	e.send(r, a)
+	if a.call == nil {
+		return nil
+	}
+	e.Counters.Hedges.Add(1)
+	return a
+}
+
+// dropLoser gives up an attempt that is no longer needed. That it has taken so
+// long already says something of its server.
+func (e *Entry) dropLoser(r *request, a *attempt) {
+	if a == nil {
+		return
+	}
+	a.call.Abandon()
+	e.end(r, a, balance.Result{Latency: time.Since(a.began), TimedOut: true})
+}
+
+// observe teaches the service's hedge delay.
+func (s *service) observe(latency time.Duration) {
+	s.mu.Lock()
+	s.delay.Observe(latency)
+	s.mu.Unlock()
+}
--- a/entry/request.go
+++ b/entry/request.go
@@ -35,6 +35,11 @@
 	mayHaveRun bool
 }
 
+// note remembers whether an attempt that ended may have run the request.
+func (r *request) note(a *attempt) {
+	r.mayHaveRun = r.mayHaveRun || a.outcome.MayHaveRun()
+}
+
 // serviceName returns the service that a Host field names: its first label.
 func serviceName(host string) string {
 	name, _, _ := strings.Cut(host, ":")
--- /dev/null
+++ b/internal/faultproxy/faultproxy_test.go
@@ -0,0 +1,91 @@
+// SPDX-License-Identifier: MIT
+
+package faultproxy
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"testing"
+	"time"
+)
+
+// through returns a connection through a proxy to a server that echoes.
+func through(t *testing.T) (*Proxy, net.Conn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				io.Copy(c, c)
+				c.Close()
+			}()
+		}
+	}()
+	p, err := New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	p.SetTarget(listener.Addr().String())
+	c, err := net.Dial("tcp", p.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	if err := echo(c, 5*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	return p, c
+}
+
+func echo(c net.Conn, limit time.Duration) error {
+	c.SetDeadline(time.Now().Add(limit))
+	if _, err := c.Write([]byte("ping")); err != nil {
+		return err
+	}
+	_, err := io.ReadFull(c, make([]byte, 4))
+	return err
+}
+
+func TestFaults(t *testing.T) {
+	const short = 100 * time.Millisecond
+	for name, f := range map[string]Fault{"forward": {HoldForward: true}, "backward": {HoldBackward: true}} {
+		t.Run("hold "+name, func(t *testing.T) {
+			p, c := through(t)
+			p.Set(f)
+			if err := echo(c, short); !errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("error is %v", err)
+			}
+			p.Set(Fault{})
+			c.SetDeadline(time.Now().Add(5 * time.Second))
+			if _, err := io.ReadFull(c, make([]byte, 4)); err != nil {
+				t.Errorf("what was held is lost: %v", err)
+			}
+		})
+	}
+	t.Run("cut", func(t *testing.T) {
+		p, c := through(t)
+		p.Set(Fault{Cut: true, Refuse: true})
+		if err := echo(c, 5*time.Second); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("error is %v", err)
+		}
+	})
+	t.Run("delay", func(t *testing.T) {
+		p, c := through(t)
+		p.Set(Fault{Delay: short})
+		began := time.Now()
+		if err := echo(c, 5*time.Second); err != nil || time.Since(began) < 2*short {
+			t.Errorf("after %v: %v", time.Since(began), err)
+		}
+	})
+}
--- a/node/apply.go
+++ b/node/apply.go
@@ -137,6 +137,7 @@
 		return
 	}
 	s.Owner = g
+	n.arrived()
 	g.Request(s)
 }
 
--- a/node/callers.go
+++ b/node/callers.go
@@ -29,6 +29,7 @@
 	return &fasthttp.Server{
 		Name: "ryehaven",
 		Handler: func(ctx *fasthttp.RequestCtx) {
+			n.arrived()
 			n.entry.Handle(ctx)
 			ctx.Response.Header.Set("Keep-Alive", keepAlive)
 			if n.stopping.Load() {
--- a/node/node.go
+++ b/node/node.go
@@ -44,8 +44,10 @@
 	// noticesPerSecond bounds the notices that a node sends, each of about 60
 	// bytes, over all entries.
 	noticesPerSecond = 100
-	// stallEvery is how often gates are looked at for a stall.
-	stallEvery = 2 * time.Millisecond
+	// stallEvery is how often gates are looked at for a stall while there is
+	// work, and idleEvery how often anything is while there is none.
+	stallEvery = 4 * time.Millisecond
+	idleEvery  = 100 * time.Millisecond
 )
 
 // Node is one process of the system.
@@ -65,9 +67,12 @@
 	spread     *spread.Spread
 	metrics    metric.Set
 	// notices bounds what gates tell entries unasked.
-	notices   *rate.Limiter
-	told      atomic.Int64
-	stopping  atomic.Bool
+	notices  *rate.Limiter
+	told     atomic.Int64
+	stopping atomic.Bool
+	// idle says that runTicks rests and wants to be woken.
+	idle      atomic.Bool
+	wake      chan struct{}
 	openConns atomic.Int64
 
 	mu      sync.Mutex
@@ -85,7 +90,7 @@
 // New opens a node's listeners. client may be nil for a node without a
 // platform.
 func New(s settings.Settings, log *zap.Logger, client platform.Client) (*Node, error) {
-	n := &Node{settings: s, log: log.With(zap.String("host", s.Host)), gates: map[gateKey]*gate.Gate{}}
+	n := &Node{settings: s, log: log.With(zap.String("host", s.Host)), gates: map[gateKey]*gate.Gate{}, wake: make(chan struct{}, 1)}
 	if err := n.listen(); err != nil {
 		n.closeListeners()
 		return nil, err
@@ -219,7 +224,6 @@
 	serve("operators", func() error { return admin.Serve(n.admin) })
 	wait.Go(func() { n.spread.Run(background) })
 	wait.Go(func() { n.runTicks(background) })
-	wait.Go(func() { n.runNotices(background) })
 	n.log.Info("node started",
 		zap.String("caller", n.CallerAddress()),
 		zap.String("peer", n.PeerAddress()),
@@ -243,29 +247,55 @@
 	return err
 }
 
+// runTicks looks after what time brings: silent nodes, callers that have gone,
+// overdue requests, stalls. It does so often while there is work and seldom
+// while there is none, since each waking costs processor time.
 func (n *Node) runTicks(ctx context.Context) {
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var ticked time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
-			n.tick(time.Now())
+		case <-n.wake:
+		case <-timer.C:
+		}
+		now := time.Now()
+		busy := n.busy()
+		if !busy || now.Sub(ticked) >= tickEvery {
+			ticked = now
+			n.tick(now)
+		}
+		n.sendNotices(now)
+		n.idle.Store(!busy)
+		if busy {
+			timer.Reset(stallEvery)
+		} else {
+			timer.Reset(idleEvery)
 		}
 	}
 }
 
-// runNotices tells entries of gates whose servers stall or answer again.
-func (n *Node) runNotices(ctx context.Context) {
-	ticker := time.NewTicker(stallEvery)
-	defer ticker.Stop()
-	for {
+// busy reports whether there is any request at this node.
+func (n *Node) busy() bool {
+	if n.entry.Active() > 0 {
+		return true
+	}
+	for _, g := range n.everyGate() {
+		if g.Busy() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// arrived wakes runTicks when a request comes to an idle node.
+func (n *Node) arrived() {
+	if n.idle.CompareAndSwap(true, false) {
 		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			n.sendNotices(now)
+		case n.wake <- struct{}{}:
+		default:
 		}
 	}
 }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -354,3 +354,49 @@
 		}
 	}
 }
+
+// A repeatable request that hangs is answered by a second server, and one that
+// is not repeatable is never sent to a second.
+func TestHedges(t *testing.T) {
+	s := startSite(t, 3, nil, standin.Behaviour{Slots: 12, ServiceMicros: 1000})
+	entry := s.Servers[0].Node
+	for range 60 { // They teach what is usual.
+		if _, _, err := do(t, entry, "GET", "/x", nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s.Servers[1].Standin.Set(standin.Behaviour{Slots: 12, Frozen: true})
+	defer s.Servers[1].Standin.Set(standin.Behaviour{Slots: 12})
+	for i := range 60 {
+		number := fmt.Sprint("get", i)
+		response, _, err := do(t, entry, "GET", "/x", nil, standin.RunField, number, header.Deadline, "2000")
+		if err != nil || response.StatusCode != 200 {
+			t.Errorf("request %s: %v, error %v", number, response, err)
+		}
+		post := fmt.Sprint("post", i)
+		if _, _, err := do(t, entry, "POST", "/x", nil, standin.RunField, post, header.Deadline, "50"); err != nil {
+			t.Error(err)
+		}
+	}
+	runs := map[string]int{}
+	for _, server := range s.Servers {
+		byNumber, _ := server.Standin.Runs()
+		for number, n := range byNumber {
+			runs[number] += n
+		}
+	}
+	for number, n := range runs {
+		if strings.HasPrefix(number, "post") && n > 1 {
+			t.Errorf("request %s is not repeatable and ran %d times", number, n)
+		}
+	}
+	hedges := int64(0)
+	for _, m := range entry.Metrics() {
+		if m.Name == "entry_hedges_won" {
+			hedges = m.Value()
+		}
+	}
+	if hedges == 0 {
+		t.Error("no hedge has answered first")
+	}
+}
--- /dev/null
+++ b/spread/spread_test.go
@@ -0,0 +1,136 @@
+// SPDX-License-Identifier: MIT
+
+package spread
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/ryehaven/ryehaven/member"
+	"github.com/ryehaven/ryehaven/peer"
+	"github.com/ryehaven/ryehaven/table"
+)
+
+func snapshot(t *testing.T, g table.Generation, mark string) *table.Snapshot {
+	t.Helper()
+	text := "# " + mark + "\nservice,server,host,zone,address,state\ns,a,h,z,127.0.0.1:1,\n"
+	s, err := table.NewSnapshot(g, "t", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func TestHolderNeverGoesBack(t *testing.T) {
+	core, logs := observer.New(zap.InfoLevel)
+	var taken []table.Generation
+	h := &Holder{Log: zap.New(core), OnTaken: func(s *table.Snapshot) { taken = append(taken, s.Generation) }}
+	steps := []struct {
+		generation table.Generation
+		mark       string
+		want       Verdict
+	}{
+		{3, "a", Taken}, {3, "a", Known}, {3, "b", Clash}, {2, "a", Older}, {2, "a", Older}, {5, "c", Taken}, {4, "x", Older},
+	}
+	for _, step := range steps {
+		s := snapshot(t, step.generation, step.mark)
+		if judged := h.Judge(s.Generation, s.Hash); judged != step.want {
+			t.Errorf("judge of %d %s is %d, want %d", step.generation, step.mark, judged, step.want)
+		}
+		if got := h.Offer(s, "test"); got != step.want {
+			t.Errorf("offer of %d %s is %d, want %d", step.generation, step.mark, got, step.want)
+		}
+	}
+	if fmt.Sprint(taken) != "[3 5]" || h.OlderCount.Load() != 3 || h.ClashCount.Load() != 1 {
+		t.Errorf("taken %v, older %d, clash %d", taken, h.OlderCount.Load(), h.ClashCount.Load())
+	}
+	if n := logs.FilterLevelExact(zap.WarnLevel).Len(); n != 3 {
+		t.Errorf("%d warnings; a table that is refused twice in a row is told once", n)
+	}
+}
+
+func TestTableFromANodeIsChecked(t *testing.T) {
+	good := snapshot(t, 4, "x")
+	reply := tableReply{Generation: 4, Hash: good.Hash, Deflated: deflate(good.Text)}
+	if s, err := reply.snapshot(); err != nil || s.Hash != good.Hash || !bytes.Equal(s.Text, good.Text) {
+		t.Errorf("a good table: %v", err)
+	}
+	bomb := deflate(bytes.Repeat([]byte{' '}, 50<<20))
+	for name, bad := range map[string]tableReply{
+		"wrong hash":      {Generation: 4, Hash: "0", Deflated: reply.Deflated},
+		"no generation":   {Hash: good.Hash, Deflated: reply.Deflated},
+		"not compressed":  {Generation: 4, Hash: good.Hash, Deflated: good.Text},
+		"too large":       {Generation: 4, Hash: good.Hash, Deflated: bomb},
+		"not a table":     {Generation: 4, Hash: table.HashText([]byte("x")), Deflated: deflate([]byte("x"))},
+		"cut":             {Generation: 4, Hash: good.Hash, Deflated: reply.Deflated[:10]},
+		"nothing in it":   {Generation: 4, Hash: good.Hash},
+		"hash of another": {Generation: 4, Hash: snapshot(t, 4, "y").Hash, Deflated: reply.Deflated},
+	} {
+		if s, err := bad.snapshot(); err == nil || s != nil {
+			t.Errorf("%s: taken", name)
+		}
+	}
+}
+
+// newSpread returns one that talks to nobody.
+func newSpread(t *testing.T, bytesPerSecond int) *Spread {
+	t.Helper()
+	holder := &Holder{Log: zap.NewNop()}
+	view := member.NewView(member.Record{Host: "h", Incarnation: 1, Address: "127.0.0.1:1", Zone: "z"})
+	d := &peer.Dialer{Counters: new(peer.Counters)}
+	return New(Settings{TableBytesPerSecond: bytesPerSecond, StaleAfter: 12 * time.Second}, zap.NewNop(), holder, view, d, nil, nil)
+}
+
+func TestTablesAreServedWithinABudget(t *testing.T) {
+	s := newSpread(t, 10)
+	var noise strings.Builder // It does not compress below the burst.
+	for i := range 100 {
+		noise.WriteString(table.HashText([]byte{byte(i)}))
+	}
+	s.holder.Offer(snapshot(t, 1, noise.String()), "test")
+	served, busy := 0, 0
+	for range 10 {
+		_, _, err := s.Ask(TopicTable, nil)
+		switch {
+		case err == nil:
+			served++
+		case errors.Is(err, errBusy):
+			busy++
+		default:
+			t.Fatal(err)
+		}
+	}
+	if served != 1 || busy != 9 || s.Counters.TablesDeferred.Load() != 9 {
+		t.Errorf("%d served, %d deferred", served, busy)
+	}
+}
+
+func TestConfirmationAgeTravelsAndGrows(t *testing.T) {
+	s := newSpread(t, 1000)
+	now := time.Now()
+	held := snapshot(t, 2, "x")
+	s.holder.Offer(held, "test")
+	if s.pollDue(5, now.Add(time.Hour)) == false {
+		t.Error("a node that never heard of a confirmation does not ask")
+	}
+	s.learn(now, digest{Generation: 2, Hash: held.Hash, ConfirmedMillis: 3000})
+	s.learn(now, digest{Generation: 2, Hash: held.Hash, ConfirmedMillis: 9000})
+	s.learn(now, digest{Generation: 1, ConfirmedMillis: 0}) // It confirms another one.
+	if age, ok := s.ConfirmedAge(now); !ok || age != 3*time.Second {
+		t.Errorf("age is %v", age)
+	}
+	if s.pollDue(watchers, now.Add(time.Hour)) {
+		t.Error("a node asks although the table was confirmed of late")
+	}
+	s.learn(now, digest{Generation: 2, Hash: held.Hash, ConfirmedMillis: 0})
+	if d := s.digest(now.Add(7 * time.Second)); d.ConfirmedMillis != 7000 {
+		t.Errorf("the digest tells an age of %d ms", d.ConfirmedMillis)
+	}
+}
