--- a/balance/expect.go
+++ b/balance/expect.go
@@ -141,7 +141,8 @@
 	return own + mean + (s.others()-mean)*news
 }
 
-// spareShare is the share of a server's limit up to which it has room to spare.
+// spareShare is the share of a server's limit up to which it has room for a
+// request that need not be sent.
 const spareShare = 1
 
 // Spare reports whether a server has room for a request that need not be sent:
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -132,6 +132,8 @@
 	failureShare = 0.1
 	// drainingFor is how long a refusal for draining is believed.
 	drainingFor = time.Second
+	// hangFactor is how many usual times without an answer count as a failure.
+	hangFactor = 10
 	// fullFor bounds how long a refusal for overload is believed. A gate that
 	// answers a request every half millisecond is not full for long.
 	fullFor = 20 * time.Millisecond
@@ -150,6 +152,9 @@
 	case r.TimedOut:
 		s.latency = max(s.latency, r.Latency)
 		s.answeredAt = now
+		if r.Latency > hangFactor*p.best() {
+			s.failed(now, p)
+		}
 	case r.Refused != 0:
 		s.lastProgress = now
 		s.refused(now, r)
