admit, balance: the limit that ships is the row's slots; slow start by the draw alone

It stays as experiment.adaptive_limit, off, for servers worth less than their rows say. Cause 2: a killed and restarted gate got its first request after 2.0 s. The slow start lowered both its chance of being drawn and its score, so that it lost every comparison until the end of the ramp. Ruled out: the node's own start; TestNodeStartsWhileThePlatformIsDown, with an edit, a kill, the start and the first answers, took 0.49 s as a whole.

--- a/admit/queue.go
+++ b/admit/queue.go
@@ -64,7 +64,7 @@
 type Settings struct {
 	Slots int
 	Queue int
-	// FixedLimit keeps the limit at Slots, for comparison.
+	// FixedLimit keeps the limit at Slots, as nodes do by default.
 	FixedLimit bool
 	// NoDeadlineBound queues what cannot meet its deadline, for comparison.
 	NoDeadlineBound bool
--- a/balance/expect.go
+++ b/balance/expect.go
@@ -44,7 +44,7 @@
 	if !p.options.NoNotices {
 		service = max(service, s.stalled(now, service))
 	}
-	busy := (p.load(now, s, service) + 1) / (p.limit(s) * s.Weight * s.ramp(now))
+	busy := (p.load(now, s, service) + 1) / (p.limit(s) * s.Weight)
 	// Below the limit nothing waits, yet a busier server is more likely to be
 	// met by others' work; above it each further limit's worth of requests
 	// costs one service time.
--- a/cmd/ryehaven-load/compare.go
+++ b/cmd/ryehaven-load/compare.go
@@ -177,7 +177,7 @@
 		name: "plain " + string(policy),
 		adjust: func(e *settings.Experiment) {
 			e.Balance.Policy = policy
-			e.NoRetries, e.NoHedges, e.FixedLimit, e.NoDeadlineBound = true, true, true, true
+			e.NoRetries, e.NoHedges, e.NoDeadlineBound = true, true, true
 		},
 		queue: plainQueue,
 	}
@@ -231,7 +231,7 @@
 	{name: "draw 3", adjust: func(e *settings.Experiment) { e.Balance.Choices = 3 }},
 	{name: "look at all", adjust: func(e *settings.Experiment) { e.Balance.Choices = 1000 }},
 	{name: "no retries", adjust: func(e *settings.Experiment) { e.NoRetries = true }},
-	{name: "fixed limit", adjust: func(e *settings.Experiment) { e.FixedLimit = true }},
+	{name: "adaptive limit", adjust: func(e *settings.Experiment) { e.AdaptiveLimit = true }},
 	{name: "no deadline bound", adjust: func(e *settings.Experiment) { e.NoDeadlineBound = true }},
 }
 
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -43,8 +43,8 @@
 	// FlushAfter is how long after the start of a drain what is still queued
 	// is refused.
 	FlushAfter time.Duration
-	// FixedLimit and NoDeadlineBound switch parts of admission off, for
-	// comparison.
+	// FixedLimit keeps the limit at the row's slots. NoDeadlineBound queues what
+	// cannot meet its deadline, for comparison.
 	FixedLimit      bool
 	NoDeadlineBound bool
 	// FailedBelow reports whether a request that this host sent on to another
--- a/node/node.go
+++ b/node/node.go
@@ -175,7 +175,7 @@
 		BodyIdleLimit:   n.settings.Limits.BodyIdle,
 		AbandonedLimit:  abandonedLimit,
 		FlushAfter:      flushAfter,
-		FixedLimit:      n.settings.Experiment.FixedLimit,
+		FixedLimit:      !n.settings.Experiment.AdaptiveLimit,
 		NoDeadlineBound: n.settings.Experiment.NoDeadlineBound,
 		FailedBelow:     n.entry.FailedSince,
 	}
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -78,7 +78,7 @@
 	{"experiment.no_ejection", "never eject a server; for comparison", false, truth(func(s *Settings) *bool { return &s.Experiment.Balance.NoEjection })},
 	{"experiment.no_distance", "ignore zones; for comparison", false, truth(func(s *Settings) *bool { return &s.Experiment.Balance.NoDistance })},
 	{"experiment.no_retries", "never retry; for comparison", false, truth(func(s *Settings) *bool { return &s.Experiment.NoRetries })},
-	{"experiment.fixed_limit", "keep a gate's limit at the row's slots; for comparison", false, truth(func(s *Settings) *bool { return &s.Experiment.FixedLimit })},
+	{"experiment.adaptive_limit", "let a gate lower its limit below the row's slots; for comparison", false, truth(func(s *Settings) *bool { return &s.Experiment.AdaptiveLimit })},
 	{"experiment.no_deadline_bound", "queue what cannot meet its deadline; for comparison", false, truth(func(s *Settings) *bool { return &s.Experiment.NoDeadlineBound })},
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -102,7 +102,7 @@
 	Balance         balance.Options
 	NoRetries       bool
 	NoHedges        bool
-	FixedLimit      bool
+	AdaptiveLimit   bool
 	NoDeadlineBound bool
 }
 
