--- a/entry/body.go
+++ b/entry/body.go
@@ -64,7 +64,7 @@
 	first := make([]byte, peer.MaxChunk)
 	n := 0
 	for n < len(first) && b.err == nil {
-		read, err := source.Read(first[n:])
+		read, err := b.source.Read(first[n:])
 		n += read
 		b.err = err
 	}
