--- a/balance/pick.go
+++ b/balance/pick.go
@@ -206,12 +206,7 @@
 // ramp, by the method of Efraimidis and Spirakis (2006): the n greatest
 // u^(1/w).
 func (p *Pool) draw(now time.Time, rng *rand.Rand, candidates []*Server, n int) []*Server {
-	if n >= len(candidates) {
-		rng.Shuffle(len(candidates), func(i, j int) {
-			candidates[i], candidates[j] = candidates[j], candidates[i]
-		})
-		return candidates
-	}
+	n = min(n, len(candidates))
 	keys := make([]float64, len(candidates))
 	for i, s := range candidates {
 		keys[i] = math.Log(1-rng.Float64()) / p.drawWeight(now, s)
