e2e: results of whole sites are not kept once a source has changed

The go command keeps a test's result by its binary and by the files that it reads; the linker leaves out what the blank import of package node does not use, and the build of the processes under test is not seen. The tests now read the sources first. Ruled out: -count=1 in the README's test command, which would run every package again. Before: cached after a change of balance/pick.go.

--- a/cmd/ryehaven-load/overhead.go
+++ b/cmd/ryehaven-load/overhead.go
@@ -51,8 +51,8 @@
 	}
 	fmt.Printf("%s, server's time %v, %d slots, %d rounds of %v in turn\n\n", method, c.Work, overheadSlots, c.Rounds, c.Length)
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 1, ' ', 0)
-	fmt.Fprintln(w, "| callers\t| way\t| calls/s\t| p50 ms\t| p99 ms\t| p99.9 ms\t| entry us/call\t| gate us/call\t| entry MB\t| gate MB\t|")
-	fmt.Fprintln(w, "| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t|")
+	fmt.Fprintln(w, "| callers\t| way\t| calls/s\t| p50 ms\t| p99 ms\t| p99.9 ms\t| entry us/call\t| gate us/call\t| entry allocs/call\t| gate allocs/call\t| entry MB\t| gate MB\t|")
+	fmt.Fprintln(w, "| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t|")
 	for _, callers := range c.Callers {
 		if err := c.compare(w, s, callers, method); err != nil {
 			return err
@@ -69,6 +69,8 @@
 	length  time.Duration
 	entry   time.Duration
 	gate    time.Duration
+	// entryAllocations and gateAllocations count over all rounds.
+	entryAllocations, gateAllocations float64
 }
 
 func (c *overheadCommand) compare(w *tabwriter.Writer, s *process.Site, callers int, method string) error {
@@ -96,6 +98,8 @@
 			gate, entry = after[0], after[1]
 			way.gate += after[0].cpu - before[0].cpu
 			way.entry += after[1].cpu - before[1].cpu
+			way.gateAllocations += after[0].allocations - before[0].allocations
+			way.entryAllocations += after[1].allocations - before[1].allocations
 			if way.latency == nil {
 				way.latency = latency
 			} else {
@@ -106,15 +110,16 @@
 	for _, way := range ways {
 		calls := float64(way.latency.TotalCount())
 		ms := func(q float64) float64 { return float64(way.latency.ValueAtQuantile(q)) / 1e6 }
-		fmt.Fprintf(w, "| %d\t| %s\t| %.0f\t| %.3f\t| %.3f\t| %.3f\t| %.0f\t| %.0f\t| %.1f\t| %.1f\t|\n",
+		fmt.Fprintf(w, "| %d\t| %s\t| %.0f\t| %.3f\t| %.3f\t| %.3f\t| %.0f\t| %.0f\t| %.0f\t| %.0f\t| %.1f\t| %.1f\t|\n",
 			callers, way.name, calls/way.length.Seconds(), ms(50), ms(99), ms(99.9),
 			float64(way.entry.Microseconds())/calls, float64(way.gate.Microseconds())/calls,
+			way.entryAllocations/calls, way.gateAllocations/calls,
 			float64(entry.resident)/1e6, float64(gate.resident)/1e6)
 	}
 	added := func(q float64) float64 {
 		return float64(ways[1].latency.ValueAtQuantile(q)-ways[0].latency.ValueAtQuantile(q)) / 1e6
 	}
-	fmt.Fprintf(w, "| %d\t| added\t| \t| %.3f\t| %.3f\t| %.3f\t| \t| \t| \t| \t|\n", callers, added(50), added(99), added(99.9))
+	fmt.Fprintf(w, "| %d\t| added\t| \t| %.3f\t| %.3f\t| %.3f\t| \t| \t| \t| \t| \t| \t|\n", callers, added(50), added(99), added(99.9))
 	return nil
 }
 
@@ -126,6 +131,11 @@
 		if all[i], err = usageOf(n.PID()); err != nil {
 			return nil, err
 		}
+		metrics, err := metricsOf(n.Admin)
+		if err != nil {
+			return nil, err
+		}
+		all[i].allocations = metrics[allocationsName]
 	}
 	return all, nil
 }
--- a/cmd/ryehaven-load/process.go
+++ b/cmd/ryehaven-load/process.go
@@ -51,6 +51,8 @@
 type usage struct {
 	cpu      time.Duration
 	resident int64
+	// allocations counts since the process began; usageOf leaves it 0.
+	allocations float64
 }
 
 // clockTick is the unit of processor time in /proc, USER_HZ, which is 100 on
--- a/cmd/ryehaven-load/spread.go
+++ b/cmd/ryehaven-load/spread.go
@@ -205,11 +205,20 @@
 	}
 	var all struct {
 		Ryehaven map[string]float64 `json:"ryehaven"`
+		Memory   struct {
+			Mallocs float64
+		} `json:"memstats"`
 	}
-	err = json.Unmarshal(body, &all)
-	return all.Ryehaven, err
+	if err := json.Unmarshal(body, &all); err != nil {
+		return nil, err
+	}
+	all.Ryehaven[allocationsName] = all.Memory.Mallocs
+	return all.Ryehaven, nil
 }
 
+// allocationsName is the process's own count beside the node's.
+const allocationsName = "allocations"
+
 func (c *spreadCommand) print(w *tabwriter.Writer, s *process.Site, services int, before, quiet, after cost, edited time.Duration, times []time.Duration) {
 	nodes := float64(len(s.Nodes))
 	seconds := c.Quiet.Seconds()
--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -5,8 +5,10 @@
 import (
 	"errors"
 	"fmt"
+	"io/fs"
 	"math/rand/v2"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -15,10 +17,6 @@
 	"github.com/ryehaven/ryehaven/client"
 	"github.com/ryehaven/ryehaven/internal/process"
 	"github.com/ryehaven/ryehaven/standin"
-
-	// The processes under test are built from these; the import makes a kept
-	// test result worthless once they change.
-	_ "github.com/ryehaven/ryehaven/node"
 )
 
 // programs is where the commands were built.
@@ -35,6 +33,10 @@
 		return 1
 	}
 	defer os.RemoveAll(dir)
+	if err := readSources("../.."); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
 	if err := process.Build(dir); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
@@ -43,6 +45,19 @@
 	return m.Run()
 }
 
+// readSources reads the sources of the processes under test. The go command
+// keeps a test's result until a file changes that the test has read, and it
+// does not see what Build reads.
+func readSources(root string) error {
+	return filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") {
+			return err
+		}
+		_, err = os.ReadFile(path)
+		return err
+	})
+}
+
 const (
 	service     = "arzator"
 	measureRate = 20
