wire: header fields are decoded one by one, within a bound

Cause: FuzzReader ended with "out of memory" after 3 s: a frame of 29 bytes that claims 819 million header fields made the codec allocate for all of them before it read one. Only a peer that has proved the key could send it; a broken one would do. Ruled out: byte strings and frames; the codec reads the first in pieces, and frames are bounded before they are read. Before: 24 GiB asked for. After: refused above 1,024 fields; the input is a seed of the fuzz target, and 8 s (1.2 million inputs) found nothing more. Left: lists of member records between nodes are decoded by the codec as well.

--- a/wire/message.go
+++ b/wire/message.go
@@ -2,6 +2,11 @@
 
 package wire
 
+import (
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
 // Version is the protocol version in Hello.
 const Version = 1
 
@@ -61,6 +66,38 @@
 	Value string
 }
 
+// MaxFields bounds the header fields of one message.
+const MaxFields = 1024
+
+// ErrTooManyFields says that a message names more fields than allowed.
+var ErrTooManyFields = eris.New("message has too many header fields")
+
+// Fields are a message's header fields. They are decoded one by one, since the
+// codec would allocate for as many as the message claims to have.
+type Fields []Field
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (f *Fields) DecodeMsgpack(d *msgpack.Decoder) error {
+	n, err := d.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	*f = nil
+	if n < 0 {
+		return nil // It was encoded as nil.
+	}
+	if n > MaxFields {
+		return eris.Wrapf(ErrTooManyFields, "%d, limit %d", n, MaxFields)
+	}
+	*f = make(Fields, n)
+	for i := range *f {
+		if err := d.Decode(&(*f)[i]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Length values of a body whose size is not known ahead, and of none.
 const (
 	LengthUnknown int64 = -1
@@ -78,7 +115,7 @@
 	Server       string
 	Method       string
 	URI          string
-	Header       []Field
+	Header       Fields
 	// Length is the body's size in bytes, LengthUnknown or LengthNone.
 	Length     int64
 	Repeatable bool
@@ -142,7 +179,7 @@
 type Response struct {
 	ID     uint64
 	Status int
-	Header []Field
+	Header Fields
 	Length int64
 	// NoRetry says that the failure comes from further down, where it was
 	// retried already.
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -74,6 +74,8 @@
 		}
 		f.Add(frame)
 	}
+	// It claims 819 million header fields, for which memory was allocated once.
+	f.Add([]byte("\x00\x00\x00\x1d\n\x9e000\xc0\xc0\xc0\xc0\xdd0\xc00\xc0\xc0000000\x0f0000000"))
 	f.Add([]byte{0, 0, 0, 5, 10, 0xdd, 0xff, 0xff, 0xff})
 	f.Fuzz(func(t *testing.T, stream []byte) {
 		r := NewReader(bytes.NewReader(stream))
