store: the package of the object store has a name of the field

Cause: the package platform held the product's own store interface; the name is needed for the folder that translates to the users' platform, and the interface is the product's. Change: renamed with its test fake (store, store/storetest); no behaviour. Ruled out: an alias, which would leave two names for one thing.

--- a/cmd/ryehaven-load/spread.go
+++ b/cmd/ryehaven-load/spread.go
@@ -17,9 +17,9 @@
 
 	"github.com/ryehaven/ryehaven/command"
 	"github.com/ryehaven/ryehaven/internal/process"
-	"github.com/ryehaven/ryehaven/platform/platformtest"
 	"github.com/ryehaven/ryehaven/query"
 	"github.com/ryehaven/ryehaven/standin"
+	"github.com/ryehaven/ryehaven/store/storetest"
 	"github.com/ryehaven/ryehaven/table"
 )
 
@@ -185,11 +185,11 @@
 		sum.dialed += metrics["peer_dialed"]
 	}
 	slices.Sort(sum.resident)
-	_, body, err := fasthttp.GetTimeout(nil, "http://"+s.PlatformAddress+platformtest.CallsPath, 5*time.Second)
+	_, body, err := fasthttp.GetTimeout(nil, "http://"+s.PlatformAddress+storetest.CallsPath, 5*time.Second)
 	if err != nil {
 		return sum, err
 	}
-	var calls platformtest.Calls
+	var calls storetest.Calls
 	if err := json.Unmarshal(body, &calls); err != nil {
 		return sum, err
 	}
--- a/cmd/ryehaven-standin/main.go
+++ b/cmd/ryehaven-standin/main.go
@@ -14,8 +14,8 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
-	"github.com/ryehaven/ryehaven/platform/platformtest"
 	"github.com/ryehaven/ryehaven/standin"
+	"github.com/ryehaven/ryehaven/store/storetest"
 )
 
 var arguments struct {
@@ -58,7 +58,7 @@
 
 // Run serves until the process is ended.
 func (c *platformCommand) Run() error {
-	var store platformtest.Store
+	var store storetest.Store
 	if c.Hosts != "" {
 		text, err := os.ReadFile(c.Hosts)
 		if err != nil {
--- a/cmd/ryehaven/table.go
+++ b/cmd/ryehaven/table.go
@@ -12,8 +12,8 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/ryehaven/ryehaven/command"
-	"github.com/ryehaven/ryehaven/platform"
 	"github.com/ryehaven/ryehaven/query"
+	"github.com/ryehaven/ryehaven/store"
 	"github.com/ryehaven/ryehaven/table"
 )
 
@@ -25,7 +25,7 @@
 
 const callLimit = 2 * time.Second
 
-func (f platformFlag) client() platform.Client { return platform.NewHTTP(f.Platform, callLimit) }
+func (f platformFlag) client() store.Client { return store.NewHTTP(f.Platform, callLimit) }
 
 func (f platformFlag) context() (context.Context, context.CancelFunc) {
 	return context.WithTimeout(context.Background(), f.Wait)
@@ -88,7 +88,7 @@
 	if c.Platform == "" {
 		return eris.New("name --platform or --node")
 	}
-	e, err := query.GetAccepted(context.Background(), platform.NewHTTP(c.Platform, callLimit))
+	e, err := query.GetAccepted(context.Background(), store.NewHTTP(c.Platform, callLimit))
 	if err != nil {
 		return err
 	}
--- a/cmd/ryehavend/main.go
+++ b/cmd/ryehavend/main.go
@@ -20,8 +20,8 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/ryehaven/ryehaven/node"
-	"github.com/ryehaven/ryehaven/platform"
 	"github.com/ryehaven/ryehaven/settings"
+	"github.com/ryehaven/ryehaven/store"
 )
 
 // Exit codes besides 0.
@@ -80,9 +80,9 @@
 }
 
 func serve(ctx context.Context, s settings.Settings, log *zap.Logger) error {
-	var client platform.Client
+	var client store.Client
 	if s.Platform.Address != "" {
-		client = platform.NewHTTP(s.Platform.Address, s.Platform.Limit)
+		client = store.NewHTTP(s.Platform.Address, s.Platform.Limit)
 	}
 	n, err := node.New(s, log, client)
 	if err != nil {
--- a/command/apply.go
+++ b/command/apply.go
@@ -10,7 +10,7 @@
 	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 
-	"github.com/ryehaven/ryehaven/platform"
+	"github.com/ryehaven/ryehaven/store"
 	"github.com/ryehaven/ryehaven/table"
 )
 
@@ -57,7 +57,7 @@
 
 // Apply checks a table and puts it into the platform's service. It tries
 // until ctx ends. The error is a *finding.Error when the table has faults.
-func Apply(ctx context.Context, client platform.Client, c Change) (Result, error) {
+func Apply(ctx context.Context, client store.Client, c Change) (Result, error) {
 	if _, err := table.Parse(c.File, c.Text); err != nil {
 		return Result{}, err
 	}
@@ -77,14 +77,14 @@
 
 // apply is the state of one Apply.
 type apply struct {
-	client platform.Client
+	client store.Client
 	change Change
 	id     string
 	// sent says that a write may have reached the platform. From then on tag
 	// and body do not change, so that at most one write can take effect.
 	sent bool
 	tag  string
-	next platform.Envelope
+	next store.Envelope
 	body []byte
 }
 
@@ -92,7 +92,7 @@
 	if a.sent {
 		return Result{Outcome: Unknown}, nil
 	}
-	return Result{}, eris.Wrap(platform.ErrUnavailable, "the table was not changed")
+	return Result{}, eris.Wrap(store.ErrUnavailable, "the table was not changed")
 }
 
 // try reads, decides and writes once. again asks for another try.
@@ -104,13 +104,13 @@
 		}
 	}
 	a.sent = true
-	_, err = a.client.Put(ctx, platform.TableKey, a.tag, a.body)
+	_, err = a.client.Put(ctx, store.TableKey, a.tag, a.body)
 	switch {
 	case err == nil:
 		return Result{Outcome: Accepted, Generation: a.next.Generation}, false, nil
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, store.ErrConflict):
 		return a.settle(ctx)
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, store.ErrUnavailable), errors.Is(err, store.ErrUnknown):
 		return Result{}, true, nil
 	}
 	return Result{}, false, err
@@ -118,7 +118,7 @@
 
 // unlessAway asks for another try when the platform is away.
 func (a *apply) unlessAway(result Result, err error) (Result, bool, error) {
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, store.ErrUnavailable) {
 		return Result{}, true, nil
 	}
 	return result, false, err
@@ -138,7 +138,7 @@
 		return a.raced(current), true, nil
 	}
 	a.tag = tag
-	a.next = platform.Envelope{
+	a.next = store.Envelope{
 		Generation: max(current.Generation, a.change.Nodes) + 1,
 		WriteID:    a.id,
 		Hash:       table.HashText(a.change.Text),
@@ -149,7 +149,7 @@
 	return Result{}, false, err
 }
 
-func (a *apply) raced(current platform.Envelope) Result {
+func (a *apply) raced(current store.Envelope) Result {
 	return Result{
 		Outcome:    Raced,
 		Generation: current.Generation,
@@ -177,14 +177,14 @@
 
 // readTable returns the table's object and its tag; both are blank when there
 // is none yet.
-func readTable(ctx context.Context, client platform.Client) (platform.Envelope, string, error) {
-	o, err := client.Get(ctx, platform.TableKey)
-	if errors.Is(err, platform.ErrNotFound) {
-		return platform.Envelope{}, "", nil
+func readTable(ctx context.Context, client store.Client) (store.Envelope, string, error) {
+	o, err := client.Get(ctx, store.TableKey)
+	if errors.Is(err, store.ErrNotFound) {
+		return store.Envelope{}, "", nil
 	}
 	if err != nil {
-		return platform.Envelope{}, "", err
+		return store.Envelope{}, "", err
 	}
-	e, err := platform.DecodeEnvelope(o.Body)
+	e, err := store.DecodeEnvelope(o.Body)
 	return e, o.Tag, err
 }
--- a/command/command_test.go
+++ b/command/command_test.go
@@ -14,8 +14,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/ryehaven/ryehaven/internal/finding"
-	"github.com/ryehaven/ryehaven/platform"
-	"github.com/ryehaven/ryehaven/platform/platformtest"
+	"github.com/ryehaven/ryehaven/store"
+	"github.com/ryehaven/ryehaven/store/storetest"
 	"github.com/ryehaven/ryehaven/table"
 )
 
@@ -44,7 +44,7 @@
 }
 
 func runOperators(t *testing.T, rt *rapid.T, faults []int, operators, edits int) {
-	var store platformtest.Store
+	var store storetest.Store
 	history := &recorder{Store: &store, accepted: map[table.Generation]string{}}
 	stop := make(chan struct{})
 	go func() {
@@ -72,24 +72,24 @@
 	synctest.Wait()
 }
 
-func faultOf(n int) platformtest.Faults {
-	return []platformtest.Faults{
+func faultOf(n int) storetest.Faults {
+	return []storetest.Faults{
 		{}, {LostReplies: 2}, {Down: true}, {StaleReads: 1}, {Delay: 30 * time.Millisecond},
 	}[n]
 }
 
 // recorder notes every table that the platform ever accepted.
 type recorder struct {
-	*platformtest.Store
+	*storetest.Store
 	mu       sync.Mutex
 	accepted map[table.Generation]string
 }
 
-// Put implements platform.Client.
+// Put implements store.Client.
 func (r *recorder) Put(ctx context.Context, key, tag string, body []byte) (string, error) {
 	newTag, err := r.Store.Put(ctx, key, tag, body)
-	if err == nil || errors.Is(err, platform.ErrUnknown) {
-		e, decodeErr := platform.DecodeEnvelope(body)
+	if err == nil || errors.Is(err, store.ErrUnknown) {
+		e, decodeErr := store.DecodeEnvelope(body)
 		if decodeErr != nil {
 			panic(decodeErr)
 		}
@@ -149,7 +149,7 @@
 	}
 }
 
-func mustApply(t *testing.T, c platform.Client, change Change, want Outcome, generation table.Generation) Result {
+func mustApply(t *testing.T, c store.Client, change Change, want Outcome, generation table.Generation) Result {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
@@ -162,7 +162,7 @@
 }
 
 func TestApplyInTurn(t *testing.T) {
-	var s platformtest.Store
+	var s storetest.Store
 	mustApply(t, &s, Change{Text: text(1)}, Accepted, 1)
 	mustApply(t, &s, Change{Text: text(1), From: 1}, Unchanged, 1)
 	mustApply(t, &s, Change{Text: text(2), From: 1}, Accepted, 2)
@@ -175,24 +175,24 @@
 // A write whose reply is lost and over which another operator then writes is
 // still known to have been accepted.
 func TestLostReplyThenWrittenOver(t *testing.T) {
-	var s platformtest.Store
+	var s storetest.Store
 	mustApply(t, &s, Change{Text: text(1)}, Accepted, 1)
 	over := &writeOver{Store: &s, t: t}
-	s.SetFaults(platformtest.Faults{LostReplies: 1})
+	s.SetFaults(storetest.Faults{LostReplies: 1})
 	mustApply(t, over, Change{Text: text(2), From: 1}, Accepted, 2)
 }
 
 // writeOver lets another operator write after the first lost reply.
 type writeOver struct {
-	*platformtest.Store
+	*storetest.Store
 	t    *testing.T
 	done bool
 }
 
-// Put implements platform.Client.
+// Put implements store.Client.
 func (w *writeOver) Put(ctx context.Context, key, tag string, body []byte) (string, error) {
 	newTag, err := w.Store.Put(ctx, key, tag, body)
-	if errors.Is(err, platform.ErrUnknown) && !w.done {
+	if errors.Is(err, store.ErrUnknown) && !w.done {
 		w.done = true
 		mustApply(w.t, w.Store, Change{Text: text(9), From: 2}, Accepted, 3)
 	}
@@ -200,7 +200,7 @@
 }
 
 func TestRestoredPlatform(t *testing.T) {
-	var s platformtest.Store
+	var s storetest.Store
 	mustApply(t, &s, Change{Text: text(1)}, Accepted, 1)
 	// Nodes hold generation 7; a table at 2 would never be in force.
 	mustApply(t, &s, Change{Text: text(2), From: 1, Nodes: 7}, Raced, 1)
@@ -208,19 +208,19 @@
 }
 
 func TestApplyRefusesAFaultyTable(t *testing.T) {
-	var s platformtest.Store
+	var s storetest.Store
 	_, err := Apply(context.Background(), &s, Change{File: "t.csv", Text: []byte("service\n")})
 	var found *finding.Error
 	if !errors.As(err, &found) {
 		t.Errorf("error is %v", err)
 	}
-	if s.Calls() != (platformtest.Calls{}) {
+	if s.Calls() != (storetest.Calls{}) {
 		t.Error("the platform was asked about a faulty table")
 	}
 }
 
 func TestDrain(t *testing.T) {
-	var s platformtest.Store
+	var s storetest.Store
 	mustApply(t, &s, Change{Text: text(1)}, Accepted, 1)
 	result, err := SetState(context.Background(), &s, "", "a", table.Leaving)
 	if err != nil || result.Outcome != Accepted {
--- a/command/drain.go
+++ b/command/drain.go
@@ -7,7 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/ryehaven/ryehaven/platform"
+	"github.com/ryehaven/ryehaven/store"
 	"github.com/ryehaven/ryehaven/table"
 )
 
@@ -17,7 +17,7 @@
 
 // SetState marks a server's row in the table that is in the platform's
 // service. A blank service stands for the only one that has the server.
-func SetState(ctx context.Context, client platform.Client, service, server string, state table.State) (Result, error) {
+func SetState(ctx context.Context, client store.Client, service, server string, state table.State) (Result, error) {
 	for range drainTries {
 		current, tag, err := readTable(ctx, client)
 		if err != nil {
@@ -30,7 +30,7 @@
 		if err != nil {
 			return Result{}, err
 		}
-		result, err := Apply(ctx, client, Change{File: platform.TableKey, Text: text, From: current.Generation})
+		result, err := Apply(ctx, client, Change{File: store.TableKey, Text: text, From: current.Generation})
 		if err != nil || result.Outcome != Raced {
 			return result, err
 		}
--- a/internal/e2e/command_test.go
+++ b/internal/e2e/command_test.go
@@ -10,7 +10,7 @@
 	"strings"
 	"testing"
 
-	"github.com/ryehaven/ryehaven/platform/platformtest"
+	"github.com/ryehaven/ryehaven/store/storetest"
 )
 
 // operate runs the operators' tool and returns its output and exit code.
@@ -44,7 +44,7 @@
 		}
 		return output
 	}
-	faults := "http://" + s.PlatformAddress + platformtest.FaultsPath
+	faults := "http://" + s.PlatformAddress + storetest.FaultsPath
 
 	shown := expect(0, "# generation: 1\n", "show", platform)
 	write(shown)
@@ -67,12 +67,12 @@
 	write(shown) // Another operator still has generation 1.
 	expect(3, `slots "12" -> "11"`, "apply", platform, file)
 
-	put(t, faults, platformtest.Faults{LostReplies: 1})
+	put(t, faults, storetest.Faults{LostReplies: 1})
 	expect(0, "accepted as generation 3", "drain", platform, "arzator-1")
 	expect(1, "no such server", "drain", platform, "nobody")
-	put(t, faults, platformtest.Faults{LostReplies: 1, Down: true})
+	put(t, faults, storetest.Faults{LostReplies: 1, Down: true})
 	expect(1, "unavailable", "drain", platform, "--undo", "--wait=300ms", "arzator-1")
-	put(t, faults, platformtest.Faults{})
+	put(t, faults, storetest.Faults{})
 	expect(0, `"outcome": "accepted"`, "drain", platform, "--undo", "--json", "arzator-1")
 
 	waitInForce(t, s, 4, s.Nodes, settled)
--- a/internal/e2e/drain_test.go
+++ b/internal/e2e/drain_test.go
@@ -14,8 +14,8 @@
 	"github.com/ryehaven/ryehaven/client"
 	"github.com/ryehaven/ryehaven/command"
 	"github.com/ryehaven/ryehaven/internal/process"
-	"github.com/ryehaven/ryehaven/platform"
 	"github.com/ryehaven/ryehaven/standin"
+	"github.com/ryehaven/ryehaven/store"
 	"github.com/ryehaven/ryehaven/table"
 
 	"github.com/valyala/fasthttp"
@@ -43,19 +43,19 @@
 // publishHosts writes the platform's list with the first host leaving or not.
 func publishHosts(t *testing.T, s *process.Site, leaving bool) {
 	t.Helper()
-	var hosts []platform.Host
+	var hosts []store.Host
 	for _, n := range s.Nodes {
-		hosts = append(hosts, platform.Host{Host: n.Host, Address: n.Peer.Address(), Zone: n.Zone, Region: "region", State: platform.HostLive})
+		hosts = append(hosts, store.Host{Host: n.Host, Address: n.Peer.Address(), Zone: n.Zone, Region: "region", State: store.HostLive})
 	}
 	if leaving {
-		hosts[0].State = platform.HostLeaving
+		hosts[0].State = store.HostLeaving
 		hosts[0].ChangedMillis = time.Now().UnixMilli()
 	}
 	body, err := json.Marshal(hosts)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := s.Client.Put(context.Background(), platform.HostsKey, "", body); err != nil {
+	if _, err := s.Client.Put(context.Background(), store.HostsKey, "", body); err != nil {
 		t.Fatal(err)
 	}
 }
--- a/internal/e2e/table_test.go
+++ b/internal/e2e/table_test.go
@@ -15,8 +15,8 @@
 	"github.com/ryehaven/ryehaven/command"
 	"github.com/ryehaven/ryehaven/internal/faultproxy"
 	"github.com/ryehaven/ryehaven/internal/process"
-	"github.com/ryehaven/ryehaven/platform/platformtest"
 	"github.com/ryehaven/ryehaven/query"
+	"github.com/ryehaven/ryehaven/store/storetest"
 	"github.com/ryehaven/ryehaven/table"
 )
 
@@ -103,13 +103,13 @@
 
 func TestEditDuringAnOutageAndAfterIt(t *testing.T) {
 	s := start(t, siteNodes, nil)
-	put(t, "http://"+s.PlatformAddress+platformtest.FaultsPath, platformtest.Faults{Down: true})
+	put(t, "http://"+s.PlatformAddress+storetest.FaultsPath, storetest.Faults{Down: true})
 	ctx, cancel := context.WithTimeout(context.Background(), 700*time.Millisecond)
 	defer cancel()
 	if _, err := command.Apply(ctx, s.Client, command.Change{File: "t", Text: changed(s, "down"), From: 1}); err == nil {
 		t.Error("an edit was accepted by a platform that is down")
 	}
-	put(t, "http://"+s.PlatformAddress+platformtest.FaultsPath, platformtest.Faults{LostReplies: 1})
+	put(t, "http://"+s.PlatformAddress+storetest.FaultsPath, storetest.Faults{LostReplies: 1})
 	waitInForce(t, s, mustEdit(t, s, "after"), s.Nodes, settled)
 	checkNeverBackwards(t, s)
 }
@@ -226,17 +226,17 @@
 			}
 		})
 	}
-	faultURL := "http://" + s.PlatformAddress + platformtest.FaultsPath
+	faultURL := "http://" + s.PlatformAddress + storetest.FaultsPath
 	for range 4 {
 		signalNode(0, syscall.SIGSTOP)(t, s)
 		s.Nodes[1].Peer.Set(faultproxy.Fault{Refuse: true, Cut: true})
 		s.Nodes[1].Platform.Set(faultproxy.Fault{Refuse: true, Cut: true})
-		put(t, faultURL, platformtest.Faults{LostReplies: 2, StaleReads: 2})
+		put(t, faultURL, storetest.Faults{LostReplies: 2, StaleReads: 2})
 		time.Sleep(300 * time.Millisecond)
 		signalNode(0, syscall.SIGCONT)(t, s)
 		s.Nodes[1].Peer.Set(noFault)
 		s.Nodes[1].Platform.Set(noFault)
-		put(t, faultURL, platformtest.Faults{})
+		put(t, faultURL, storetest.Faults{})
 		time.Sleep(200 * time.Millisecond)
 	}
 	wait.Wait()
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -26,9 +26,9 @@
 
 	"github.com/ryehaven/ryehaven/command"
 	"github.com/ryehaven/ryehaven/internal/faultproxy"
-	"github.com/ryehaven/ryehaven/platform"
 	"github.com/ryehaven/ryehaven/query"
 	"github.com/ryehaven/ryehaven/standin"
+	"github.com/ryehaven/ryehaven/store"
 )
 
 // Config describes a site.
@@ -86,7 +86,7 @@
 	Config   Config
 	Servers  []*Server
 	Nodes    []*Node
-	Client   *platform.HTTP
+	Client   *store.HTTP
 	platform *process
 	// PlatformAddress is the platform's own, beside the proxies.
 	PlatformAddress string
@@ -146,7 +146,7 @@
 		return err
 	}
 	s.platform, s.PlatformAddress = p, address
-	s.Client = platform.NewHTTP(address, callLimit)
+	s.Client = store.NewHTTP(address, callLimit)
 	return nil
 }
 
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -20,10 +20,10 @@
 
 	"github.com/ryehaven/ryehaven/command"
 	"github.com/ryehaven/ryehaven/node"
-	"github.com/ryehaven/ryehaven/platform"
-	"github.com/ryehaven/ryehaven/platform/platformtest"
 	"github.com/ryehaven/ryehaven/settings"
 	"github.com/ryehaven/ryehaven/standin"
+	"github.com/ryehaven/ryehaven/store"
+	"github.com/ryehaven/ryehaven/store/storetest"
 )
 
 // Key is the shared key of every site made here.
@@ -65,7 +65,7 @@
 
 // Site is a running site.
 type Site struct {
-	Store    *platformtest.Store
+	Store    *storetest.Store
 	Platform string
 	Servers  []*Server
 
@@ -82,7 +82,7 @@
 	if c.Log == nil {
 		c.Log = zap.NewNop()
 	}
-	s := &Site{Store: &platformtest.Store{}, config: c}
+	s := &Site{Store: &storetest.Store{}, config: c}
 	if err := s.start(); err != nil {
 		s.Stop()
 		return nil, err
@@ -160,7 +160,7 @@
 	if s.config.Adjust != nil {
 		s.config.Adjust(&c)
 	}
-	n, err := node.New(c, s.config.Log, platform.NewHTTP(c.Platform.Address, c.Platform.Limit))
+	n, err := node.New(c, s.config.Log, store.NewHTTP(c.Platform.Address, c.Platform.Limit))
 	if err != nil {
 		return err
 	}
@@ -183,18 +183,18 @@
 }
 
 func (s *Site) publishHosts() error {
-	hosts := make([]platform.Host, len(s.Servers))
+	hosts := make([]store.Host, len(s.Servers))
 	for i, server := range s.Servers {
-		hosts[i] = platform.Host{
+		hosts[i] = store.Host{
 			Host:    server.Host,
 			Address: server.Node.PeerAddress(),
 			Zone:    server.Zone,
 			Region:  s.config.Region,
-			State:   platform.HostLive,
+			State:   store.HostLive,
 		}
 	}
 	body, err := json.Marshal(hosts)
-	s.Store.Set(platform.HostsKey, body)
+	s.Store.Set(store.HostsKey, body)
 	return err
 }
 
@@ -275,7 +275,7 @@
 		}
 		_ = server.http.Shutdown()
 	}
-	s.Store.SetFaults(platformtest.Faults{Down: true}) // It ends the watches.
+	s.Store.SetFaults(storetest.Faults{Down: true}) // It ends the watches.
 	if s.platform != nil {
 		_ = s.platform.Shutdown()
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -19,9 +19,9 @@
 	"github.com/ryehaven/ryehaven/member"
 	"github.com/ryehaven/ryehaven/metric"
 	"github.com/ryehaven/ryehaven/peer"
-	"github.com/ryehaven/ryehaven/platform"
 	"github.com/ryehaven/ryehaven/settings"
 	"github.com/ryehaven/ryehaven/spread"
+	"github.com/ryehaven/ryehaven/store"
 	"github.com/ryehaven/ryehaven/table"
 )
 
@@ -89,7 +89,7 @@
 
 // New opens a node's listeners. client may be nil for a node without a
 // platform.
-func New(s settings.Settings, log *zap.Logger, client platform.Client) (*Node, error) {
+func New(s settings.Settings, log *zap.Logger, client store.Client) (*Node, error) {
 	n := &Node{settings: s, log: log.With(zap.String("host", s.Host)), gates: map[gateKey]*gate.Gate{}, wake: make(chan struct{}, 1)}
 	if err := n.listen(); err != nil {
 		n.closeListeners()
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -20,9 +20,9 @@
 	"github.com/ryehaven/ryehaven/header"
 	"github.com/ryehaven/ryehaven/internal/site"
 	"github.com/ryehaven/ryehaven/node"
-	"github.com/ryehaven/ryehaven/platform"
 	"github.com/ryehaven/ryehaven/settings"
 	"github.com/ryehaven/ryehaven/standin"
+	"github.com/ryehaven/ryehaven/store"
 	"github.com/ryehaven/ryehaven/table"
 )
 
@@ -327,12 +327,12 @@
 	first := s.Table()
 	apply(t, s, first+"# second\n")
 	// The platform is restored from a backup, which holds the older table.
-	older := platform.Envelope{Generation: 1, Hash: table.HashText([]byte(first)), Table: first}
+	older := store.Envelope{Generation: 1, Hash: table.HashText([]byte(first)), Table: first}
 	body, err := older.Encode()
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.Store.Set(platform.TableKey, body)
+	s.Store.Set(store.TableKey, body)
 	refused := func() (n int) {
 		for _, server := range s.Servers {
 			for _, m := range server.Node.Metrics() {
--- a/query/query.go
+++ b/query/query.go
@@ -13,7 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/ryehaven/ryehaven/burn"
-	"github.com/ryehaven/ryehaven/platform"
+	"github.com/ryehaven/ryehaven/store"
 	"github.com/ryehaven/ryehaven/table"
 )
 
@@ -120,10 +120,10 @@
 }
 
 // GetAccepted returns the table that the platform's service holds.
-func GetAccepted(ctx context.Context, client platform.Client) (platform.Envelope, error) {
-	o, err := client.Get(ctx, platform.TableKey)
+func GetAccepted(ctx context.Context, client store.Client) (store.Envelope, error) {
+	o, err := client.Get(ctx, store.TableKey)
 	if err != nil {
-		return platform.Envelope{}, eris.Wrap(err, "read the table")
+		return store.Envelope{}, eris.Wrap(err, "read the table")
 	}
-	return platform.DecodeEnvelope(o.Body)
+	return store.DecodeEnvelope(o.Body)
 }
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -14,7 +14,7 @@
 
 	"github.com/ryehaven/ryehaven/member"
 	"github.com/ryehaven/ryehaven/peer"
-	"github.com/ryehaven/ryehaven/platform"
+	"github.com/ryehaven/ryehaven/store"
 	"github.com/ryehaven/ryehaven/table"
 	"github.com/ryehaven/ryehaven/wire"
 )
@@ -64,7 +64,7 @@
 	log      *zap.Logger
 	holder   *Holder
 	dialer   *peer.Dialer
-	platform platform.Client
+	platform store.Client
 	// onView is called, without locks held, when the view changed.
 	onView func()
 	served *rate.Limiter
@@ -85,7 +85,7 @@
 const tableBurst = 16
 
 // New returns a Spread; Run makes it work. onView may be nil.
-func New(settings Settings, log *zap.Logger, holder *Holder, view *member.View, dialer *peer.Dialer, client platform.Client, onView func()) *Spread {
+func New(settings Settings, log *zap.Logger, holder *Holder, view *member.View, dialer *peer.Dialer, client store.Client, onView func()) *Spread {
 	if onView == nil {
 		onView = func() {}
 	}
--- a/spread/watch.go
+++ b/spread/watch.go
@@ -11,7 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/ryehaven/ryehaven/member"
-	"github.com/ryehaven/ryehaven/platform"
+	"github.com/ryehaven/ryehaven/store"
 )
 
 const (
@@ -113,8 +113,8 @@
 	if tag == "" {
 		wait = 0
 	}
-	o, changed, err := s.platform.Watch(ctx, platform.TableKey, tag, wait)
-	if errors.Is(err, platform.ErrNotFound) {
+	o, changed, err := s.platform.Watch(ctx, store.TableKey, tag, wait)
+	if errors.Is(err, store.ErrNotFound) {
 		return "", err // Nobody has applied a table yet.
 	}
 	if err != nil {
@@ -132,8 +132,8 @@
 	return tag, nil
 }
 
-func (s *Spread) offerObject(o platform.Object) {
-	envelope, err := platform.DecodeEnvelope(o.Body)
+func (s *Spread) offerObject(o store.Object) {
+	envelope, err := store.DecodeEnvelope(o.Body)
 	if err != nil {
 		s.badTable("platform", err)
 		return
@@ -158,15 +158,15 @@
 
 func (s *Spread) readHosts(ctx context.Context) {
 	s.Counters.PlatformReads.Add(1)
-	o, err := s.platform.Get(ctx, platform.HostsKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	o, err := s.platform.Get(ctx, store.HostsKey)
+	if errors.Is(err, store.ErrNotFound) {
 		return
 	}
 	if err != nil {
 		s.Counters.PlatformErrors.Add(1)
 		return
 	}
-	var hosts []platform.Host
+	var hosts []store.Host
 	if err := json.Unmarshal(o.Body, &hosts); err != nil {
 		s.Counters.PlatformErrors.Add(1)
 		s.log.Warn("list of hosts cannot be read", zap.Error(err))
@@ -179,7 +179,7 @@
 			Address:       h.Address,
 			Zone:          h.Zone,
 			Region:        h.Region,
-			Leaving:       h.State == platform.HostLeaving,
+			Leaving:       h.State == store.HostLeaving,
 			ChangedMillis: h.ChangedMillis,
 		}
 	}
--- a/platform/doc.go
+++ b/store/doc.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: MIT
 
-// Package platform reads and writes objects of the platform's object API.
+// Package store reads and writes objects of the platform's object API.
 //
 // [Client] is all that this system needs of it: get, conditional put, and a
 // get that waits for a change. [HTTP] speaks it over HTTP with published
@@ -10,4 +10,4 @@
 // A write has three ends, not two. [ErrConflict] and [ErrUnavailable] say that
 // it took no effect; [ErrUnknown] says that it may have, since its reply was
 // lost, and the writer must read back to learn.
-package platform
+package store
--- a/platform/platform.go
+++ b/store/store.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: MIT
 
-package platform
+package store
 
 import (
 	"context"
--- a/platform/platform_test.go
+++ b/store/store_test.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: MIT
 
-package platform_test
+package store_test
 
 import (
 	"bytes"
@@ -13,19 +13,19 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/ryehaven/ryehaven/platform"
-	"github.com/ryehaven/ryehaven/platform/platformtest"
+	"github.com/ryehaven/ryehaven/store"
+	"github.com/ryehaven/ryehaven/store/storetest"
 	"github.com/ryehaven/ryehaven/table"
 )
 
 // eachClient runs a test against the fake itself and over HTTP.
-func eachClient(t *testing.T, test func(t *testing.T, c platform.Client, s *platformtest.Store)) {
+func eachClient(t *testing.T, test func(t *testing.T, c store.Client, s *storetest.Store)) {
 	t.Run("fake", func(t *testing.T) {
-		var s platformtest.Store
+		var s storetest.Store
 		test(t, &s, &s)
 	})
 	t.Run("http", func(t *testing.T) {
-		var s platformtest.Store
+		var s storetest.Store
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
@@ -33,16 +33,16 @@
 		server := &fasthttp.Server{Handler: s.Handle, MaxRequestBodySize: 4 << 20}
 		go server.Serve(listener)
 		t.Cleanup(func() {
-			s.SetFaults(platformtest.Faults{Down: true})
+			s.SetFaults(storetest.Faults{Down: true})
 			server.Shutdown()
 		})
-		test(t, platform.NewHTTP(listener.Addr().String(), time.Second), &s)
+		test(t, store.NewHTTP(listener.Addr().String(), time.Second), &s)
 	})
 }
 
 var ctx = context.Background()
 
-func mustPut(t *testing.T, c platform.Client, tag, body string) string {
+func mustPut(t *testing.T, c store.Client, tag, body string) string {
 	t.Helper()
 	newTag, err := c.Put(ctx, "k", tag, []byte(body))
 	if err != nil || newTag == "" || newTag == tag {
@@ -52,16 +52,16 @@
 }
 
 func TestConditionalWrites(t *testing.T) {
-	eachClient(t, func(t *testing.T, c platform.Client, _ *platformtest.Store) {
-		if _, err := c.Get(ctx, "k"); !errors.Is(err, platform.ErrNotFound) {
+	eachClient(t, func(t *testing.T, c store.Client, _ *storetest.Store) {
+		if _, err := c.Get(ctx, "k"); !errors.Is(err, store.ErrNotFound) {
 			t.Errorf("get of nothing: %v", err)
 		}
 		first := mustPut(t, c, "", "one")
-		if _, err := c.Put(ctx, "k", "", []byte("other")); !errors.Is(err, platform.ErrConflict) {
+		if _, err := c.Put(ctx, "k", "", []byte("other")); !errors.Is(err, store.ErrConflict) {
 			t.Errorf("second creation: %v", err)
 		}
 		second := mustPut(t, c, first, "two")
-		if _, err := c.Put(ctx, "k", first, []byte("late")); !errors.Is(err, platform.ErrConflict) {
+		if _, err := c.Put(ctx, "k", first, []byte("late")); !errors.Is(err, store.ErrConflict) {
 			t.Errorf("write to an old version: %v", err)
 		}
 		o, err := c.Get(ctx, "k")
@@ -72,7 +72,7 @@
 }
 
 func TestRacingWritersOneWins(t *testing.T) {
-	eachClient(t, func(t *testing.T, c platform.Client, _ *platformtest.Store) {
+	eachClient(t, func(t *testing.T, c store.Client, _ *storetest.Store) {
 		tag := mustPut(t, c, "", "start")
 		var wait sync.WaitGroup
 		var mu sync.Mutex
@@ -84,7 +84,7 @@
 				defer mu.Unlock()
 				if err == nil {
 					won++
-				} else if !errors.Is(err, platform.ErrConflict) {
+				} else if !errors.Is(err, store.ErrConflict) {
 					t.Error(err)
 				}
 			})
@@ -97,7 +97,7 @@
 }
 
 func TestWatch(t *testing.T) {
-	eachClient(t, func(t *testing.T, c platform.Client, s *platformtest.Store) {
+	eachClient(t, func(t *testing.T, c store.Client, s *storetest.Store) {
 		tag := mustPut(t, c, "", "one")
 		if _, changed, err := c.Watch(ctx, "k", tag, 0); changed || err != nil {
 			t.Errorf("watch without a change: %t, error %v", changed, err)
@@ -106,7 +106,7 @@
 			t.Errorf("watch from nothing: %+v, %t, error %v", o, changed, err)
 		}
 		type seen struct {
-			o       platform.Object
+			o       store.Object
 			changed bool
 			err     error
 		}
@@ -127,30 +127,30 @@
 }
 
 func TestFaults(t *testing.T) {
-	eachClient(t, func(t *testing.T, c platform.Client, s *platformtest.Store) {
+	eachClient(t, func(t *testing.T, c store.Client, s *storetest.Store) {
 		tag := mustPut(t, c, "", "one")
-		s.SetFaults(platformtest.Faults{LostReplies: 1})
-		if _, err := c.Put(ctx, "k", tag, []byte("two")); !errors.Is(err, platform.ErrUnknown) {
+		s.SetFaults(storetest.Faults{LostReplies: 1})
+		if _, err := c.Put(ctx, "k", tag, []byte("two")); !errors.Is(err, store.ErrUnknown) {
 			t.Errorf("write whose reply is lost: %v", err)
 		}
 		if o, _ := c.Get(ctx, "k"); string(o.Body) != "two" {
 			t.Errorf("the write whose reply was lost left %q", o.Body)
 		}
-		s.SetFaults(platformtest.Faults{StaleReads: 1})
+		s.SetFaults(storetest.Faults{StaleReads: 1})
 		if o, _ := c.Get(ctx, "k"); string(o.Body) != "one" {
 			t.Errorf("stale read gave %q", o.Body)
 		}
-		s.SetFaults(platformtest.Faults{Down: true})
-		if _, err := c.Get(ctx, "k"); !errors.Is(err, platform.ErrUnavailable) {
+		s.SetFaults(storetest.Faults{Down: true})
+		if _, err := c.Get(ctx, "k"); !errors.Is(err, store.ErrUnavailable) {
 			t.Errorf("get while down: %v", err)
 		}
-		if _, _, err := c.Watch(ctx, "k", tag, time.Second); !errors.Is(err, platform.ErrUnavailable) {
+		if _, _, err := c.Watch(ctx, "k", tag, time.Second); !errors.Is(err, store.ErrUnavailable) {
 			t.Errorf("watch while down: %v", err)
 		}
-		if _, err := c.Put(ctx, "k", tag, []byte("three")); !errors.Is(err, platform.ErrUnavailable) {
+		if _, err := c.Put(ctx, "k", tag, []byte("three")); !errors.Is(err, store.ErrUnavailable) {
 			t.Errorf("put while down: %v", err)
 		}
-		s.SetFaults(platformtest.Faults{})
+		s.SetFaults(storetest.Faults{})
 		if o, _ := c.Get(ctx, "k"); string(o.Body) != "two" {
 			t.Errorf("after the outage: %q", o.Body)
 		}
@@ -158,14 +158,14 @@
 }
 
 func TestBoundsOfThePlatform(t *testing.T) {
-	eachClient(t, func(t *testing.T, c platform.Client, s *platformtest.Store) {
-		if _, err := c.Put(ctx, "k", "", bytes.Repeat([]byte("x"), platform.MaxBody+1)); err == nil || errors.Is(err, platform.ErrUnknown) {
+	eachClient(t, func(t *testing.T, c store.Client, s *storetest.Store) {
+		if _, err := c.Put(ctx, "k", "", bytes.Repeat([]byte("x"), store.MaxBody+1)); err == nil || errors.Is(err, store.ErrUnknown) {
 			t.Errorf("write over a megabyte: %v", err)
 		}
 		limited := false
-		for range 2 * platformtest.WritesPerSecond {
+		for range 2 * storetest.WritesPerSecond {
 			_, err := c.Put(ctx, "k", "wrong", nil)
-			limited = limited || errors.Is(err, platform.ErrUnavailable)
+			limited = limited || errors.Is(err, store.ErrUnavailable)
 		}
 		if !limited || s.Calls().Limited == 0 {
 			t.Error("the rate of writes is not bounded")
@@ -179,33 +179,33 @@
 		t.Fatal(err)
 	}
 	defer listener.Close()
-	c := platform.NewHTTP(listener.Addr().String(), 50*time.Millisecond)
-	if _, err := c.Get(ctx, "k"); !errors.Is(err, platform.ErrUnavailable) {
+	c := store.NewHTTP(listener.Addr().String(), 50*time.Millisecond)
+	if _, err := c.Get(ctx, "k"); !errors.Is(err, store.ErrUnavailable) {
 		t.Errorf("get: %v", err)
 	}
-	if _, err := c.Put(ctx, "k", "", nil); !errors.Is(err, platform.ErrUnknown) {
+	if _, err := c.Put(ctx, "k", "", nil); !errors.Is(err, store.ErrUnknown) {
 		t.Errorf("put: %v", err)
 	}
 	listener.Close()
-	if _, err := c.Put(ctx, "k", "", nil); !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := c.Put(ctx, "k", "", nil); !errors.Is(err, store.ErrUnavailable) {
 		t.Errorf("put to nobody: %v", err)
 	}
 }
 
 func TestEnvelope(t *testing.T) {
-	good := platform.Envelope{Generation: 3, WriteID: "w", Hash: table.HashText([]byte("text")), Table: "text"}
+	good := store.Envelope{Generation: 3, WriteID: "w", Hash: table.HashText([]byte("text")), Table: "text"}
 	body, err := good.Encode()
 	if err != nil {
 		t.Fatal(err)
 	}
-	if got, err := platform.DecodeEnvelope(body); err != nil || got.Generation != 3 || got.Table != "text" {
+	if got, err := store.DecodeEnvelope(body); err != nil || got.Generation != 3 || got.Table != "text" {
 		t.Errorf("%+v, error %v", got, err)
 	}
 	for _, bad := range []string{
 		"", "[]", `{"generation":0}`, `{"generation":-1}`,
 		string(bytes.Replace(body, []byte(`"text"`), []byte(`"tex"`), 1)),
 	} {
-		if _, err := platform.DecodeEnvelope([]byte(bad)); !errors.Is(err, platform.ErrEnvelope) {
+		if _, err := store.DecodeEnvelope([]byte(bad)); !errors.Is(err, store.ErrEnvelope) {
 			t.Errorf("%q: error %v", bad, err)
 		}
 	}
--- a/platform/platformtest/http.go
+++ b/store/storetest/http.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: MIT
 
-package platformtest
+package storetest
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/ryehaven/ryehaven/platform"
+	"github.com/ryehaven/ryehaven/store"
 )
 
 // Paths of the stand-in's own controls.
@@ -25,7 +25,7 @@
 // Handle serves the store over HTTP. It is a fasthttp.RequestHandler.
 func (s *Store) Handle(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
-	key, isObject := strings.CutPrefix(path, platform.PathPrefix)
+	key, isObject := strings.CutPrefix(path, store.PathPrefix)
 	switch {
 	case isObject && ctx.IsPut():
 		s.handlePut(ctx, key)
@@ -53,7 +53,7 @@
 func (s *Store) handleGet(ctx *fasthttp.RequestCtx, key string) {
 	tag := string(ctx.Request.Header.Peek(fasthttp.HeaderIfNoneMatch))
 	wait := waitOf(string(ctx.Request.Header.Peek("Prefer")))
-	var o platform.Object
+	var o store.Object
 	var err error
 	changed := true
 	if wait > 0 {
@@ -101,15 +101,15 @@
 
 func fail(ctx *fasthttp.RequestCtx, err error) {
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrNotFound):
 		ctx.Error(err.Error(), fasthttp.StatusNotFound)
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, store.ErrConflict):
 		ctx.Error(err.Error(), fasthttp.StatusPreconditionFailed)
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, store.ErrUnknown):
 		// A lost reply: the connection ends without an answer.
 		ctx.HijackSetNoResponse(true)
 		ctx.Hijack(func(c net.Conn) { c.Close() })
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, store.ErrUnavailable):
 		ctx.Error(err.Error(), fasthttp.StatusServiceUnavailable)
 	default:
 		ctx.Error(err.Error(), fasthttp.StatusRequestEntityTooLarge)
--- a/platform/platformtest/store.go
+++ b/store/storetest/store.go
@@ -1,11 +1,11 @@
 // SPDX-License-Identifier: MIT
 
-// Package platformtest is a small stand-in of the platform's object API, in
+// Package storetest is a small stand-in of the platform's object API, in
 // memory, with faults to switch on.
 //
-// [Store] is a platform.Client itself, for tests within a process, and
+// [Store] is a store.Client itself, for tests within a process, and
 // [Store.Handle] serves the same objects over HTTP for separate processes.
-package platformtest
+package storetest
 
 import (
 	"context"
@@ -16,7 +16,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/time/rate"
 
-	"github.com/ryehaven/ryehaven/platform"
+	"github.com/ryehaven/ryehaven/store"
 )
 
 // The platform's rates, in calls a second. A waiting watch counts as a read.
@@ -48,8 +48,8 @@
 }
 
 type object struct {
-	platform.Object
-	before  platform.Object
+	store.Object
+	before  store.Object
 	changed chan struct{}
 }
 
@@ -100,7 +100,7 @@
 	}
 	s.version++
 	o.before = o.Object
-	o.Object = platform.Object{Body: append([]byte(nil), body...), Tag: fmt.Sprintf("%q", fmt.Sprint("v", s.version))}
+	o.Object = store.Object{Body: append([]byte(nil), body...), Tag: fmt.Sprintf("%q", fmt.Sprint("v", s.version))}
 	close(o.changed)
 	o.changed = make(chan struct{})
 	return o.Tag
@@ -128,25 +128,25 @@
 		select {
 		case <-time.After(faults.Delay):
 		case <-ctx.Done():
-			return eris.Wrap(platform.ErrUnavailable, ctx.Err().Error())
+			return eris.Wrap(store.ErrUnavailable, ctx.Err().Error())
 		}
 	}
 	if faults.Down || !allowed {
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	}
 	return nil
 }
 
-// Get implements platform.Client.
-func (s *Store) Get(ctx context.Context, key string) (platform.Object, error) {
+// Get implements store.Client.
+func (s *Store) Get(ctx context.Context, key string) (store.Object, error) {
 	if err := s.enter(ctx, false, &s.calls.Reads); err != nil {
-		return platform.Object{}, err
+		return store.Object{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o := s.objects[key]
 	if o == nil {
-		return platform.Object{}, platform.ErrNotFound
+		return store.Object{}, store.ErrNotFound
 	}
 	if s.faults.StaleReads > 0 && o.before.Tag != "" {
 		s.faults.StaleReads--
@@ -155,7 +155,7 @@
 	return o.Object, nil
 }
 
-// Put implements platform.Client.
+// Put implements store.Client.
 func (s *Store) Put(ctx context.Context, key, tag string, body []byte) (string, error) {
 	if err := s.enter(ctx, true, &s.calls.Writes); err != nil {
 		return "", err
@@ -167,23 +167,23 @@
 		current = o.Tag
 	}
 	if current != tag {
-		return "", platform.ErrConflict
+		return "", store.ErrConflict
 	}
-	if len(body) > platform.MaxBody {
-		return "", eris.Errorf("value has %d bytes; at most %d are held", len(body), platform.MaxBody)
+	if len(body) > store.MaxBody {
+		return "", eris.Errorf("value has %d bytes; at most %d are held", len(body), store.MaxBody)
 	}
 	newTag := s.set(key, body)
 	if s.faults.LostReplies > 0 {
 		s.faults.LostReplies--
-		return "", platform.ErrUnknown
+		return "", store.ErrUnknown
 	}
 	return newTag, nil
 }
 
-// Watch implements platform.Client.
-func (s *Store) Watch(ctx context.Context, key, tag string, wait time.Duration) (platform.Object, bool, error) {
+// Watch implements store.Client.
+func (s *Store) Watch(ctx context.Context, key, tag string, wait time.Duration) (store.Object, bool, error) {
 	if err := s.enter(ctx, false, &s.calls.Watches); err != nil {
-		return platform.Object{}, false, err
+		return store.Object{}, false, err
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -191,12 +191,12 @@
 		s.mu.Lock()
 		if s.faults.Down {
 			s.mu.Unlock()
-			return platform.Object{}, false, platform.ErrUnavailable
+			return store.Object{}, false, store.ErrUnavailable
 		}
 		o := s.objects[key]
 		if o == nil {
 			s.mu.Unlock()
-			return platform.Object{}, false, platform.ErrNotFound
+			return store.Object{}, false, store.ErrNotFound
 		}
 		current, changed := o.Object, o.changed
 		s.mu.Unlock()
@@ -206,9 +206,9 @@
 		select {
 		case <-changed:
 		case <-timer.C:
-			return platform.Object{}, false, nil
+			return store.Object{}, false, nil
 		case <-ctx.Done():
-			return platform.Object{}, false, eris.Wrap(platform.ErrUnavailable, ctx.Err().Error())
+			return store.Object{}, false, eris.Wrap(store.ErrUnavailable, ctx.Err().Error())
 		}
 	}
 }
