table: routes by host and prefix, bounds of requests, services whose servers announce themselves

Cause: on the users' platform the declaration names routes with splits, time-outs and attempts, and no list of servers exists; the table knew one service a host name and listed servers only. Change: two more sheets in the same file, [routes] and [bounds], and two columns, discovery and health_path; Draft writes a table from another declaration. Ruled out: JSON beside the table, which operators could not edit and compare as they do the rest.

--- a/table/column.go
+++ b/table/column.go
@@ -13,6 +13,10 @@
 // The names of the columns that identify a row. The other columns are those
 // of policyColumns.
 const (
+	colConnections = "connections"
+	colDiscovery   = "discovery"
+	colHealthPath  = "health_path"
+
 	colService = "service"
 	colServer  = "server"
 	colHost    = "host"
@@ -33,7 +37,7 @@
 var policyColumns = []policyColumn{
 	{"weight", func(p *Policy, c string) error { return setFloat(&p.Weight, c, 0.01, 100) }},
 	{"slots", func(p *Policy, c string) error { return setInt(&p.Slots, c, 1, 100_000) }},
-	{"connections", func(p *Policy, c string) error { return setInt(&p.Connections, c, 1, 100_000) }},
+	{colConnections, func(p *Policy, c string) error { return setInt(&p.Connections, c, 1, 100_000) }},
 	{"queue", func(p *Policy, c string) error { return setInt(&p.Queue, c, 0, 100_000) }},
 	{"deadline_ms", func(p *Policy, c string) error { return setMillis(&p.Deadline, c, 1, 3_600_000) }},
 	{"priority", setPriority},
@@ -43,6 +47,8 @@
 	{"shed_not_run", setShedNotRun},
 	{"objective_ms", func(p *Policy, c string) error { return setMillis(&p.ObjectiveLatency, c, 1, 3_600_000) }},
 	{"objective_percent", func(p *Policy, c string) error { return setPercent(&p.ObjectiveShare, c, 1, 99.9999) }},
+	{colDiscovery, setDiscovery},
+	{colHealthPath, setHealthPath},
 }
 
 func setFloat(to *float64, cell string, low, high float64) error {
@@ -111,6 +117,23 @@
 	return nil
 }
 
+func setDiscovery(p *Policy, cell string) error {
+	switch d := Discovery(cell); d {
+	case Listed, Announced:
+		p.Discovery = d
+		return nil
+	}
+	return fmt.Errorf("%q is neither %s nor %s", cell, Listed, Announced)
+}
+
+func setHealthPath(p *Policy, cell string) error {
+	if !strings.HasPrefix(cell, "/") {
+		return fmt.Errorf("%q does not begin with a slash", cell)
+	}
+	p.HealthPath = cell
+	return nil
+}
+
 func checkAddress(cell string) error {
 	host, port, err := net.SplitHostPort(cell)
 	if err != nil || net.ParseIP(host) == nil {
--- a/table/diff.go
+++ b/table/diff.go
@@ -50,7 +50,8 @@
 		services: map[string]*Service{},
 		seen:     map[[2]string]int{},
 	}
-	p.readRecords(text)
+	servers, _, _ := split(text)
+	p.readRecords(servers.text)
 	rows := make(map[rowKey]map[string]string, len(p.rows))
 	for _, r := range p.rows {
 		cells := make(map[string]string, len(r.cells))
--- a/table/edit.go
+++ b/table/edit.go
@@ -23,7 +23,8 @@
 // every other line as it was. A blank service stands for the only one that has
 // the server.
 func SetState(text []byte, service, server string, state State) ([]byte, error) {
-	reader := csv.NewReader(bytes.NewReader(text))
+	servers, _, _ := split(text)
+	reader := csv.NewReader(bytes.NewReader(servers.text))
 	reader.Comment = '#'
 	reader.FieldsPerRecord = -1
 	header, err := reader.Read()
--- a/table/parse.go
+++ b/table/parse.go
@@ -49,14 +49,20 @@
 		p.findings.Add(1, 1, "the table has %d bytes; at most %d are accepted", len(text), MaxBytes)
 		return nil, p.findings.Err()
 	}
-	p.readRecords(text)
+	servers, routes, bounds := split(text)
+	p.readRecords(servers.text)
 	p.readServiceRows()
 	p.readServerRows()
 	p.checkServices()
+	routeList := p.readRoutes(routes)
+	boundList := p.readBounds(bounds)
 	if err := p.findings.Err(); err != nil {
 		return nil, err
 	}
-	return newTable(p.services), nil
+	t := newTable(p.services)
+	t.setRoutes(routeList)
+	t.bounds = boundList
+	return t, nil
 }
 
 func (p *parser) readRecords(text []byte) {
@@ -69,7 +75,7 @@
 			break
 		}
 		if err != nil {
-			p.addCSVError(err)
+			addCSVError(&p.findings, 0, err)
 			return
 		}
 		line, _ := reader.FieldPos(0)
@@ -84,15 +90,6 @@
 	}
 }
 
-func (p *parser) addCSVError(err error) {
-	var parse *csv.ParseError
-	if errors.As(err, &parse) {
-		p.findings.Add(parse.Line, parse.Column, "%v", parse.Err)
-		return
-	}
-	p.findings.Add(0, 0, "%v", err)
-}
-
 func (p *parser) readHeader(reader *csv.Reader, record []string, line int) {
 	known := map[string]bool{}
 	for _, name := range identityColumns {
@@ -225,7 +222,7 @@
 func (p *parser) checkServices() {
 	for _, r := range p.rows {
 		service := p.services[r.text(colService)]
-		if service != nil && len(service.Servers) == 0 {
+		if service != nil && len(service.Servers) == 0 && service.Discovery == Listed {
 			p.findings.Add(r.line, 1, "service %q has no server", service.Name)
 		}
 	}
--- /dev/null
+++ b/table/section.go
@@ -0,0 +1,323 @@
+// SPDX-License-Identifier: MIT
+
+package table
+
+import (
+	"bytes"
+	"encoding/csv"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/ryehaven/ryehaven/internal/finding"
+)
+
+// The lines that begin the parts of a table after its servers. Each part has
+// a header line of its own, as a sheet of a spreadsheet has.
+const (
+	RoutesMark = "[routes]"
+	BoundsMark = "[bounds]"
+)
+
+// section is a part of the file and the number of lines before it.
+type section struct {
+	text   []byte
+	before int
+}
+
+// split returns the parts of a table's text: the servers, the routes and the
+// bounds.
+func split(text []byte) (servers, routes, bounds section) {
+	current := &servers
+	start, line := 0, 0
+	for at := 0; at < len(text); {
+		end := bytes.IndexByte(text[at:], '\n')
+		next := len(text)
+		if end >= 0 {
+			next = at + end + 1
+		}
+		line++
+		var to *section
+		switch strings.TrimRight(string(bytes.TrimSpace(text[at:next])), ",") {
+		case RoutesMark:
+			to = &routes
+		case BoundsMark:
+			to = &bounds
+		}
+		if to != nil {
+			current.text = text[start:at]
+			to.before = line
+			current, start = to, next
+		}
+		at = next
+	}
+	current.text = text[start:]
+	return servers, routes, bounds
+}
+
+// sheet is a section's rows, with their lines in the file.
+type sheet struct {
+	columns []string
+	rows    []row
+}
+
+// readSheet reads a section whose columns must be exactly those named, in any
+// order.
+func readSheet(findings *finding.List, s section, columns []string) sheet {
+	reader := csv.NewReader(bytes.NewReader(s.text))
+	reader.FieldsPerRecord = -1
+	reader.Comment = '#'
+	var sh sheet
+	for {
+		record, err := reader.Read()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			addCSVError(findings, s.before, err)
+			return sheet{}
+		}
+		line, _ := reader.FieldPos(0)
+		line += s.before
+		if sh.columns == nil {
+			sh.columns = append([]string{}, record...)
+			checkColumns(findings, line, sh.columns, columns)
+			continue
+		}
+		if len(record) != len(sh.columns) {
+			findings.Add(line, 1, "the row has %d cells; its header has %d", len(record), len(sh.columns))
+			continue
+		}
+		r := row{line: line, cells: make(map[string]cell, len(record))}
+		for i, text := range record {
+			_, column := reader.FieldPos(i)
+			r.cells[sh.columns[i]] = cell{text: text, column: column}
+		}
+		sh.rows = append(sh.rows, r)
+	}
+	return sh
+}
+
+func addCSVError(findings *finding.List, before int, err error) {
+	var parse *csv.ParseError
+	if errors.As(err, &parse) {
+		findings.Add(parse.Line+before, parse.Column, "%v", parse.Err)
+		return
+	}
+	findings.Add(0, 0, "%v", err)
+}
+
+func checkColumns(findings *finding.List, line int, present, wanted []string) {
+	known := map[string]bool{}
+	for _, name := range wanted {
+		known[name] = true
+	}
+	seen := map[string]bool{}
+	for _, name := range present {
+		if !known[name] {
+			findings.Add(line, 1, "%q is not a column here", name)
+		}
+		if seen[name] {
+			findings.Add(line, 1, "column %q stands twice", name)
+		}
+		seen[name] = true
+	}
+	for _, name := range wanted {
+		if !seen[name] {
+			findings.Add(line, 1, "column %q is missing", name)
+		}
+	}
+}
+
+// The columns of routes and bounds.
+const (
+	colPrefix     = "prefix"
+	colServices   = "services"
+	colRepeatable = "repeatable"
+	colTimeout    = "timeout_ms"
+	colAim        = "aim_ms"
+	colPriority   = "priority"
+	colAttempts   = "attempts"
+
+	colBound = "bound"
+	colValue = "value"
+)
+
+var routeColumns = []string{colHost, colPrefix, colServices, colRepeatable, colTimeout, colAim, colPriority, colAttempts}
+
+var boundColumns = []string{colBound, colValue}
+
+// readRoutes reads the routes' section.
+func (p *parser) readRoutes(s section) []Route {
+	seen := map[[2]string]int{}
+	var routes []Route
+	for _, r := range readSheet(&p.findings, s, routeColumns).rows {
+		route := p.readRoute(r)
+		key := [2]string{route.Host, route.Prefix}
+		if first, ok := seen[key]; ok {
+			p.findings.Add(r.line, 1, "host %q and prefix %q already stand in line %d", route.Host, route.Prefix, first)
+		}
+		seen[key] = r.line
+		routes = append(routes, route)
+	}
+	return routes
+}
+
+func (p *parser) readRoute(r row) Route {
+	var policy Policy
+	var route Route
+	fault := func(column string, err error) {
+		if err != nil {
+			p.findings.Add(r.line, r.cells[column].column, "%s: %v", column, err)
+		}
+	}
+	route.Host = r.text(colHost)
+	if route.Host == "" {
+		p.findings.Add(r.line, r.cells[colHost].column, "host is blank")
+	}
+	route.Prefix = r.text(colPrefix)
+	if !strings.HasPrefix(route.Prefix, "/") || !strings.HasSuffix(route.Prefix, "/") {
+		p.findings.Add(r.line, r.cells[colPrefix].column, "prefix: %q does not begin and end with a slash", route.Prefix)
+	}
+	route.Shares = p.readShares(r)
+	switch r.text(colRepeatable) {
+	case "yes":
+		route.Repeatable = true
+	case "no":
+	default:
+		p.findings.Add(r.line, r.cells[colRepeatable].column, "repeatable: %q is neither yes nor no", r.text(colRepeatable))
+	}
+	fault(colTimeout, setMillis(&route.Timeout, r.text(colTimeout), 1, 3_600_000))
+	if r.text(colAim) != "" {
+		fault(colAim, setMillis(&route.Aim, r.text(colAim), 1, 3_600_000))
+		if route.Aim > route.Timeout {
+			p.findings.Add(r.line, r.cells[colAim].column, "aim_ms is above timeout_ms")
+		}
+	} else {
+		route.Aim = route.Timeout / 2
+	}
+	fault(colPriority, setPriority(&policy, r.text(colPriority)))
+	route.Priority = policy.Priority
+	fault(colAttempts, setInt(&route.Attempts, r.text(colAttempts), 1, 100))
+	return route
+}
+
+// readShares reads "name" or "name:weight name:weight".
+func (p *parser) readShares(r row) []Share {
+	var shares []Share
+	at := r.cells[colServices].column
+	for part := range strings.FieldsSeq(r.text(colServices)) {
+		name, weight, given := strings.Cut(part, ":")
+		share := Share{Service: name, Weight: 1}
+		if given {
+			if err := setInt(&share.Weight, weight, 0, 1_000_000); err != nil {
+				p.findings.Add(r.line, at, "services: weight of %q: %v", name, err)
+			}
+		}
+		if p.services[name] == nil {
+			p.findings.Add(r.line, at, "services: %q is not a service of the table", name)
+		}
+		shares = append(shares, share)
+	}
+	route := Route{Shares: shares}
+	if route.TotalWeight() == 0 {
+		p.findings.Add(r.line, at, "services: no service has a weight above 0")
+	}
+	return shares
+}
+
+// readBounds reads the bounds' section.
+func (p *parser) readBounds(s section) Bounds {
+	var b Bounds
+	setters := map[string]func(cell string) error{
+		"header_bytes":   func(c string) error { return setInt(&b.HeaderBytes, c, 256, 16<<20) },
+		"body_bytes":     func(c string) error { return setInt(&b.BodyBytes, c, 0, 1<<40) },
+		"header_time_ms": func(c string) error { return setMillis(&b.HeaderTime, c, 1, 3_600_000) },
+		"idle_ms":        func(c string) error { return setMillis(&b.Idle, c, 1, 86_400_000) },
+	}
+	for _, r := range readSheet(&p.findings, s, boundColumns).rows {
+		name := r.text(colBound)
+		set := setters[name]
+		if set == nil {
+			p.findings.Add(r.line, r.cells[colBound].column, "%q is not a bound", name)
+			continue
+		}
+		if err := set(r.text(colValue)); err != nil {
+			p.findings.Add(r.line, r.cells[colValue].column, "%s: %v", name, err)
+		}
+	}
+	return b
+}
+
+// Draft collects a table to be written as text, for programs that make tables
+// from other declarations. The zero value is an empty table.
+type Draft struct {
+	Services []DraftService
+	Routes   []Route
+	Bounds   Bounds
+}
+
+// DraftService is a service whose servers announce themselves.
+type DraftService struct {
+	Name string
+	// Connections bounds the connections to each server; 0 means the default.
+	Connections int
+	// HealthPath is asked by the servers' gates; blank means the default.
+	HealthPath string
+}
+
+// Text returns the table as [Parse] reads it.
+func (d Draft) Text() []byte {
+	var b bytes.Buffer
+	w := csv.NewWriter(&b)
+	write := func(cells ...string) { _ = w.Write(cells) } // A buffer takes everything.
+	write(colService, colServer, colHost, colZone, colAddress, colState, colConnections, colDiscovery, colHealthPath)
+	for _, s := range d.Services {
+		write(s.Name, ServiceRow, "", "", "", "", blankZero(s.Connections), string(Announced), s.HealthPath)
+	}
+	w.Flush()
+	fmt.Fprintln(&b, RoutesMark)
+	write(routeColumns...)
+	for _, r := range d.Routes {
+		write(r.Host, r.Prefix, sharesText(r.Shares), yesNo(r.Repeatable), millisText(r.Timeout), millisText(r.Aim),
+			r.Priority.String(), strconv.Itoa(r.Attempts))
+	}
+	w.Flush()
+	fmt.Fprintln(&b, BoundsMark)
+	write(boundColumns...)
+	write("header_bytes", strconv.Itoa(d.Bounds.HeaderBytes))
+	write("body_bytes", strconv.Itoa(d.Bounds.BodyBytes))
+	write("header_time_ms", millisText(d.Bounds.HeaderTime))
+	write("idle_ms", millisText(d.Bounds.Idle))
+	w.Flush()
+	return b.Bytes()
+}
+
+func sharesText(shares []Share) string {
+	parts := make([]string, len(shares))
+	for i, s := range shares {
+		parts[i] = s.Service + ":" + strconv.Itoa(s.Weight)
+	}
+	return strings.Join(parts, " ")
+}
+
+func yesNo(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
+
+func blankZero(n int) string {
+	if n == 0 {
+		return ""
+	}
+	return strconv.Itoa(n)
+}
+
+func millisText(d time.Duration) string {
+	return strconv.FormatFloat(float64(d)/float64(time.Millisecond), 'f', -1, 64)
+}
--- a/table/table.go
+++ b/table/table.go
@@ -95,8 +95,26 @@
 	// of calls is to be answered without error within that latency.
 	ObjectiveLatency time.Duration
 	ObjectiveShare   float64
+	// Discovery says where the service's servers are learned from.
+	Discovery Discovery
+	// HealthPath is the path of the measuring calls.
+	HealthPath string
 }
 
+// Discovery says where a service's servers are learned from.
+type Discovery string
+
+// The ways to learn of servers.
+const (
+	// Listed servers have rows of their own.
+	Listed Discovery = "listed"
+	// Announced servers tell the node beside them that they are there.
+	Announced Discovery = "announced"
+)
+
+// DefaultHealthPath is the path of measuring calls unless a row names one.
+const DefaultHealthPath = "/ryehaven/report"
+
 // DefaultPolicy is what a blank cell means when the service's row is blank
 // too.
 func DefaultPolicy() Policy {
@@ -112,6 +130,8 @@
 		MeasureRate:      2,
 		ObjectiveLatency: 250 * time.Millisecond,
 		ObjectiveShare:   0.999,
+		Discovery:        Listed,
+		HealthPath:       DefaultHealthPath,
 	}
 }
 
@@ -141,6 +161,10 @@
 	services map[string]*Service
 	names    []string
 	byHost   map[string][]*Server
+
+	routes      []Route
+	byRouteHost map[string][]*Route
+	bounds      Bounds
 }
 
 // Service returns the service of that name, or nil.
