announce, member: a node's backend server by its own announcements, over restarts

Cause: on the users' platform nobody lists the servers; each tells the node beside it, and a leaving that was acknowledged binds after the node's restart. Change: package announce (one current life, rising numbers and states); records of nodes carry the server and a version; what a node said in an earlier life is kept by the others and handed to it when it starts anew. Ruled out: keeping it in the store, since a node may start while that is away.

--- /dev/null
+++ b/announce/registry.go
@@ -0,0 +1,137 @@
+// SPDX-License-Identifier: MIT
+
+package announce
+
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/ryehaven/ryehaven/member"
+)
+
+// ErrWrongService says that a server of another service announced itself.
+var ErrWrongService = eris.New("the server is not of this node's service")
+
+// Announcement is what a server says of itself.
+type Announcement struct {
+	// ID names one life of the server.
+	ID      string
+	Service string
+	// Slots is how many requests it works on at a time.
+	Slots int
+	// Draining says that it is about to end.
+	Draining bool
+	// Seq rises with each announcement of an ID.
+	Seq uint64
+	// Cold is how much longer the server is slow after its start.
+	Cold time.Duration
+}
+
+// Registry holds the server beside one node. The zero value is empty. It is
+// not safe for concurrent use.
+type Registry struct {
+	// Service is the only one whose servers are taken; blank takes any.
+	Service string
+
+	current member.Server
+	seq     uint64
+	cold    time.Time
+	// ended are the IDs that may not become current again.
+	ended map[string]bool
+	order []string
+}
+
+// maxEnded bounds the remembered IDs. A host's server is replaced a few times
+// an hour at most, and an announcement is late by seconds.
+const maxEnded = 64
+
+// Current returns the server; its ID is blank while none is known.
+func (r *Registry) Current() member.Server { return r.current }
+
+// ColdUntil is until when the server is slow after its start.
+func (r *Registry) ColdUntil() time.Time { return r.cold }
+
+// Announce takes an announcement and reports whether it changed the server. An
+// announcement that is late changes nothing and is no error.
+func (r *Registry) Announce(now time.Time, a Announcement) (changed bool, err error) {
+	if r.Service != "" && a.Service != r.Service {
+		return false, eris.Wrapf(ErrWrongService, "%q, want %q", a.Service, r.Service)
+	}
+	if r.ended[a.ID] {
+		return false, nil
+	}
+	if a.ID == r.current.ID && a.Seq <= r.seq && r.seq != 0 {
+		return false, nil
+	}
+	before := r.current
+	if a.ID != r.current.ID {
+		r.end(r.current.ID)
+		r.current = member.Server{ID: a.ID, Service: a.Service}
+	}
+	r.seq = a.Seq
+	r.cold = now.Add(a.Cold)
+	r.current.Slots = a.Slots
+	if a.Draining {
+		r.current.State = max(r.current.State, member.Leaving)
+	}
+	return r.current != before, nil
+}
+
+// Leave takes a server's word that it is gone and reports whether that changed
+// the current server.
+func (r *Registry) Leave(id string) bool {
+	if id != r.current.ID {
+		r.end(id)
+		return false
+	}
+	if r.current.State == member.Gone {
+		return false
+	}
+	r.current.State = member.Gone
+	return true
+}
+
+// Remember takes what other nodes remember of this node's server from its
+// earlier life and reports whether it changed the server.
+func (r *Registry) Remember(past member.Server) bool {
+	if past.ID == "" || r.ended[past.ID] {
+		return false
+	}
+	switch r.current.ID {
+	case "":
+		r.current = past
+		return true
+	case past.ID:
+		before := r.current.State
+		r.current.State = max(before, past.State)
+		return r.current.State != before
+	}
+	return false
+}
+
+// Lost takes the word of whoever met the server that the ID has ended.
+func (r *Registry) Lost(id string) bool {
+	if id != r.current.ID || id == "" {
+		return false
+	}
+	r.end(id)
+	r.current = member.Server{}
+	r.seq = 0
+	return true
+}
+
+func (r *Registry) end(id string) {
+	if id == "" || r.ended[id] {
+		return
+	}
+	if r.ended == nil {
+		r.ended = map[string]bool{}
+	}
+	r.ended[id] = true
+	r.order = append(r.order, id)
+	if len(r.order) > maxEnded {
+		delete(r.ended, r.order[0])
+		r.order = r.order[1:]
+	}
+}
--- /dev/null
+++ b/announce/registry_test.go
@@ -0,0 +1,133 @@
+// SPDX-License-Identifier: MIT
+
+package announce
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/ryehaven/ryehaven/member"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func ready(id string, seq uint64) Announcement {
+	return Announcement{ID: id, Service: "s", Slots: 12, Seq: seq}
+}
+
+func draining(id string, seq uint64) Announcement {
+	a := ready(id, seq)
+	a.Draining = true
+	return a
+}
+
+func mustAnnounce(t *testing.T, r *Registry, a Announcement) {
+	t.Helper()
+	if _, err := r.Announce(start, a); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestLateAnnouncementsChangeNothing(t *testing.T) {
+	tests := []struct {
+		name string
+		do   func(t *testing.T, r *Registry)
+		id   string
+		want member.State
+	}{
+		{"ready after draining", func(t *testing.T, r *Registry) {
+			mustAnnounce(t, r, draining("a", 5))
+			mustAnnounce(t, r, ready("a", 4))
+		}, "a", member.Leaving},
+		{"ready with a higher number after draining", func(t *testing.T, r *Registry) {
+			mustAnnounce(t, r, draining("a", 5))
+			mustAnnounce(t, r, ready("a", 6))
+		}, "a", member.Leaving},
+		{"ready after its leaving", func(t *testing.T, r *Registry) {
+			mustAnnounce(t, r, ready("a", 5))
+			r.Leave("a")
+			mustAnnounce(t, r, ready("a", 6))
+		}, "a", member.Gone},
+		{"the one before after the new one", func(t *testing.T, r *Registry) {
+			mustAnnounce(t, r, ready("a", 5))
+			mustAnnounce(t, r, ready("b", 1))
+			mustAnnounce(t, r, ready("a", 6))
+		}, "b", member.Live},
+		{"leaving of one never seen", func(t *testing.T, r *Registry) {
+			mustAnnounce(t, r, ready("b", 1))
+			r.Leave("a")
+			mustAnnounce(t, r, ready("a", 2))
+		}, "b", member.Live},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var r Registry
+			test.do(t, &r)
+			if got := r.Current(); got.ID != test.id || got.State != test.want {
+				t.Errorf("current is %+v", got)
+			}
+		})
+	}
+}
+
+// An acknowledged leaving binds after the node's own restart too.
+func TestPastBindsAfterARestart(t *testing.T) {
+	past := member.Server{ID: "a", Service: "s", Slots: 12, State: member.Leaving}
+	var r Registry
+	if !r.Remember(past) || r.Current() != past {
+		t.Errorf("current is %+v", r.Current())
+	}
+	var late Registry
+	mustAnnounce(t, &late, ready("a", 7))
+	if !late.Remember(past) || late.Current().State != member.Leaving {
+		t.Errorf("current is %+v", late.Current())
+	}
+	mustAnnounce(t, &late, ready("a", 8))
+	if late.Current().State != member.Leaving {
+		t.Error("a server that left was brought back")
+	}
+	var other Registry
+	mustAnnounce(t, &other, ready("b", 1))
+	if other.Remember(past) {
+		t.Error("the past of another server changed this one")
+	}
+}
+
+func TestWrongServiceIsRefused(t *testing.T) {
+	r := Registry{Service: "other"}
+	if _, err := r.Announce(start, ready("a", 1)); !errors.Is(err, ErrWrongService) {
+		t.Errorf("error %v", err)
+	}
+}
+
+// Whatever order announcements arrive in, the state of an ID never falls and
+// an ID that was replaced does not come back.
+func TestStateNeverFalls(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var r Registry
+		worst := map[string]member.State{}
+		replaced := map[string]bool{}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id")
+			before := r.Current()
+			if rapid.IntRange(0, 4).Draw(t, "kind") == 0 {
+				r.Leave(id)
+			} else {
+				a := ready(id, rapid.Uint64Range(1, 20).Draw(t, "seq"))
+				a.Draining = rapid.Bool().Draw(t, "draining")
+				_, _ = r.Announce(start, a)
+			}
+			now := r.Current()
+			if before.ID != "" && before.ID != now.ID {
+				replaced[before.ID] = true
+			}
+			if replaced[now.ID] || now.State < worst[now.ID] {
+				t.Fatalf("%+v after %+v", now, before)
+			}
+			worst[now.ID] = now.State
+		}
+	})
+}
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -201,3 +201,25 @@
 		t.Errorf("sample of zone z0 is %v", s)
 	}
 }
+
+// A node that starts anew is told what it said of its server before, also when
+// it started twice without learning of one.
+func TestPastOfANode(t *testing.T) {
+	v := NewView(record(0))
+	old := record(1)
+	old.Server = Server{ID: "a", State: Leaving}
+	v.Merge(start, []Record{old})
+	for life := range 2 {
+		next := record(1)
+		next.Incarnation += uint64(life) + 1
+		v.Merge(start, []Record{next})
+		past, needed := v.PastOf(next.Host)
+		if !needed || past.Server != old.Server {
+			t.Fatalf("life %d: past %+v, needed %t", life, past, needed)
+		}
+	}
+	self := NewView(record(1))
+	if !self.Merge(start, []Record{func() Record { r := old; r.Incarnation--; return r }()}) || self.Past().Server != old.Server {
+		t.Errorf("the node's own past is %+v", self.Past())
+	}
+}
--- a/member/record.go
+++ b/member/record.go
@@ -41,6 +41,22 @@
 	Zone    string
 	Region  string
 	State   State
+	// Version rises with each change that the node itself makes to its record
+	// within an incarnation.
+	Version uint64
+	// Server is the backend server that announced itself to the node.
+	Server Server
+}
+
+// Server is what a node says of the backend server beside it.
+type Server struct {
+	// ID names one life of the server; blank means that none is known.
+	ID      string
+	Service string
+	// Slots is how many requests it works on at a time.
+	Slots int
+	// State never falls for an ID.
+	State State
 }
 
 // newer reports whether r replaces old.
@@ -48,6 +64,9 @@
 	if r.Incarnation != old.Incarnation {
 		return r.Incarnation > old.Incarnation
 	}
+	if r.Version != old.Version {
+		return r.Version > old.Version
+	}
 	return r.State > old.State
 }
 
@@ -63,9 +82,10 @@
 
 // hash covers what newer compares.
 func (r Record) hash() uint64 {
-	var b [9]byte
+	var b [17]byte
 	binary.BigEndian.PutUint64(b[:], r.Incarnation)
 	b[8] = byte(r.State)
+	binary.BigEndian.PutUint64(b[9:], r.Version)
 	d := xxhash.New()
 	_, _ = d.WriteString(r.Host) // A hash does not fail.
 	_, _ = d.Write(b[:])
--- a/member/view.go
+++ b/member/view.go
@@ -27,6 +27,9 @@
 	failures   int
 	aloneUntil time.Time
 	goneSince  time.Time
+	// past is the node's last record of an earlier incarnation that named a
+	// backend server, so that a node that starts anew can be told of it.
+	past Record
 	// listedLeaving is when the platform's list says that the host began to
 	// leave, in Unix milliseconds; 0 unless this node read it there.
 	listedLeaving int64
@@ -36,6 +39,7 @@
 type View struct {
 	self     string
 	replaced bool
+	past     Record
 	entries  map[string]*entry
 	hosts    []string
 	digest   Digest
@@ -108,7 +112,7 @@
 	news := false
 	for _, r := range records {
 		if r.Host == v.self {
-			news = v.mergeSelf(r) || news
+			news = v.mergePast(r) || v.mergeSelf(r) || news
 			continue
 		}
 		old := v.entries[r.Host]
@@ -126,7 +130,11 @@
 
 // take stores a newer record of another node.
 func (v *View) take(now time.Time, r Record) {
+	old, known := v.Record(r.Host)
 	e := v.put(r)
+	if known && old.Incarnation != r.Incarnation && old.Server.ID != "" {
+		e.past = old
+	}
 	e.failures = 0
 	e.aloneUntil = time.Time{}
 	e.goneSince = time.Time{}
@@ -143,8 +151,9 @@
 		return false
 	}
 	if r.Incarnation == self.Incarnation {
-		// The platform's list says that this host leaves, or goes.
-		self.State = Leaving
+		// The list of hosts says that this host leaves, or goes.
+		self.State = max(self.State, Leaving)
+		self.Version = r.Version + 1
 		v.put(self)
 		return true
 	}
@@ -153,15 +162,54 @@
 		v.replaced = true
 		return false
 	}
+	v.past = r
 	self.Incarnation = r.Incarnation + 1
 	v.put(self)
 	return true
 }
 
+// mergePast takes an older record of this node's own name: what the node said
+// in an earlier life, as others remember it.
+func (v *View) mergePast(r Record) bool {
+	if r.Incarnation >= v.Self().Incarnation || (v.past.Host != "" && !r.newer(v.past)) {
+		return false
+	}
+	v.past = r
+	return true
+}
+
+// PastOf returns what a node said of its backend server in an earlier life, if
+// the node itself may need to hear it: it knows of no server, or has not heard
+// that the server is leaving.
+func (v *View) PastOf(host string) (Record, bool) {
+	e := v.entries[host]
+	if e == nil || e.past.Host == "" {
+		return Record{}, false
+	}
+	forgot := e.Server.ID == "" || (e.Server.ID == e.past.Server.ID && e.Server.State < e.past.Server.State)
+	return e.past, forgot
+}
+
+// Past returns what others remember that this node said in its last life; its
+// Host is blank while nobody has told.
+func (v *View) Past() Record { return v.past }
+
+// SetServer changes what the node says of the backend server beside it.
+func (v *View) SetServer(s Server) {
+	self := v.Self()
+	if self.Server == s {
+		return
+	}
+	self.Server = s
+	self.Version++
+	v.put(self)
+}
+
 // SetSelfState raises the node's own state.
 func (v *View) SetSelfState(s State) {
 	self := v.Self()
 	self.State = max(self.State, s)
+	self.Version++
 	v.put(self)
 }
 
--- a/spread/round.go
+++ b/spread/round.go
@@ -126,7 +126,8 @@
 	s.View(func(v *member.View) { v.Reached(target.Host) })
 	s.merge(now, append(reply.Records, reply.Digest.From))
 	s.learn(now, reply.Digest)
-	if lacking := s.differing(reply.Digest.Members); len(lacking) > 0 {
+	lacking := append(s.differing(reply.Digest.Members), s.pastOf(target.Host)...)
+	if len(lacking) > 0 {
 		_, _ = conn.Ask(TopicRecords, encode(&recordsMessage{lacking}), s.settings.AskLimit)
 	}
 	if s.holder.Judge(reply.Digest.Generation, reply.Digest.Hash) == Taken && reply.Digest.Generation > 0 {
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -213,7 +213,7 @@
 		}
 	}
 	reply := digestReply{Digest: s.digest(now)}
-	reply.Records = s.differing(d.Members)
+	reply.Records = append(s.differing(d.Members), s.pastOf(d.From.Host)...)
 	return encode(&reply), nil
 }
 
@@ -227,6 +227,16 @@
 	return s.view.Differing(d, s.rng.IntN(member.Buckets), recordsAtOnce)
 }
 
+// pastOf returns what a node must hear of its own earlier life.
+func (s *Spread) pastOf(host string) []member.Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if past, ok := s.view.PastOf(host); ok {
+		return []member.Record{past}
+	}
+	return nil
+}
+
 // errBusy defers a table that the byte budget does not allow now.
 var errBusy = eris.New("busy: ask another node or later")
 
