--- a/admit/queue.go
+++ b/admit/queue.go
@@ -44,6 +44,8 @@
 	// Patient tickets wait until their deadline, since no other server could
 	// take them.
 	Patient bool
+	// MaxWait bounds the time in the queue; 0 leaves it to the expected wait.
+	MaxWait time.Duration
 	// Value is the caller's own, so that it can tell tickets apart.
 	Value any
 
@@ -146,7 +148,7 @@
 		q.refuse(t, Expired)
 	case q.inFlight < q.Limit() && q.queued == 0:
 		q.dispatch(now, t)
-	case !q.meetsDeadline(now, t):
+	case !q.meetsDeadline(now, t), t.MaxWait > 0 && q.wait(now, t.Priority) > t.MaxWait:
 		q.refuse(t, Overload)
 	case q.queued < q.settings.Queue:
 		q.push(now, t)
@@ -271,6 +273,9 @@
 func (q *Queue) push(now time.Time, t *Ticket) {
 	t.state = Queued
 	t.patience = now.Add(patienceFactor*q.wait(now, t.Priority) + patienceLeast)
+	if t.MaxWait > 0 {
+		t.patience = now.Add(t.MaxWait)
+	}
 	q.waiting[t.Priority] = append(q.waiting[t.Priority], t)
 	q.queued++
 }
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -3,9 +3,11 @@
 package backend
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -16,15 +18,31 @@
 // before the first byte of an answer. Whether the request ran is not known.
 var ErrStale = eris.New("backend server closed a kept connection")
 
+// ErrNotOurs is returned by Send when an answer does not carry the request's
+// tag. Whether the request ran is not known.
+var ErrNotOurs = eris.New("answer of backend server belongs to another request")
+
+// maxSurplus is how many answers to earlier requests are passed over on a kept
+// connection before the request's own.
+const maxSurplus = 2
+
 // Exchange is one request and its answer on a connection of its own.
 type Exchange struct {
 	// Response holds the answer's head after Send; its body is a stream.
 	Response fasthttp.Response
 
+	// TagField names the field that carries the request's tag back; blank if
+	// none does. Tag is the value that the answer must have.
+	TagField string
+	Tag      string
+
 	pool    *Pool
 	conn    *conn
 	aborted atomic.Bool
 	ended   bool
+	// written is closed when the request was written or that has failed.
+	written  chan struct{}
+	writeErr error
 }
 
 // Open takes a connection. After an error nothing was sent. With fresh the
@@ -48,27 +66,88 @@
 	}
 	e.Response.StreamBody = true
 	e.Response.SkipBody = r.Header.IsHead()
-	writeErr := e.write(r)
-	readErr := e.Response.Read(e.conn.reader)
-	if readErr == nil {
-		return nil
+	e.startWrite(r)
+	readErr := e.readOwn()
+	if readErr == nil || eris.Is(readErr, ErrNotOurs) {
+		return readErr
 	}
-	if e.conn.used && (readErr == io.EOF || writeErr != nil) {
+	failedWrite := e.wholeSent() && e.writeErr != nil
+	if e.conn.used && (closedEarly(readErr) || failedWrite) {
 		return eris.Wrap(ErrStale, readErr.Error())
 	}
-	if writeErr != nil {
-		return eris.Wrap(writeErr, "write request")
+	if failedWrite {
+		return eris.Wrap(e.writeErr, "write request")
 	}
 	return eris.Wrap(readErr, "read answer")
 }
 
-// write sends the request. A server may answer before it has read the whole
-// body, so the answer is read after an error too.
-func (e *Exchange) write(r *fasthttp.Request) error {
-	if err := r.Write(e.conn.writer); err != nil {
-		return err
+// closedEarly reports whether a connection ended before the first byte of an
+// answer.
+func closedEarly(err error) bool {
+	return err == io.EOF || errors.Is(err, syscall.ECONNRESET)
+}
+
+// readOwn reads the head of the answer. On a kept connection, a late answer to
+// an earlier request may stand before it.
+func (e *Exchange) readOwn() error {
+	for surplus := 0; ; surplus++ {
+		if err := e.Response.Read(e.conn.reader); err != nil {
+			return err
+		}
+		if e.TagField == "" || string(e.Response.Header.Peek(e.TagField)) == e.Tag {
+			return nil
+		}
+		if !e.conn.used || surplus == maxSurplus || e.Response.ConnectionClose() {
+			return ErrNotOurs
+		}
+		if body := e.Response.BodyStream(); body != nil {
+			if _, err := io.Copy(io.Discard, body); err != nil {
+				return ErrNotOurs
+			}
+		}
+		_ = e.Response.CloseBodyStream() // It was read to its end.
+	}
+}
+
+// startWrite sends the request. A server may answer before it has read a long
+// body, so a body that is still arriving is written beside the reading.
+func (e *Exchange) startWrite(r *fasthttp.Request) {
+	e.written = make(chan struct{})
+	if !r.IsBodyStream() {
+		e.write(r)
+		return
+	}
+	go e.write(r)
+}
+
+func (e *Exchange) write(r *fasthttp.Request) {
+	defer close(e.written)
+	e.writeErr = r.Write(e.conn.writer)
+	if e.writeErr == nil {
+		e.writeErr = e.conn.writer.Flush()
+	}
+}
+
+// wholeSent reports whether the writing has ended.
+func (e *Exchange) wholeSent() bool {
+	select {
+	case <-e.written:
+		return true
+	default:
+		return false
+	}
+}
+
+// Release calls f once the request is no longer in use.
+func (e *Exchange) Release(f func()) {
+	if e.written == nil || e.wholeSent() {
+		f()
+		return
 	}
-	return e.conn.writer.Flush()
+	go func() {
+		<-e.written
+		f()
+	}()
 }
 
 // Body returns the answer's body, or nil when it has none.
@@ -94,7 +173,8 @@
 		return
 	}
 	e.ended = true
-	reusable := whole && !e.aborted.Load() && !e.Response.ConnectionClose()
+	reusable := whole && !e.aborted.Load() && !e.Response.ConnectionClose() &&
+		e.written != nil && e.wholeSent() && e.writeErr == nil
 	if whole {
 		_ = e.Response.CloseBodyStream() // It was read to its end.
 	}
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -74,7 +74,7 @@
 		if c == nil {
 			return p.dial()
 		}
-		if sock.PeerOpen(c.Conn) && c.reader.Buffered() == 0 {
+		if c.reader.Buffered() == 0 && sock.Quiet(c.Conn) {
 			p.Reused.Add(1)
 			return c, nil
 		}
@@ -96,7 +96,7 @@
 		p.spares = p.spares[:n-1]
 	}
 	p.mu.Unlock()
-	if c != nil && (now.Sub(c.since) > spareLimit || !sock.PeerOpen(c.Conn)) {
+	if c != nil && (now.Sub(c.since) > spareLimit || !sock.Quiet(c.Conn)) {
 		p.drop(c)
 		return nil
 	}
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -89,6 +89,15 @@
 		return least(p.draw(now, rng, candidates, 2), 0, outstandingScore)
 	}
 	choices := p.options.Choices
+	if p.tellSlowness() {
+		if choices == 0 {
+			choices = slownessChoices
+		}
+		usual := p.usualSlowness()
+		return clearlyLeast(p.draw(now, rng, candidates, choices), func(s *Server) float64 {
+			return p.expectedBySlowness(now, s, usual)
+		})
+	}
 	if choices == 0 {
 		choices = DefaultChoices
 	}
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -18,6 +18,9 @@
 	// Distance is the usual time of a round trip to its availability zone
 	// beyond that within the entry's own.
 	Distance time.Duration
+	// Factor is how many times slower the server is taken to be, for what the
+	// way to it costs beside its time; 0 stands for 1.
+	Factor float64
 	// Leaving servers get no new work.
 	Leaving bool
 }
@@ -31,6 +34,8 @@
 	// outstanding requests was sent.
 	lastProgress time.Time
 
+	// sentAt is when the last request was sent.
+	sentAt         time.Time
 	report         wire.Load
 	reportAt       time.Time
 	ownAtReport    int
@@ -101,6 +106,7 @@
 		s.lastProgress = now
 	}
 	s.outstanding++
+	s.sentAt = now
 }
 
 // Result is how an attempt at a server ended.
--- /dev/null
+++ b/balance/slowness.go
@@ -0,0 +1,87 @@
+// SPDX-License-Identifier: MIT
+
+package balance
+
+import "time"
+
+// Servers that share their machines with others tell how long work takes now,
+// and their gates tell entries when that changes. A choice among such servers
+// compares slowness, not past latencies: those mix requests of different work.
+const (
+	// slownessChoices is how many servers are drawn; what is known of each is
+	// news, so that herding costs less than missing the fast one.
+	slownessChoices = 8
+	// heardFor is how long after its last request an entry is told of changes.
+	heardFor = time.Second
+	// slownessDecay is how fast what a gate no longer confirms fades.
+	slownessDecay = 500 * time.Millisecond
+	// busyCost and queueCost are what a full limit and each further one add, in
+	// times of the work.
+	busyCost  = 0.5
+	queueCost = 2
+	// notTold stands for a server that has not told, in percent.
+	notTold = 150
+)
+
+// tellSlowness reports whether the servers tell how slow they are.
+func (p *Pool) tellSlowness() bool {
+	if p.options.NoReports || (p.options.Policy != "" && p.options.Policy != Expected) {
+		return false
+	}
+	for _, s := range p.servers {
+		if s.report.Slowness > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// usualSlowness is the mean over the servers that have told, in percent.
+func (p *Pool) usualSlowness() float64 {
+	sum, n := 0, 0
+	for _, s := range p.servers {
+		if s.report.Slowness > 0 {
+			sum += s.report.Slowness
+			n++
+		}
+	}
+	if n == 0 {
+		return notTold
+	}
+	return float64(sum) / float64(n)
+}
+
+// slowness is what is believed of a server's slowness, in percent.
+func (s *Server) slowness(now time.Time, usual float64) float64 {
+	if s.report.Slowness == 0 {
+		return usual
+	}
+	heard := s.reportAt
+	if s.sentAt.After(heard) {
+		heard = s.sentAt
+	}
+	age := now.Sub(heard) - heardFor
+	if age <= 0 {
+		return float64(s.report.Slowness)
+	}
+	return usual + (float64(s.report.Slowness)-usual)*decay(age, slownessDecay)
+}
+
+// expectedBySlowness compares servers by how long work would take there, in
+// percent of what it usually takes.
+func (p *Pool) expectedBySlowness(now time.Time, s *Server, usual float64) float64 {
+	service := p.serviceTime(now, s, p.best())
+	busy := (p.load(now, s, service) + 1) / p.limit(s)
+	score := s.slowness(now, usual) * (1 + busyCost*busy)
+	if busy > 1 {
+		score *= 1 + queueCost*(busy-1)
+	}
+	if !p.options.NoNotices && s.stalled(now, service) > 0 {
+		score *= 2
+	}
+	score *= 1 + failurePenalty*s.failures*decay(now.Sub(s.lastFailure), failureDecay)
+	if !p.options.NoDistance && s.Factor > 1 {
+		score *= s.Factor
+	}
+	return score
+}
--- a/cmd/ryehaven/read.go
+++ b/cmd/ryehaven/read.go
@@ -109,7 +109,7 @@
 	s := settings.Default()
 	s.Host, s.Zone, s.Region = "host", "zone", "region"
 	s.Listen = settings.Listen{Caller: "127.0.0.1:0", Peer: "127.0.0.1:0", Admin: "127.0.0.1:0"}
-	n, err := node.New(s, zap.NewNop(), nil)
+	n, err := node.New(s, zap.NewNop(), node.Options{})
 	if err != nil {
 		return err
 	}
--- a/cmd/ryehavend/main.go
+++ b/cmd/ryehavend/main.go
@@ -20,6 +20,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/ryehaven/ryehaven/node"
+	"github.com/ryehaven/ryehaven/platform"
 	"github.com/ryehaven/ryehaven/settings"
 	"github.com/ryehaven/ryehaven/store"
 )
@@ -80,14 +81,35 @@
 }
 
 func serve(ctx context.Context, s settings.Settings, log *zap.Logger) error {
-	var client store.Client
+	if s.Sidecar.Control != "" {
+		return servePlatform(ctx, s, log)
+	}
+	var options node.Options
+	if s.Platform.Address != "" {
+		options.Store = store.NewHTTP(s.Platform.Address, s.Platform.Limit)
+	}
+	n, err := node.New(s, log, options)
+	if err != nil {
+		return err
+	}
+	return n.Run(ctx)
+}
+
+// servePlatform runs a node whose backend server announces itself.
+func servePlatform(ctx context.Context, s settings.Settings, log *zap.Logger) error {
+	options := node.Options{Dialect: platform.Dialect()}
 	if s.Platform.Address != "" {
-		client = store.NewHTTP(s.Platform.Address, s.Platform.Limit)
+		options.Store = platform.NewStore(s.Platform.Address, s.Platform.Limit)
+	}
+	n, err := node.New(s, log, options)
+	if err != nil {
+		return err
 	}
-	n, err := node.New(s, log, client)
+	server, err := platform.Serve(n, s.Sidecar.Control, s.Sidecar.Ready)
 	if err != nil {
 		return err
 	}
+	defer server.Close()
 	return n.Run(ctx)
 }
 
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -100,6 +100,10 @@
 	m.Server = a.name
 	m.BudgetMicros = left.Microseconds()
 	m.Patient = a.patient
+	if !r.refuseBy.IsZero() {
+		m.Patient = false
+		m.WaitMicros = max(time.Until(r.refuseBy), time.Millisecond).Microseconds()
+	}
 	call, err := conn.Start(&m)
 	if err != nil {
 		e.endUnreachable(r, a)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -5,12 +5,14 @@
 import (
 	"math/rand/v2"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/ryehaven/ryehaven/balance"
 	"github.com/ryehaven/ryehaven/burn"
+	"github.com/ryehaven/ryehaven/header"
 	"github.com/ryehaven/ryehaven/internal/sock"
 	"github.com/ryehaven/ryehaven/peer"
 	"github.com/ryehaven/ryehaven/retry"
@@ -36,6 +38,13 @@
 	MaxBody int64
 	// MaxDeadline bounds the budget that a caller may ask for.
 	MaxDeadline time.Duration
+	// Dialect is spoken with callers.
+	Dialect header.Dialect
+	// Caller is the service on whose host this entry stands; blank if that is
+	// not told to servers.
+	Caller string
+	// Terms bound what is sent to a second server.
+	Terms retry.Terms
 	// NoTableRetryAfter is when to come back while the node has no table.
 	NoTableRetryAfter time.Duration
 }
@@ -67,7 +76,7 @@
 
 	mu       sync.RWMutex
 	services map[string]*service
-	ready    bool
+	table    *table.Table
 
 	activeMu sync.Mutex
 	active   map[*request]struct{}
@@ -108,9 +117,20 @@
 	Leaving bool
 }
 
-// Update takes a table, with the places of its hosts. A server whose host has
-// no known place is left out until it has one.
-func (e *Entry) Update(now time.Time, t *table.Table, place func(s *table.Server) (Place, bool)) {
+// Sources tell where servers are.
+type Sources struct {
+	// Place tells where a listed server's host is; one whose host has no known
+	// place is left out until it has one.
+	Place func(s *table.Server) (Place, bool)
+	// Announced returns a service's servers that announced themselves; nil when
+	// none do.
+	Announced func(service string) []balance.Spec
+	// Nodes is the number of nodes among which the retry budgets are shared.
+	Nodes int
+}
+
+// Update takes a table, with the places of its servers.
+func (e *Entry) Update(now time.Time, t *table.Table, from Sources) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	services := make(map[string]*service, len(t.Services()))
@@ -124,18 +144,21 @@
 				rng:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 			}
 		}
-		s.update(now, row, place)
+		s.update(now, row, from, e.settings.Terms)
 		services[name] = s
 	}
 	e.services = services
-	e.ready = true
+	e.table = t
 }
 
-func (s *service) update(now time.Time, row *table.Service, place func(s *table.Server) (Place, bool)) {
+func (s *service) update(now time.Time, row *table.Service, from Sources, terms retry.Terms) {
 	specs := make([]balance.Spec, 0, len(row.Servers))
+	if row.Discovery == table.Announced && from.Announced != nil {
+		specs = append(specs, from.Announced(s.name)...)
+	}
 	for i := range row.Servers {
 		server := &row.Servers[i]
-		where, ok := place(server)
+		where, ok := from.Place(server)
 		if !ok {
 			continue
 		}
@@ -152,6 +175,7 @@
 	defer s.mu.Unlock()
 	s.policy = row.Policy
 	s.budget.Share = row.RetryShare
+	s.budget.Bound = terms.Split(from.Nodes)
 	s.hedges.Share = min(retry.HedgeShare, row.RetryShare)
 	s.pool.Update(now, specs)
 }
@@ -160,13 +184,32 @@
 func (e *Entry) Ready() bool {
 	e.mu.RLock()
 	defer e.mu.RUnlock()
-	return e.ready
+	return e.table != nil
 }
 
 func (e *Entry) service(name string) (s *service, ready bool) {
 	e.mu.RLock()
 	defer e.mu.RUnlock()
-	return e.services[name], e.ready
+	return e.services[name], e.table != nil
+}
+
+// route returns what becomes of a request; the service is nil when there is
+// none for it, and the route when the table has no routes.
+func (e *Entry) route(host, path string) (s *service, route *table.Route, ready bool) {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	if e.table == nil {
+		return nil, nil, false
+	}
+	if len(e.table.Routes()) == 0 {
+		return e.services[serviceName(host)], nil, true
+	}
+	name, _, _ := strings.Cut(host, ":")
+	route = e.table.Match(strings.ToLower(name), path)
+	if route == nil {
+		return nil, nil, true
+	}
+	return e.services[route.Service(rand.IntN(route.TotalWeight()))], route, true
 }
 
 // FailedSince reports whether a request failed for good since a time, so that
--- a/entry/handle.go
+++ b/entry/handle.go
@@ -3,6 +3,7 @@
 package entry
 
 import (
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -14,16 +15,17 @@
 // Handle answers one caller's request. It is a fasthttp.RequestHandler.
 func (e *Entry) Handle(ctx *fasthttp.RequestCtx) {
 	e.Counters.Requests.Add(1)
-	s, ready := e.service(serviceName(string(ctx.Host())))
+	path, _, _ := strings.Cut(string(ctx.Request.RequestURI()), "?")
+	s, route, ready := e.route(string(ctx.Host()), path)
 	if !ready {
 		e.refuseWithoutTable(ctx)
 		return
 	}
 	if s == nil {
-		e.refuseBad(ctx, fasthttp.StatusNotFound, "the Host field names no service of the table")
+		e.refuseBad(ctx, fasthttp.StatusNotFound, "no service of the table is meant by the Host field and the path")
 		return
 	}
-	r, fault := e.newRequest(ctx, s)
+	r, fault := e.newRequest(ctx, s, route)
 	if fault != "" {
 		e.refuseBad(ctx, fasthttp.StatusBadRequest, fault)
 		return
@@ -127,19 +129,20 @@
 	s := r.service
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	allowed := retry.Again(retry.Attempt{
+	allowed := r.mayReach(a) && retry.Again(retry.Attempt{
 		Outcome:    a.outcome,
 		Repeatable: r.message.Repeatable,
 		NoRetry:    a.response != nil && a.response.NoRetry,
 		Replayable: r.body.replayable(),
 		Attempts:   r.attempts,
+		Most:       e.settings.Terms.MostSends,
 		Others:     s.pool.Others(now, r.tried),
 		Left:       r.deadline.Sub(now),
 	})
 	if !allowed {
 		return false
 	}
-	if !s.budget.Take(now, a.outcome.Cost()) {
+	if !s.budget.Take(now, a.cost(&e.settings.Terms)) {
 		e.Counters.RetriesDenied.Add(1)
 		return false
 	}
@@ -147,6 +150,32 @@
 	return true
 }
 
+// mayReach counts the servers that the request has reached, after an attempt,
+// and reports whether it may reach one more.
+func (r *request) mayReach(a *attempt) bool {
+	if a.reached() {
+		r.reached++
+	}
+	return r.most == 0 || r.reached < r.most
+}
+
+// reached reports whether the request came to the server itself, run or not.
+func (a *attempt) reached() bool {
+	return a.outcome.MayHaveRun() || a.reason == wire.ReasonShed
+}
+
+// cost is what sending the request again takes from the budget. Under terms
+// that count what reaches servers, a refusal before that is free.
+func (a *attempt) cost(terms *retry.Terms) float64 {
+	switch {
+	case !terms.Counted():
+		return a.outcome.Cost()
+	case a.reached():
+		return 1
+	}
+	return 0
+}
+
 func (s *service) fresh(now time.Time) {
 	s.mu.Lock()
 	s.used = now
--- a/entry/race.go
+++ b/entry/race.go
@@ -160,12 +160,25 @@
 		return nil
 	}
 	server := s.pool.Pick(now, s.rng, r.tried)
-	if !s.pool.Spare(now, server) || !s.hedges.Take(now, 1) {
+	if r.most > 0 && r.reached+1 >= r.most {
+		return nil // The first attempt may reach its server.
+	}
+	if !s.pool.Spare(now, server) || !s.payHedge(now) {
 		return nil
 	}
+	r.reached++
 	return r.begin(now, server)
 }
 
+// payHedge pays for a second attempt, from the budget of retries too if that
+// counts what reaches servers. It is called with the lock held.
+func (s *service) payHedge(now time.Time) bool {
+	if s.budget.Bound == (retry.Bound{}) {
+		return s.hedges.Take(now, 1)
+	}
+	return s.budget.Take(now, 1)
+}
+
 // dropLoser gives up an attempt that is no longer needed. That it has taken so
 // long already says something of its server.
 func (e *Entry) dropLoser(r *request, a *attempt) {
--- a/entry/reply.go
+++ b/entry/reply.go
@@ -27,6 +27,9 @@
 	statusBadRequest  = "http_request_error"
 )
 
+// noServerRetry is when to come back to a service without any server.
+const noServerRetry = 200 * time.Millisecond
+
 // failure is an answer of the node itself.
 type failure struct {
 	status     int
@@ -90,7 +93,7 @@
 			outcome:    header.NotRun,
 			proxyError: statusUnavailable,
 			detail:     "no backend server of the service takes new work",
-			retryAfter: time.Second,
+			retryAfter: noServerRetry,
 		}
 	}
 	if res.mayHaveRun {
@@ -142,17 +145,22 @@
 	default:
 		e.Counters.Unknown.Add(1)
 	}
-	f.write(ctx)
+	f.write(ctx, e.settings.Dialect.Exact)
 }
 
-func (f failure) write(ctx *fasthttp.RequestCtx) {
+// write fills in the answer; exact gives Retry-After in fractions of a second.
+func (f failure) write(ctx *fasthttp.RequestCtx, exact bool) {
 	ctx.Response.SetStatusCode(f.status)
 	h := &ctx.Response.Header
 	h.SetContentType("text/plain; charset=utf-8")
 	h.Set(header.Outcome, f.outcome)
 	h.Set(header.ProxyStatus, proxyName+"; error="+f.proxyError+"; details="+strconv.Quote(f.detail))
 	if f.retryAfter > 0 {
-		h.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(int(math.Ceil(f.retryAfter.Seconds()))))
+		seconds := strconv.Itoa(int(math.Ceil(f.retryAfter.Seconds())))
+		if exact {
+			seconds = strconv.FormatFloat(f.retryAfter.Seconds(), 'f', 3, 64)
+		}
+		h.Set(fasthttp.HeaderRetryAfter, seconds)
 		h.Set(header.RetryAfterMs, strconv.FormatInt(max(f.retryAfter.Milliseconds(), 1), 10))
 	}
 	if f.noRetry {
@@ -179,5 +187,5 @@
 	if status == fasthttp.StatusNotFound {
 		proxyError = statusNotFound
 	}
-	failure{status: status, outcome: header.NotRun, proxyError: proxyError, detail: fault}.write(ctx)
+	failure{status: status, outcome: header.NotRun, proxyError: proxyError, detail: fault}.write(ctx, false)
 }
--- a/entry/request.go
+++ b/entry/request.go
@@ -24,6 +24,9 @@
 	service  *service
 	began    time.Time
 	deadline time.Time
+	// refuseBy is until when the request may wait for room; zero leaves it to
+	// the gates.
+	refuseBy time.Time
 	body     *body
 	// message is what is sent to gates; each attempt sends a copy.
 	message wire.Request
@@ -31,6 +34,9 @@
 	attempts int
 	tried    balance.Tried
 	hedged   bool
+	// reached counts the servers that the request came to, of at most most; 0
+	// leaves them to the rules of retries.
+	reached, most int
 	// mayHaveRun says that some attempt may have run the request.
 	mayHaveRun bool
 }
@@ -49,23 +55,31 @@
 
 // newRequest reads what the caller wants. The string is a fault to tell the
 // caller, or blank.
-func (e *Entry) newRequest(ctx *fasthttp.RequestCtx, s *service) (*request, string) {
+func (e *Entry) newRequest(ctx *fasthttp.RequestCtx, s *service, route *table.Route) (*request, string) {
 	s.mu.Lock()
 	policy := s.policy
 	s.mu.Unlock()
 	h := &ctx.Request.Header
-	budget, fault := budgetOf(h, policy, e.settings.MaxDeadline)
+	dialect := &e.settings.Dialect
+	if route != nil {
+		policy.Deadline = route.Timeout
+	}
+	budget, fault := budgetOf(h, dialect, policy, e.settings.MaxDeadline)
 	if fault != "" {
 		return nil, fault
 	}
-	priority, fault := priorityOf(h, policy)
+	priority, fault := priorityOf(h, dialect, policy)
 	if fault != "" {
 		return nil, fault
 	}
-	repeatable, fault := repeatableOf(h, policy)
+	repeatable, fault := repeatableOf(h, dialect, policy)
 	if fault != "" {
 		return nil, fault
 	}
+	if route != nil {
+		priority, repeatable = route.Priority, route.Repeatable
+		budget = min(budget, route.Timeout)
+	}
 	began := ctx.Time()
 	r := &request{
 		ctx:      ctx,
@@ -78,29 +92,47 @@
 			Service:    s.name,
 			Method:     string(h.Method()),
 			URI:        string(ctx.Request.RequestURI()),
-			Header:     header.FromRequest(h),
+			Header:     dialect.FromRequest(h),
 			Repeatable: repeatable,
 			Priority:   uint8(priority),
+			Caller:     e.settings.Caller,
 		},
 	}
+	if dialect.Strict() {
+		r.message.Tag = string(h.Peek(dialect.RequestID))
+	}
+	if route != nil {
+		r.most = route.Attempts
+		r.refuseBy = began.Add(route.Aim / refuseShare)
+	}
 	return r, ""
 }
 
-func budgetOf(h *fasthttp.RequestHeader, policy table.Policy, most time.Duration) (time.Duration, string) {
-	text := string(h.Peek(header.Deadline))
+// refuseShare is the part of a route's aim within which a request that finds no
+// room is refused: early enough for its caller to come back within the aim.
+const refuseShare = 4
+
+func budgetOf(h *fasthttp.RequestHeader, dialect *header.Dialect, policy table.Policy, most time.Duration) (time.Duration, string) {
+	text := string(h.Peek(dialect.Deadline))
 	if text == "" {
 		return policy.Deadline, ""
 	}
 	ms, err := strconv.ParseFloat(text, 64)
+	if err == nil && dialect.Exact && ms > 0 {
+		ms = min(ms, float64(most.Milliseconds()))
+	}
 	if err != nil || !(ms > 0 && ms <= float64(most.Milliseconds())) {
-		return 0, header.Deadline + " must be a number of milliseconds above 0 and at most " +
+		return 0, dialect.Deadline + " must be a number of milliseconds above 0 and at most " +
 			strconv.FormatInt(most.Milliseconds(), 10)
 	}
 	return time.Duration(ms * float64(time.Millisecond)), ""
 }
 
-func priorityOf(h *fasthttp.RequestHeader, policy table.Policy) (table.Priority, string) {
-	text := string(h.Peek(header.Priority))
+func priorityOf(h *fasthttp.RequestHeader, dialect *header.Dialect, policy table.Policy) (table.Priority, string) {
+	text := ""
+	if dialect.Priority != "" {
+		text = string(h.Peek(dialect.Priority))
+	}
 	if text == "" {
 		return policy.Priority, ""
 	}
@@ -111,8 +143,12 @@
 	return priority, ""
 }
 
-func repeatableOf(h *fasthttp.RequestHeader, policy table.Policy) (bool, string) {
-	switch string(h.Peek(header.Repeatable)) {
+func repeatableOf(h *fasthttp.RequestHeader, dialect *header.Dialect, policy table.Policy) (bool, string) {
+	text := ""
+	if dialect.Repeatable != "" {
+		text = string(h.Peek(dialect.Repeatable))
+	}
+	switch text {
 	case header.Yes:
 		return true, ""
 	case header.No:
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -7,8 +7,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/ryehaven/ryehaven/admit"
 	"github.com/ryehaven/ryehaven/backend"
+	"github.com/ryehaven/ryehaven/header"
 	"github.com/ryehaven/ryehaven/measure"
 	"github.com/ryehaven/ryehaven/peer"
 	"github.com/ryehaven/ryehaven/table"
@@ -47,6 +50,17 @@
 	// cannot meet its deadline, for comparison.
 	FixedLimit      bool
 	NoDeadlineBound bool
+	// Dialect is spoken with the server.
+	Dialect header.Dialect
+	// News is called when the gate has something to tell entries at once; it
+	// must not wait and may be nil.
+	News func()
+	// WrongServer is called when another server than the row's answers at its
+	// address; it must not wait and may be nil.
+	WrongServer func(name string)
+	// MeasureAfter is how long after the last answer the server is measured,
+	// while there is demand; 0 measures whenever the budget allows it.
+	MeasureAfter time.Duration
 	// FailedBelow reports whether a request that this host sent on to another
 	// service has failed since a time; it may be nil. A server error is then
 	// taken for the echo of that failure, which was retried already.
@@ -72,6 +86,7 @@
 	Counters Counters
 
 	settings Settings
+	name     string
 	server   *backend.Pool
 
 	mu         sync.Mutex
@@ -83,14 +98,22 @@
 	seq        uint64
 	bucket     measure.Bucket
 	measuring  bool
-	// saidStalled is what entries were told last.
-	saidStalled bool
+	// saidStalled and saidSlowness are what entries were told last.
+	saidStalled  bool
+	saidSlowness int
+	// slowness is what the server said last, at toldAt.
+	slowness  int
+	toldAt    time.Time
+	coldUntil time.Time
+	// asked is when the last request came.
+	asked time.Time
 }
 
 // New returns a gate for a row.
 func New(row table.Server, settings Settings) *Gate {
 	g := &Gate{
 		settings: settings,
+		name:     row.Name,
 		server: &backend.Pool{
 			Address:   row.Address,
 			MaxConns:  row.Connections,
@@ -168,7 +191,56 @@
 		ServiceMicros: g.queue.Service().Microseconds(),
 		Draining:      g.drain != 0,
 		StalledMicros: g.queue.Stalled(time.Now()).Microseconds(),
+		Slowness:      g.slownessNow(time.Now()),
+	}
+}
+
+// coldFactor is how much slower a server is taken to be while it says that it
+// is cold; servers tell for how long but not how much.
+const coldFactor = 2
+
+// slownessNow is called with the lock held.
+func (g *Gate) slownessNow(now time.Time) int {
+	if now.Before(g.coldUntil) {
+		return coldFactor * g.slowness
 	}
+	return g.slowness
+}
+
+// SetCold says until when the server is slow after its start.
+func (g *Gate) SetCold(until time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.coldUntil = until
+}
+
+// learn takes what the server's answer tells of its state.
+func (g *Gate) learn(answer *fasthttp.ResponseHeader) {
+	if g.settings.Dialect.Load == "" {
+		return
+	}
+	load, ok := header.ParseLoad(string(answer.Peek(g.settings.Dialect.Load)))
+	if !ok || load.Slowness == 0 {
+		return
+	}
+	g.mu.Lock()
+	g.slowness = load.Slowness
+	g.toldAt = time.Now()
+	news := g.newsOfSlowness(g.toldAt)
+	g.mu.Unlock()
+	if news && g.settings.News != nil {
+		g.settings.News()
+	}
+}
+
+// newsFactor is by how much the slowness must have changed to be told.
+const newsFactor = 1.3
+
+// newsOfSlowness reports whether entries must hear of the server's slowness. It
+// is called with the lock held.
+func (g *Gate) newsOfSlowness(now time.Time) bool {
+	slowness, said := float64(g.slownessNow(now)), float64(g.saidSlowness)
+	return slowness != said && (slowness > newsFactor*said || newsFactor*slowness < said)
 }
 
 // Notice returns what entries must hear unasked: that the server has stalled,
@@ -177,10 +249,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	stalled := g.queue.Stalled(now) > 0
-	if stalled == g.saidStalled {
+	if stalled == g.saidStalled && !g.newsOfSlowness(now) {
 		return nil, false
 	}
 	g.saidStalled = stalled
+	g.saidSlowness = g.slownessNow(now)
 	return &wire.Notice{Service: g.row.Service, Server: g.row.Name, Load: g.load()}, true
 }
 
@@ -197,10 +270,12 @@
 	j := &job{gate: g, stream: s}
 	j.ticket.Deadline = s.Deadline
 	j.ticket.Patient = s.Request.Patient
+	j.ticket.MaxWait = time.Duration(s.Request.WaitMicros) * time.Microsecond
 	j.ticket.Priority = min(table.Priority(s.Request.Priority), table.Bulk)
 	g.mu.Lock()
 	j.ticket.Value = j
 	g.jobs[s] = j
+	g.asked = s.Received
 	evicted := g.queue.Offer(time.Now(), &j.ticket)
 	left := []*admit.Ticket{&j.ticket}
 	if evicted != nil {
--- a/gate/job.go
+++ b/gate/job.go
@@ -47,32 +47,62 @@
 // run takes a dispatched job to its end.
 func (j *job) run() {
 	j.began = time.Now()
-	exchange, reason := j.open()
-	if reason != 0 {
-		j.finishRefused(reason)
-		return
-	}
 	request := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(request)
 	j.fill(request)
-	err := exchange.Send(request, j.sendLimit())
-	if err != nil {
+	exchange, reason, err := j.send(request)
+	if exchange != nil {
+		defer exchange.Release(func() { fasthttp.ReleaseRequest(request) })
+	}
+	switch {
+	case reason != 0:
+		j.finishRefused(reason)
+		return
+	case err != nil:
 		exchange.Finish(false)
 		j.finishReset(err)
 		return
 	}
-	if j.isShed(&exchange.Response) {
+	j.gate.learn(&exchange.Response.Header)
+	switch kind, fault := j.judge(&exchange.Response); kind {
+	case notRun:
 		exchange.Finish(false)
 		j.finishRefused(wire.ReasonShed)
-		return
+	case wrongServer:
+		exchange.Finish(false)
+		j.gate.wrongServer()
+		j.finishRefused(wire.ReasonNoServer)
+	case noAnswer:
+		exchange.Finish(false)
+		j.finishReset(fault)
+	default:
+		j.answer(exchange)
+	}
+}
+
+// send opens an exchange and hands the request over. A repeatable request on a
+// kept connection that the server had closed already is sent once more.
+func (j *job) send(request *fasthttp.Request) (*backend.Exchange, wire.Reason, error) {
+	fresh := !j.stream.Request.Repeatable
+	for {
+		exchange, reason := j.open(fresh)
+		if reason != 0 {
+			return nil, reason, nil
+		}
+		dialect := &j.gate.settings.Dialect
+		exchange.TagField, exchange.Tag = dialect.RequestID, j.stream.Request.Tag
+		err := exchange.Send(request, j.sendLimit())
+		if fresh || !eris.Is(err, backend.ErrStale) || !j.stream.Request.Last {
+			return exchange, 0, err
+		}
+		exchange.Finish(false)
+		fresh = true
 	}
-	j.answer(exchange)
 }
 
 // open gets a connection and, under the gate's lock, makes the one decision
 // whether the request is handed over. It returns a reason when it is not.
-func (j *job) open() (*backend.Exchange, wire.Reason) {
-	exchange, err := j.gate.server.Open(!j.stream.Request.Repeatable)
+func (j *job) open(fresh bool) (*backend.Exchange, wire.Reason) {
+	exchange, err := j.gate.server.Open(fresh)
 	if err != nil {
 		return nil, wire.ReasonConnect
 	}
@@ -117,8 +147,15 @@
 	if len(r.Header.Host()) == 0 {
 		r.Header.SetHost(m.Service)
 	}
+	dialect := &j.gate.settings.Dialect
 	left := max(time.Until(j.stream.Deadline).Milliseconds(), 1)
-	r.Header.Set(header.Deadline, strconv.FormatInt(left, 10))
+	r.Header.Set(dialect.Deadline, strconv.FormatInt(left, 10))
+	if dialect.Caller != "" && m.Caller != "" {
+		r.Header.Set(dialect.Caller, m.Caller)
+	}
+	if dialect.ExpectServer != "" {
+		r.Header.Set(dialect.ExpectServer, m.Server)
+	}
 	switch {
 	case m.Last:
 		r.SetBodyRaw(m.Body)
@@ -127,6 +164,54 @@
 	}
 }
 
+// verdict is what an answer of the server is worth.
+type verdict int
+
+const (
+	// ownAnswer is passed on.
+	ownAnswer verdict = iota
+	// notRun says that the server turned the request away.
+	notRun
+	// wrongServer says that another server than the expected one is there.
+	wrongServer
+	// noAnswer is not the server's word to the caller, and the request may have
+	// run.
+	noAnswer
+)
+
+// Faults of answers that are not passed on.
+var (
+	errNoSeal  = eris.New("success of backend server has no seal")
+	errEncoded = eris.New("answer of backend server is encoded although nobody asked for that")
+	errPromise = eris.New("backend server gave a status that would promise too much")
+)
+
+// judge tells what an answer is worth.
+func (j *job) judge(r *fasthttp.Response) (verdict, error) {
+	dialect := &j.gate.settings.Dialect
+	if !dialect.Strict() {
+		if j.isShed(r) {
+			return notRun, nil
+		}
+		return ownAnswer, nil
+	}
+	status := r.StatusCode()
+	switch {
+	case status == fasthttp.StatusMisdirectedRequest:
+		return wrongServer, nil
+	case len(r.Header.Peek(dialect.NotRun)) > 0:
+		return notRun, nil
+	case status == fasthttp.StatusRequestTimeout, status == fasthttp.StatusTooManyRequests,
+		status == fasthttp.StatusServiceUnavailable:
+		return noAnswer, errPromise
+	case status < fasthttp.StatusInternalServerError && len(r.Header.Peek(dialect.Seal)) == 0:
+		return noAnswer, errNoSeal
+	case len(r.Header.Peek(fasthttp.HeaderContentEncoding)) > 0:
+		return noAnswer, errEncoded
+	}
+	return ownAnswer, nil
+}
+
 func (j *job) isShed(r *fasthttp.Response) bool {
 	j.gate.mu.Lock()
 	promised := j.gate.row.ShedNotRun
@@ -139,9 +224,8 @@
 // the slot is free, so that its load report leaves this request out.
 func (j *job) answer(exchange *backend.Exchange) {
 	response := j.head(&exchange.Response)
-	buf := make([]byte, firstRead(response.Length))
-	n, err := readFirst(exchange.Body(), buf)
-	response.Body = buf[:n]
+	first, err := readFirst(exchange.Body(), firstRead(response.Length))
+	response.Body = first
 	ok := response.Status < fasthttp.StatusInternalServerError
 	if err == io.EOF {
 		response.Last = true
@@ -166,36 +250,43 @@
 	j.gate.Counters.Answered.Add(1)
 }
 
+// maxFirst is up to which size an answer is read whole before its first frame
+// goes, so that one that breaks off can still be replaced by another server's.
+const maxFirst = 96 << 10
+
 // firstRead is how much of an answer is read before its first frame goes.
 func firstRead(length int64) int {
-	if length >= 0 && length < peer.MaxChunk {
+	if length >= 0 && length < maxFirst {
 		return int(length) + 1 // One more, to meet the end in the same read.
 	}
-	return peer.MaxChunk
+	return maxFirst
 }
 
-// readFirst fills buf as far as the body goes; io.EOF says that buf holds all
+// readFirst reads up to most bytes of a body; io.EOF says that it returned all
 // of it, and any other error that the body was cut short.
-func readFirst(body io.Reader, buf []byte) (int, error) {
+func readFirst(body io.Reader, most int) ([]byte, error) {
 	if body == nil {
-		return 0, io.EOF
+		return nil, io.EOF
 	}
+	buf := make([]byte, min(most, peer.MaxChunk))
 	n := 0
-	for n < len(buf) {
+	for {
 		read, err := body.Read(buf[n:])
 		n += read
-		if err != nil {
-			return n, err
+		if err != nil || n == most {
+			return buf[:n], err
+		}
+		if n == len(buf) {
+			buf = append(buf, make([]byte, min(most-n, n))...)
 		}
 	}
-	return n, nil
 }
 
 func (j *job) head(r *fasthttp.Response) *wire.Response {
 	status := r.StatusCode()
 	m := &wire.Response{
 		Status: status,
-		Header: header.FromResponse(&r.Header),
+		Header: j.gate.settings.Dialect.FromResponse(&r.Header),
 		Length: int64(r.Header.ContentLength()),
 		Load:   j.gate.Load(),
 	}
--- a/gate/measure.go
+++ b/gate/measure.go
@@ -3,15 +3,18 @@
 package gate
 
 import (
+	"io"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/ryehaven/ryehaven/measure"
+	"github.com/ryehaven/ryehaven/table"
 )
 
-// ReportPath is the path that the gate asks for a server's report.
-const ReportPath = "/ryehaven/report"
+// ReportPath is the path that the gate asks for a server's report unless its
+// row names another.
+const ReportPath = table.DefaultHealthPath
 
 // maxReport bounds the size of a report in bytes.
 const maxReport = 4 << 10
@@ -21,48 +24,77 @@
 func (g *Gate) Measure(now time.Time, limit time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.measuring || !g.bucket.Take(now) {
+	if g.measuring || !g.wantsMeasure(now) || !g.bucket.Take(now) {
 		return
 	}
 	g.measuring = true
-	service := g.row.Service
-	go g.measure(service, limit)
+	row := g.row
+	go g.measure(row, limit)
 }
 
-func (g *Gate) measure(service string, limit time.Duration) {
+// demandFor is how long after a request there is demand for measuring.
+const demandFor = time.Second
+
+// wantsMeasure reports whether a measuring call would tell anything that an
+// answer has not. It is called with the lock held.
+func (g *Gate) wantsMeasure(now time.Time) bool {
+	after := g.settings.MeasureAfter
+	if after == 0 {
+		return true
+	}
+	return g.drain == 0 && now.Sub(g.asked) < demandFor && now.Sub(g.toldAt) >= after
+}
+
+// wrongServer takes note that another server answers at the address.
+func (g *Gate) wrongServer() {
+	if g.settings.WrongServer != nil {
+		g.settings.WrongServer(g.name)
+	}
+}
+
+func (g *Gate) measure(row table.Server, limit time.Duration) {
 	defer func() {
 		g.mu.Lock()
 		g.measuring = false
 		g.mu.Unlock()
 	}()
 	g.Counters.Measured.Add(1)
-	report, ok := g.askReport(service, limit)
+	report, ok := g.askReport(row, limit)
 	if !ok {
 		g.Counters.MeasureFailed.Add(1)
 		return
 	}
-	g.SetDrain(DrainServer, report.Draining, time.Now())
+	if !g.settings.Dialect.Strict() {
+		g.SetDrain(DrainServer, report.Draining, time.Now())
+	}
 }
 
-func (g *Gate) askReport(service string, limit time.Duration) (measure.Report, bool) {
+func (g *Gate) askReport(row table.Server, limit time.Duration) (measure.Report, bool) {
 	exchange, err := g.server.Open(false)
 	if err != nil {
 		return measure.Report{}, false
 	}
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
-	request.SetRequestURI(ReportPath)
-	request.Header.SetHost(service)
+	request.SetRequestURI(row.HealthPath)
+	request.Header.SetHost(row.Service)
 	if err := exchange.Send(request, time.Now().Add(limit)); err != nil {
 		exchange.Finish(false)
 		return measure.Report{}, false
 	}
-	buf := make([]byte, maxReport)
-	n, err := readFirst(exchange.Body(), buf)
-	whole := err != nil && n < maxReport
+	body, err := readFirst(exchange.Body(), maxReport)
+	whole := err == io.EOF
+	g.learn(&exchange.Response.Header)
+	dialect := &g.settings.Dialect
+	if id := exchange.Response.Header.Peek(dialect.ServerID); dialect.Strict() && len(id) > 0 && string(id) != row.Name {
+		g.wrongServer()
+	}
 	exchange.Finish(whole)
 	if !whole || exchange.Response.StatusCode() != fasthttp.StatusOK {
 		return measure.Report{}, false
 	}
-	return measure.Parse(buf[:n])
+	if dialect.Strict() {
+		return measure.Report{}, true // The header fields have told everything.
+	}
+	return measure.Parse(body)
 }
--- /dev/null
+++ b/header/dialect_test.go
@@ -0,0 +1,48 @@
+// SPDX-License-Identifier: MIT
+
+package header
+
+import (
+	"testing"
+
+	"github.com/valyala/fasthttp"
+)
+
+func TestParseLoad(t *testing.T) {
+	tests := []struct {
+		text string
+		want Load
+		ok   bool
+	}{
+		{"3,0,8", Load{3, 0, 8, 0}, true},
+		{"3, 1, 8, 400", Load{3, 1, 8, 400}, true},
+		{"", Load{}, false},
+		{"3,0", Load{}, false},
+		{"3,0,8,-1", Load{}, false},
+		{"3,0,8,x", Load{}, false},
+		{"3,0,8,NaN", Load{}, false},
+		{"1,2,3,4,5", Load{}, false},
+	}
+	for _, test := range tests {
+		if got, ok := ParseLoad(test.text); got != test.want || ok != test.ok {
+			t.Errorf("%q is %+v, %t", test.text, got, ok)
+		}
+	}
+}
+
+// What nodes say themselves is never taken from a caller.
+func TestForgedFieldsEndAtTheNode(t *testing.T) {
+	d := Dialect{Deadline: "X-D", RequestID: "X-Id", Caller: "X-Caller", ExpectServer: "X-Expect", NotRun: "X-Not", Load: "X-Load"}
+	d.Prepare()
+	var h fasthttp.RequestHeader
+	for _, name := range []string{"X-D", "X-Id", "X-Caller", "X-Expect", "X-Not", "X-Load", "X-Other", "Connection"} {
+		h.Add(name, "v")
+	}
+	passed := map[string]bool{}
+	for _, f := range d.FromRequest(&h) {
+		passed[f.Name] = true
+	}
+	if len(passed) != 2 || !passed["X-Id"] || !passed["X-Other"] {
+		t.Errorf("passed on: %v", passed)
+	}
+}
--- a/header/header.go
+++ b/header/header.go
@@ -7,6 +7,7 @@
 package header
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/valyala/fasthttp"
@@ -71,11 +72,11 @@
 
 // fields collects what is passed on of a message. named is the message's
 // Connection field, whose listed fields end here too.
-func fields(all func(func(name, value []byte) bool), named string) []wire.Field {
+func fields(all func(func(name, value []byte) bool), named string, ours []string) []wire.Field {
 	passed := make([]wire.Field, 0, 8)
 	for name, value := range all {
 		lower := strings.ToLower(string(name))
-		if hopByHop[lower] || strings.HasPrefix(lower, prefix) || listed(named, lower) {
+		if hopByHop[lower] || strings.HasPrefix(lower, prefix) || listed(named, lower) || slices.Contains(ours, lower) {
 			continue
 		}
 		passed = append(passed, wire.Field{Name: string(name), Value: string(value)})
@@ -96,11 +97,11 @@
 }
 
 // FromRequest returns the fields of a caller's request that are passed on.
-func FromRequest(h *fasthttp.RequestHeader) []wire.Field {
-	return fields(h.All(), string(h.Peek("Connection")))
+func (d *Dialect) FromRequest(h *fasthttp.RequestHeader) []wire.Field {
+	return fields(h.All(), string(h.Peek("Connection")), d.requestFields())
 }
 
 // FromResponse returns the fields of a server's answer that are passed on.
-func FromResponse(h *fasthttp.ResponseHeader) []wire.Field {
-	return fields(h.All(), string(h.Peek("Connection")))
+func (d *Dialect) FromResponse(h *fasthttp.ResponseHeader) []wire.Field {
+	return fields(h.All(), string(h.Peek("Connection")), d.answerFields())
 }
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -13,20 +13,36 @@
 // bytes that were not read yet. It never waits and takes no lock that a
 // reader of the connection holds.
 func PeerOpen(c net.Conn) bool {
+	waiting, bytes := look(c)
+	return waiting || bytes
+}
+
+// Quiet reports whether the connection is open and the other side has sent
+// nothing that was not read yet. It never waits.
+func Quiet(c net.Conn) bool {
+	waiting, _ := look(c)
+	return waiting
+}
+
+// look reports whether a read would wait, or find bytes; neither means that
+// the connection has ended.
+func look(c net.Conn) (waiting, bytes bool) {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
-		return true
+		return true, false
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return false, false
 	}
-	open := true
 	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, errno := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		waiting := errno == syscall.EAGAIN || errno == syscall.EINTR
-		open = waiting || (errno == nil && n > 0)
+		waiting = errno == syscall.EAGAIN || errno == syscall.EINTR
+		bytes = errno == nil && n > 0
 	})
-	return err == nil && open
+	if err != nil {
+		return false, false
+	}
+	return waiting, bytes
 }
--- a/node/apply.go
+++ b/node/apply.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/ryehaven/ryehaven/balance"
 	"github.com/ryehaven/ryehaven/entry"
 	"github.com/ryehaven/ryehaven/gate"
 	"github.com/ryehaven/ryehaven/member"
@@ -29,6 +30,7 @@
 func (n *Node) viewChanged() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.rememberServer()
 	if n.applied != nil {
 		n.refresh()
 	}
@@ -48,13 +50,17 @@
 			records[r.Host] = r
 		}
 	})
-	n.entry.Update(now, n.applied.Table, func(s *table.Server) (entry.Place, bool) {
-		r, ok := records[s.Host]
-		return entry.Place{
-			Node:     r.Address,
-			Distance: n.distance(self, r),
-			Leaving:  r.State != member.Live,
-		}, ok
+	n.entry.Update(now, n.applied.Table, entry.Sources{
+		Place: func(s *table.Server) (entry.Place, bool) {
+			r, ok := records[s.Host]
+			return entry.Place{
+				Node:     r.Address,
+				Distance: n.distance(self, r),
+				Leaving:  r.State != member.Live,
+			}, ok
+		},
+		Announced: func(service string) []balance.Spec { return n.announced(self, records, service) },
+		Nodes:     len(records),
 	})
 	n.refreshGates(now, leaving)
 }
@@ -74,6 +80,9 @@
 	for _, row := range n.applied.Table.OnHost(n.settings.Host) {
 		rows[gateKey{row.Service, row.Name}] = *row
 	}
+	if key, row, ok := n.announcedRow(); ok {
+		rows[key] = row
+	}
 	for key, g := range n.gates {
 		row, ok := rows[key]
 		if !ok || row.Address != g.Address() {
@@ -89,6 +98,7 @@
 			n.gates[key] = g
 		}
 		g.Configure(row, now)
+		g.SetCold(n.registry.ColdUntil())
 		g.SetDrain(gate.DrainHost, hostLeaving, now)
 		g.SetDrain(gate.DrainNode, n.stopping.Load(), now)
 	}
--- a/node/doc.go
+++ b/node/doc.go
@@ -3,7 +3,7 @@
 // Package node is the one process of the system: an entry for callers, a gate
 // for each backend server of its host, and its part in spreading the table.
 //
-//	n, err := node.New(settings, log, client)
+//	n, err := node.New(settings, log, node.Options{Store: client})
 //	if err != nil { ... }
 //	err = n.Run(ctx) // Returns after a planned stop once ctx ends.
 //
--- a/node/node.go
+++ b/node/node.go
@@ -14,8 +14,10 @@
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
+	"github.com/ryehaven/ryehaven/announce"
 	"github.com/ryehaven/ryehaven/entry"
 	"github.com/ryehaven/ryehaven/gate"
+	"github.com/ryehaven/ryehaven/header"
 	"github.com/ryehaven/ryehaven/member"
 	"github.com/ryehaven/ryehaven/metric"
 	"github.com/ryehaven/ryehaven/peer"
@@ -75,10 +77,13 @@
 	wake      chan struct{}
 	openConns atomic.Int64
 
-	mu      sync.Mutex
-	applied *table.Snapshot
-	gates   map[gateKey]*gate.Gate
-	retired []*gate.Gate
+	dialect header.Dialect
+
+	mu       sync.Mutex
+	registry announce.Registry
+	applied  *table.Snapshot
+	gates    map[gateKey]*gate.Gate
+	retired  []*gate.Gate
 }
 
 // gateKey names a backend server.
@@ -87,17 +92,38 @@
 	server  string
 }
 
-// New opens a node's listeners. client may be nil for a node without a
-// platform.
-func New(s settings.Settings, log *zap.Logger, client store.Client) (*Node, error) {
+// Options are what a node is put together with beside its settings.
+type Options struct {
+	// Store may be nil for a node that learns everything from others.
+	Store store.Client
+	// Dialect is spoken with callers and servers; the zero value stands for
+	// header.Own.
+	Dialect header.Dialect
+}
+
+// New opens a node's listeners.
+func New(s settings.Settings, log *zap.Logger, options Options) (*Node, error) {
 	n := &Node{settings: s, log: log.With(zap.String("host", s.Host)), gates: map[gateKey]*gate.Gate{}, wake: make(chan struct{}, 1)}
+	n.dialect = options.Dialect
+	if n.dialect.Deadline == "" {
+		n.dialect = header.Own()
+	}
+	n.dialect.Prepare()
+	n.registry.Service = s.Sidecar.Service
 	if err := n.listen(); err != nil {
 		n.closeListeners()
 		return nil, err
 	}
 	incarnation := uint64(time.Now().UnixMilli())
 	self := peer.Identity{Host: s.Host, Incarnation: incarnation, Key: []byte(s.Peers.Key)}
-	n.dialer = &peer.Dialer{Self: self, Counters: &n.counters, Limit: connectLimit, IdleLimit: peerIdleLimit}
+	n.dialer = &peer.Dialer{
+		Self:         self,
+		Counters:     &n.counters,
+		Limit:        connectLimit,
+		IdleLimit:    peerIdleLimit,
+		PingAfter:    s.Peers.PingAfter,
+		SuspectAfter: s.Peers.SuspectAfter,
+	}
 	n.peerServer = &peer.Server{
 		Self:           self,
 		Counters:       &n.counters,
@@ -109,7 +135,9 @@
 	n.dialer.OnNotice = n.entry.Notice
 	n.notices = rate.NewLimiter(noticesPerSecond, noticesPerSecond)
 	n.holder = &spread.Holder{Log: n.log, OnTaken: n.apply}
-	n.spread = spread.New(spreadSettings(s), n.log, n.holder, member.NewView(n.record(incarnation)), n.dialer, client, n.viewChanged)
+	n.spread = spread.New(spreadSettings(s), n.log, n.holder, member.NewView(n.record(incarnation)), n.dialer, options.Store, n.viewChanged)
+	n.dialer.OnPeer = n.spread.Met
+	n.peerServer.OnPeer = n.spread.Heard
 	n.metrics = n.describe()
 	return n, nil
 }
@@ -165,6 +193,9 @@
 		MaxBody:           int64(n.settings.Limits.BodyBytes),
 		MaxDeadline:       n.settings.Limits.MaxDeadline,
 		NoTableRetryAfter: noTableRetry,
+		Dialect:           n.dialect,
+		Caller:            n.settings.Sidecar.Service,
+		Terms:             n.terms(),
 	}
 }
 
@@ -178,6 +209,10 @@
 		FixedLimit:      !n.settings.Experiment.AdaptiveLimit,
 		NoDeadlineBound: n.settings.Experiment.NoDeadlineBound,
 		FailedBelow:     n.entry.FailedSince,
+		Dialect:         n.dialect,
+		News:            n.wakeUp,
+		WrongServer:     func(name string) { go n.lostServer(name) },
+		MeasureAfter:    n.settings.Sidecar.MeasureAfter,
 	}
 }
 
@@ -185,15 +220,34 @@
 	return spread.Settings{
 		Seeds:               s.Peers.Seeds,
 		Interval:            time.Second,
+		Register:            s.Sidecar.Control != "",
 		AskLimit:            askLimit,
-		WatchWait:           2 * time.Second,
-		StaleAfter:          8 * time.Second,
+		WatchWait:           watchWait(s),
+		StaleAfter:          watchWait(s) + 6*time.Second,
 		PollEvery:           5 * time.Minute,
-		HostsEvery:          time.Second,
+		HostsEvery:          hostsEvery(s),
 		TableBytesPerSecond: tableBytesPerSecond,
 	}
 }
 
+// watchWait is how long a watch waits. A store that notifies of every change
+// prices each call, so the wait is long where nodes register themselves.
+func watchWait(s settings.Settings) time.Duration {
+	if s.Sidecar.Control != "" {
+		return 25 * time.Second
+	}
+	return 2 * time.Second
+}
+
+// hostsEvery is the time between two readings of the list of hosts. Where nodes
+// register themselves it only finds those that nobody has met.
+func hostsEvery(s settings.Settings) time.Duration {
+	if s.Sidecar.Control != "" {
+		return time.Minute
+	}
+	return time.Second
+}
+
 // CallerAddress returns the address that callers use.
 func (n *Node) CallerAddress() string { return n.callers.Addr().String() }
 
@@ -293,10 +347,15 @@
 // arrived wakes runTicks when a request comes to an idle node.
 func (n *Node) arrived() {
 	if n.idle.CompareAndSwap(true, false) {
-		select {
-		case n.wake <- struct{}{}:
-		default:
-		}
+		n.wakeUp()
+	}
+}
+
+// wakeUp makes runTicks look for news at once.
+func (n *Node) wakeUp() {
+	select {
+	case n.wake <- struct{}{}:
+	default:
 	}
 }
 
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -274,7 +274,7 @@
 	c.Listen = settings.Listen{Caller: "127.0.0.1:0", Peer: "127.0.0.1:0", Admin: "127.0.0.1:0"}
 	c.Peers.Key = site.Key
 	c.Limits.Idle = 100 * time.Millisecond
-	n, err := node.New(c, zap.NewNop(), nil)
+	n, err := node.New(c, zap.NewNop(), node.Options{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/node/sidecar.go
@@ -0,0 +1,160 @@
+// SPDX-License-Identifier: MIT
+
+package node
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ryehaven/ryehaven/announce"
+	"github.com/ryehaven/ryehaven/balance"
+	"github.com/ryehaven/ryehaven/member"
+	"github.com/ryehaven/ryehaven/retry"
+	"github.com/ryehaven/ryehaven/table"
+)
+
+// Announce takes what the backend server beside the node says of itself. Once
+// it returns, what was said is in force at this node's gate.
+func (n *Node) Announce(a announce.Announcement) error {
+	n.mu.Lock()
+	changed, err := n.registry.Announce(time.Now(), a)
+	if changed {
+		n.serverChanged("announced")
+	}
+	n.mu.Unlock()
+	if changed {
+		n.spread.Announce()
+	}
+	return err
+}
+
+// Leave takes a backend server's word that it is gone.
+func (n *Node) Leave(id string) {
+	n.mu.Lock()
+	changed := n.registry.Leave(id)
+	if changed {
+		n.serverChanged("left")
+	}
+	n.mu.Unlock()
+	if changed {
+		n.spread.Announce()
+	}
+}
+
+// lostServer takes note that another server answers in place of the current.
+func (n *Node) lostServer(id string) {
+	n.mu.Lock()
+	changed := n.registry.Lost(id)
+	if changed {
+		n.serverChanged("another server is at its address")
+	}
+	n.mu.Unlock()
+	if changed {
+		n.spread.Announce()
+	}
+}
+
+// rememberServer takes what other nodes remember of this node's server. It is
+// called with the lock held.
+func (n *Node) rememberServer() {
+	var past member.Record
+	n.spread.View(func(v *member.View) { past = v.Past() })
+	if past.Server.Service != n.settings.Sidecar.Service {
+		return
+	}
+	if n.registry.Remember(past.Server) {
+		n.serverChanged("remembered by other nodes")
+	}
+}
+
+// serverChanged puts the current server in force. It is called with the lock
+// held.
+func (n *Node) serverChanged(why string) {
+	current := n.registry.Current()
+	n.log.Info("backend server changed",
+		zap.String("id", current.ID),
+		zap.String("service", current.Service),
+		zap.Int("slots", current.Slots),
+		zap.Stringer("state", current.State),
+		zap.String("why", why))
+	n.spread.View(func(v *member.View) { v.SetServer(current) })
+	if n.applied != nil {
+		n.refresh()
+	}
+}
+
+// Ready reports whether the node takes callers' requests.
+func (n *Node) Ready() bool { return n.entry.Ready() && !n.stopping.Load() }
+
+// announced returns the servers of a service that the nodes tell of.
+func (n *Node) announced(self member.Record, records map[string]member.Record, service string) []balance.Spec {
+	var specs []balance.Spec
+	for _, r := range records {
+		if r.Server.ID == "" || r.Server.Service != service {
+			continue
+		}
+		spec := balance.Spec{
+			Name:     r.Server.ID,
+			Node:     r.Address,
+			Weight:   1,
+			Slots:    n.usedSlots(r.Server.Slots),
+			Distance: n.distance(self, r),
+			Leaving:  r.State != member.Live || r.Server.State != member.Live,
+		}
+		if r.Zone != self.Zone {
+			spec.Factor = n.settings.Distance.Factor
+		}
+		specs = append(specs, spec)
+	}
+	return specs
+}
+
+// usedSlots is how many of a server's slots its gate fills.
+func (n *Node) usedSlots(slots int) int {
+	return max(int(float64(slots)*n.settings.Sidecar.SlotShare), 1)
+}
+
+// announcedRow returns the row of the server that announced itself. It is
+// called with the lock held.
+func (n *Node) announcedRow() (gateKey, table.Server, bool) {
+	current := n.registry.Current()
+	if current.ID == "" {
+		return gateKey{}, table.Server{}, false
+	}
+	policy := table.DefaultPolicy()
+	if s := n.applied.Table.Service(current.Service); s != nil {
+		policy = s.Policy
+	}
+	policy.Slots = n.usedSlots(current.Slots)
+	policy.Queue = policy.Slots
+	if after := n.settings.Sidecar.MeasureAfter; after > 0 {
+		policy.MeasureRate = 1 / after.Seconds()
+	}
+	row := table.Server{
+		Policy:  policy,
+		Service: current.Service,
+		Name:    current.ID,
+		Host:    n.settings.Host,
+		Zone:    n.settings.Zone,
+		Address: n.settings.Sidecar.Server,
+		State:   table.Active,
+	}
+	if current.State != member.Live {
+		row.State = table.Leaving
+	}
+	return gateKey{current.Service, current.ID}, row, true
+}
+
+// mostSends bounds the sends of one request where the terms count what reaches
+// servers.
+const mostSends = 6
+
+// terms are the bounds on what reaches a second server.
+func (n *Node) terms() retry.Terms {
+	r := n.settings.Retries
+	if r.Window == 0 {
+		return retry.Terms{}
+	}
+	return retry.Terms{Share: r.Share, Extra: float64(r.Extra), Window: r.Window, MostSends: mostSends}
+}
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -222,7 +222,9 @@
 }
 
 // Check pings or suspects a peer that has outstanding work and is silent.
-func (c *Conn) Check(now time.Time) {
+func (c *Conn) Check(now time.Time) { c.check(now, PingAfter, SuspectAfter) }
+
+func (c *Conn) check(now time.Time, pingAfter, suspectAfter time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.err != nil || (len(c.calls) == 0 && !c.IsSuspected()) {
@@ -231,13 +233,13 @@
 	}
 	heard := c.opened.Add(time.Duration(c.lastReceived.Load()))
 	if !c.pingSent.IsZero() && heard.Before(c.pingSent) {
-		if now.Sub(c.pingSent) >= SuspectAfter {
+		if now.Sub(c.pingSent) >= suspectAfter {
 			c.suspect()
 		}
 		return
 	}
 	c.pingSent = time.Time{}
-	if now.Sub(heard) >= PingAfter && now.Sub(c.busySince) >= PingAfter {
+	if now.Sub(heard) >= pingAfter && now.Sub(c.busySince) >= pingAfter {
 		c.pingSent = now
 		_ = c.w.send(&wire.Ping{Seq: uint64(now.UnixNano())})
 	}
--- a/peer/dialer.go
+++ b/peer/dialer.go
@@ -25,6 +25,11 @@
 	Limit time.Duration
 	// IdleLimit is how long a connection is kept without use.
 	IdleLimit time.Duration
+	// PingAfter and SuspectAfter replace the constants of that name unless 0.
+	PingAfter, SuspectAfter time.Duration
+	// OnPeer is called, in a goroutine of its own, with each node to which a
+	// connection was opened; it may be nil.
+	OnPeer func(who Identity, address string)
 	// OnNotice is called with what gates tell unasked; it must not wait and
 	// may be nil.
 	OnNotice func(n *wire.Notice)
@@ -118,6 +123,9 @@
 	if err == nil {
 		s.conn, err = openConn(nc, d.Self, d.Counters, d.Limit, d.OnNotice)
 	}
+	if err == nil && d.OnPeer != nil {
+		go d.OnPeer(s.conn.Peer, address)
+	}
 	if err != nil {
 		d.Counters.DialFailures.Add(1)
 		s.err = eris.Wrapf(err, "connect to node at %s", address)
@@ -129,7 +137,8 @@
 // node itself was held up, and then it suspects nobody in that round.
 func (d *Dialer) Check(now time.Time) {
 	d.mu.Lock()
-	heldUp := !d.lastCheck.IsZero() && now.Sub(d.lastCheck) >= PingAfter+PingAfter/2
+	pingAfter, suspectAfter := d.watchTimes()
+	heldUp := !d.lastCheck.IsZero() && now.Sub(d.lastCheck) >= pingAfter+pingAfter/2
 	d.lastCheck = now
 	conns := make([]*Conn, 0, len(d.slots))
 	for address, s := range d.slots {
@@ -146,13 +155,24 @@
 		if heldUp {
 			conn.Excuse()
 		}
-		conn.Check(now)
+		conn.check(now, pingAfter, suspectAfter)
 		if idle := conn.idleSince(); !idle.IsZero() && now.Sub(idle) > d.IdleLimit {
 			conn.Close()
 		}
 	}
 }
 
+func (d *Dialer) watchTimes() (pingAfter, suspectAfter time.Duration) {
+	pingAfter, suspectAfter = d.PingAfter, d.SuspectAfter
+	if pingAfter == 0 {
+		pingAfter = PingAfter
+	}
+	if suspectAfter == 0 {
+		suspectAfter = SuspectAfter
+	}
+	return pingAfter, suspectAfter
+}
+
 func (s *slot) opened() *Conn {
 	select {
 	case <-s.ready:
--- a/peer/server.go
+++ b/peer/server.go
@@ -36,6 +36,9 @@
 	HandshakeLimit time.Duration
 	// MaxConns bounds the open connections.
 	MaxConns int
+	// OnPeer is called, in a goroutine of its own, with each node that opened a
+	// connection; it may be nil.
+	OnPeer func(who Identity)
 
 	mu     sync.Mutex
 	conns  map[*accepted]struct{}
@@ -101,6 +104,9 @@
 		return
 	}
 	a.peer = peer
+	if s.OnPeer != nil {
+		go s.OnPeer(peer)
+	}
 	a.age.start(began, time.Now())
 	s.Counters.Accepted.Add(1)
 	defer s.Counters.Accepted.Add(-1)
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -39,12 +39,56 @@
 	Replayable bool
 	// Attempts is the number of attempts so far, at least 1.
 	Attempts int
+	// Most bounds Attempts; 0 means MaxAttempts.
+	Most int
 	// Others is the number of servers not tried that are not known to be full.
 	Others int
 	// Left is what remains of the request's deadline.
 	Left time.Duration
 }
 
+// Terms are a deployment's bounds on what reaches a second server. The zero
+// value leaves them to the table's share and to MaxAttempts.
+type Terms struct {
+	// Share is the most that may reach another server, as a share of the fresh
+	// requests of a service within Window, beside Extra, over all nodes.
+	Share  float64
+	Extra  float64
+	Window time.Duration
+	// MostSends bounds the sends of one request, with those refused before they
+	// reached a server; 0 means MaxAttempts.
+	MostSends int
+}
+
+// Counted reports whether the terms count what reaches servers.
+func (t Terms) Counted() bool { return t.Window > 0 }
+
+// margin is the part of the terms that is used: nodes come and go, and each
+// knows only its own requests.
+const margin = 0.5
+
+// Split returns one node's part of the terms among nodes.
+func (t Terms) Split(nodes int) Bound {
+	if !t.Counted() {
+		return Bound{}
+	}
+	return Bound{
+		Share:     margin * t.Share,
+		PerSecond: margin * t.Extra / t.Window.Seconds() / float64(max(nodes, 1)),
+		Most:      max(margin*t.Extra/float64(max(nodes, 1)), 1),
+	}
+}
+
+// Bound is one node's part of Terms; the zero value is none.
+type Bound struct {
+	// Share is what each fresh request pays for.
+	Share float64
+	// PerSecond is allowed without any fresh request.
+	PerSecond float64
+	// Most bounds what a quiet time saves up.
+	Most float64
+}
+
 // MaxAttempts bounds the attempts for one request.
 const MaxAttempts = 4
 
@@ -54,7 +98,11 @@
 // Again reports whether the rules allow another attempt; the budget is asked
 // separately.
 func Again(a Attempt) bool {
-	if !a.Replayable || a.Attempts >= MaxAttempts || a.Left < minLeft || a.Others <= 0 {
+	most := a.Most
+	if most == 0 {
+		most = MaxAttempts
+	}
+	if !a.Replayable || a.Attempts >= most || a.Left < minLeft || a.Others <= 0 {
 		return false
 	}
 	switch a.Outcome {
@@ -73,6 +121,8 @@
 type Budget struct {
 	// Share is how many retries each fresh request pays for.
 	Share float64
+	// Bound replaces Share and the constants below unless it is zero.
+	Bound Bound
 
 	tokens float64
 	filled time.Time
@@ -90,7 +140,17 @@
 // Fresh takes note of a fresh request.
 func (b *Budget) Fresh(now time.Time) {
 	b.fill(now)
-	b.tokens = min(b.tokens+b.Share, MaxTokens)
+	share, _, most := b.rates()
+	b.tokens = min(b.tokens+share, most)
+}
+
+// rates returns what a fresh request and a second pay for, and the most that is
+// saved up.
+func (b *Budget) rates() (share, perSecond, most float64) {
+	if b.Bound != (Bound{}) {
+		return b.Bound.Share, b.Bound.PerSecond, b.Bound.Most
+	}
+	return b.Share, FloorPerSecond, MaxTokens
 }
 
 // Cost is what an attempt after one with this outcome takes from the budget.
@@ -116,13 +176,14 @@
 }
 
 func (b *Budget) fill(now time.Time) {
+	_, perSecond, most := b.rates()
 	if b.filled.IsZero() {
 		b.filled = now
-		b.tokens = FloorPerSecond
+		b.tokens = min(perSecond, most)
 		return
 	}
 	if passed := now.Sub(b.filled); passed > 0 {
-		b.tokens = min(b.tokens+passed.Seconds()*FloorPerSecond, MaxTokens)
+		b.tokens = min(b.tokens+passed.Seconds()*perSecond, most)
 		b.filled = now
 	}
 }
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -55,7 +55,9 @@
 	{"listen.peer", "address for other nodes", true, address(func(s *Settings) *string { return &s.Listen.Peer })},
 	{"listen.advertise", "peer address that other nodes are told, if not listen.peer", false, address(func(s *Settings) *string { return &s.Listen.Advertise })},
 	{"listen.admin", "address for operators; keep it on loopback", true, address(func(s *Settings) *string { return &s.Listen.Admin })},
-	{"peers.key", "shared key of all nodes, at least 32 bytes", true, setKey},
+	{"peers.key", "shared key of all nodes, at least 32 bytes; required without sidecar.control", false, setKey},
+	{"peers.ping_after_ms", "how long a node with work may be silent before it is asked", false, millis(func(s *Settings) *time.Duration { return &s.Peers.PingAfter }, 1, 10_000)},
+	{"peers.suspect_after_ms", "how long it may leave that unanswered", false, millis(func(s *Settings) *time.Duration { return &s.Peers.SuspectAfter }, 1, 10_000)},
 	{"peers.seeds", "peer addresses to ask while no other node is known", false, setSeeds},
 	{"platform.address", "address of the platform's object API", false, address(func(s *Settings) *string { return &s.Platform.Address })},
 	{"platform.limit_ms", "bound of each call to the platform", false, millis(func(s *Settings) *time.Duration { return &s.Platform.Limit }, 10, 60_000)},
@@ -68,6 +70,16 @@
 	{"limits.stop_ms", "bound of a planned stop", false, millis(func(s *Settings) *time.Duration { return &s.Limits.Stop }, 100, 3_600_000)},
 	{"distance.zone_ms", "round trip to another zone beyond that within one", false, millis(func(s *Settings) *time.Duration { return &s.Distance.Zone }, 0, 10_000)},
 	{"distance.region_ms", "round trip to another region beyond that within a zone", false, millis(func(s *Settings) *time.Duration { return &s.Distance.Region }, 0, 10_000)},
+	{"distance.factor", "how many times slower a server of another zone is taken to be", false, number(func(s *Settings) *float64 { return &s.Distance.Factor }, 1, 1000)},
+	{"sidecar.server", "address of the backend server that announces itself to this node", false, address(func(s *Settings) *string { return &s.Sidecar.Server })},
+	{"sidecar.service", "the service of that server", false, text(func(s *Settings) *string { return &s.Sidecar.Service })},
+	{"sidecar.control", "address where it announces itself", false, address(func(s *Settings) *string { return &s.Sidecar.Control })},
+	{"sidecar.ready", "address where the node says whether it takes work", false, address(func(s *Settings) *string { return &s.Sidecar.Ready })},
+	{"sidecar.slot_share", "share of the server's slots that are filled", false, number(func(s *Settings) *float64 { return &s.Sidecar.SlotShare }, 0.01, 1)},
+	{"sidecar.measure_after_ms", "how long after its last answer the server is measured; 0 by the row's rate alone", false, millis(func(s *Settings) *time.Duration { return &s.Sidecar.MeasureAfter }, 0, 60_000)},
+	{"retries.share", "share of a service's requests that may reach a second server, over all nodes", false, number(func(s *Settings) *float64 { return &s.Retries.Share }, 0, 10)},
+	{"retries.extra", "how many more may in each window", false, integer(func(s *Settings) *int { return &s.Retries.Extra }, 0, 1_000_000)},
+	{"retries.window_ms", "the window of the two; 0 leaves retries to the table", false, millis(func(s *Settings) *time.Duration { return &s.Retries.Window }, 0, 3_600_000)},
 	{"log.level", "debug, info, warn or error", false, oneOf(func(s *Settings) *string { return &s.Log.Level }, "debug", "info", "warn", "error")},
 	{"experiment.policy", "how a server is picked; for comparison", false, setPolicy},
 	{"experiment.choices", "how many servers are drawn; for comparison", false, integer(func(s *Settings) *int { return &s.Experiment.Balance.Choices }, 0, 1000)},
@@ -140,6 +152,19 @@
 	}
 }
 
+func number(at func(*Settings) *float64, low, high float64) func(*Settings, value) error {
+	return func(s *Settings, v value) error {
+		if err := want(v, kindNumber); err != nil {
+			return err
+		}
+		if !(v.number >= low && v.number <= high) {
+			return fmt.Errorf("must be a number from %g to %g", low, high)
+		}
+		*at(s) = v.number
+		return nil
+	}
+}
+
 func millis(at func(*Settings) *time.Duration, low, high float64) func(*Settings, value) error {
 	return func(s *Settings, v value) error {
 		if err := want(v, kindNumber); err != nil {
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -161,4 +161,27 @@
 			p.findings.Add(0, 0, "%s is missing: %s", k.Name, k.Meaning)
 		}
 	}
+	p.checkSidecar()
+}
+
+// checkSidecar reports settings that are required together.
+func (p *parser) checkSidecar() {
+	together := []string{"sidecar.control", "sidecar.ready", "sidecar.server", "sidecar.service"}
+	given := 0
+	for _, name := range together {
+		if _, ok := p.seen[name]; ok {
+			given++
+		}
+	}
+	if _, ok := p.seen["peers.key"]; !ok && given == 0 {
+		p.findings.Add(0, 0, "peers.key is missing: shared key of all nodes, at least %d bytes", MinKey)
+	}
+	if given == 0 || given == len(together) {
+		return
+	}
+	for _, name := range together {
+		if _, ok := p.seen[name]; !ok {
+			p.findings.Add(0, 0, "%s is missing beside the other settings of the sidecar", name)
+		}
+	}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -31,10 +31,38 @@
 	Limits   Limits
 	Distance Distance
 	Log      Log
+	Sidecar  Sidecar
+	Retries  Retries
 	// Experiment switches parts off for comparison.
 	Experiment Experiment
 }
 
+// Sidecar tells of the one backend server beside the node, where it announces
+// itself instead of having a row. The zero value is a node whose servers stand
+// in the table.
+type Sidecar struct {
+	// Server is the server's address.
+	Server  string
+	Service string
+	// Control is where the server announces itself.
+	Control string
+	// Ready is where the node says whether it takes work.
+	Ready string
+	// SlotShare is the share of a server's slots that its gate fills.
+	SlotShare float64
+	// MeasureAfter is how long after its last answer a server is measured.
+	MeasureAfter time.Duration
+}
+
+// Retries are bounds on what reaches a second server, over all nodes. The zero
+// value leaves them to the table.
+type Retries struct {
+	// Share of the fresh requests of a service within Window, beside Extra.
+	Share  float64
+	Extra  int
+	Window time.Duration
+}
+
 // Listen holds the addresses that a node listens on, each an IP number with a
 // port.
 type Listen struct {
@@ -51,10 +79,15 @@
 
 // Peers tells how nodes find and trust each other.
 type Peers struct {
-	// Key is the shared key of all nodes, at least MinKey bytes.
+	// Key is the shared key of all nodes, at least MinKey bytes; blank where
+	// the network alone keeps others out.
 	Key string
 	// Seeds are peer addresses to ask while no other node is known.
 	Seeds []string
+	// PingAfter is how long a node with work may be silent before it is asked,
+	// and SuspectAfter how long that may stay unanswered.
+	PingAfter    time.Duration
+	SuspectAfter time.Duration
 }
 
 // MinKey is the least length of the shared key in bytes.
@@ -89,6 +122,9 @@
 type Distance struct {
 	Zone   time.Duration
 	Region time.Duration
+	// Factor is how many times slower a server of another zone is taken to be,
+	// for what the way there costs beside its time.
+	Factor float64
 }
 
 // Log says how much is logged.
@@ -109,6 +145,7 @@
 // Default returns the settings of a file that sets nothing.
 func Default() Settings {
 	return Settings{
+		Peers:    Peers{PingAfter: 20 * time.Millisecond, SuspectAfter: 60 * time.Millisecond},
 		Platform: Platform{Limit: 2 * time.Second},
 		Limits: Limits{
 			HeaderBytes: 16 << 10,
@@ -119,7 +156,8 @@
 			MaxDeadline: 10 * time.Minute,
 			Stop:        30 * time.Second,
 		},
-		Distance: Distance{Zone: time.Millisecond, Region: 30 * time.Millisecond},
+		Distance: Distance{Zone: time.Millisecond, Region: 30 * time.Millisecond, Factor: 1},
+		Sidecar:  Sidecar{SlotShare: 1},
 		Log:      Log{Level: "info"},
 	}
 }
--- /dev/null
+++ b/spread/met.go
@@ -0,0 +1,34 @@
+// SPDX-License-Identifier: MIT
+
+package spread
+
+import (
+	"github.com/ryehaven/ryehaven/member"
+	"github.com/ryehaven/ryehaven/peer"
+)
+
+// Met takes note of the node to which a connection was opened. One that has
+// started anew knows nothing, so digests are exchanged with it at once.
+func (s *Spread) Met(who peer.Identity, address string) {
+	record, known := s.recordOf(who.Host)
+	if known && record.Incarnation == who.Incarnation && record.Address == address {
+		return
+	}
+	s.exchange(member.Record{Host: who.Host, Address: address})
+}
+
+// Heard takes note of a node that opened a connection to this one.
+func (s *Spread) Heard(who peer.Identity) {
+	record, known := s.recordOf(who.Host)
+	if !known || record.Incarnation == who.Incarnation {
+		return // A new node tells its address in its own digest.
+	}
+	s.exchange(record)
+}
+
+func (s *Spread) recordOf(host string) (member.Record, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	record, ok := s.view.Record(host)
+	return record, ok
+}
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -34,6 +34,9 @@
 	StaleAfter time.Duration
 	// PollEvery is the time between two polls of a node without a watch.
 	PollEvery time.Duration
+	// Register makes the node known in the store's list of hosts, which then
+	// holds what nodes say of themselves.
+	Register bool
 	// HostsEvery is the time between two readings of the list of hosts.
 	HostsEvery time.Duration
 	// TableBytesPerSecond bounds the bytes of tables given to other nodes.
--- a/spread/watch.go
+++ b/spread/watch.go
@@ -122,7 +122,9 @@
 		return "", err
 	}
 	if changed {
-		s.offerObject(o)
+		if err := s.offerObject(o); err != nil {
+			return tag, err
+		}
 		tag = o.Tag
 	}
 	s.mu.Lock()
@@ -132,45 +134,107 @@
 	return tag, nil
 }
 
-func (s *Spread) offerObject(o store.Object) {
+func (s *Spread) offerObject(o store.Object) error {
 	envelope, err := store.DecodeEnvelope(o.Body)
 	if err != nil {
 		s.badTable("platform", err)
-		return
+		return err
 	}
 	snapshot, err := envelope.Snapshot()
 	if err != nil {
 		s.badTable("platform", err)
-		return
+		return err
 	}
 	s.offer(snapshot, "platform")
+	return nil
 }
 
-// runHosts reads the platform's list of hosts in one node of each zone.
+// runHosts reads the list of hosts in one node of each zone, and in any node
+// that knows no other.
 func (s *Spread) runHosts(ctx context.Context) {
+	s.register(ctx)
+	backoff := time.Duration(0)
+	for first := s.settings.Register; ctx.Err() == nil; {
+		wait := s.settings.HostsEvery
+		if first || s.alone() || s.rank() == 0 {
+			err := s.readHosts(ctx)
+			if first = first && err != nil; first || s.alone() {
+				backoff = min(max(2*backoff, backoffFirst), backoffWatcher)
+				wait = min(wait, backoff)
+			}
+		}
+		s.waitForHosts(ctx, s.jitter(wait))
+	}
+}
+
+// waitForHosts waits, but not long once no other node is known.
+func (s *Spread) waitForHosts(ctx context.Context, wait time.Duration) {
+	until := time.Now().Add(wait)
+	for ctx.Err() == nil && time.Now().Before(until) {
+		sleep(ctx, min(time.Until(until), backoffWatcher))
+		if s.settings.Register && s.alone() {
+			return
+		}
+	}
+}
+
+// alone reports whether no other node is known.
+func (s *Spread) alone() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.Len() <= 1
+}
+
+// register makes the node known in the store until that has succeeded.
+func (s *Spread) register(ctx context.Context) {
+	directory, ok := s.platform.(store.Directory)
+	if !s.settings.Register || !ok {
+		return
+	}
+	var self member.Record
+	s.View(func(v *member.View) { self = v.Self() })
+	host := store.Host{Host: self.Host, Address: self.Address, Zone: self.Zone, Region: self.Region, State: store.HostLive}
+	backoff := time.Duration(0)
 	for ctx.Err() == nil {
-		if s.rank() == 0 {
-			s.readHosts(ctx)
+		s.Counters.PlatformReads.Add(1)
+		err := directory.Register(ctx, host)
+		if err == nil {
+			return
+		}
+		s.Counters.PlatformErrors.Add(1)
+		if !s.alone() && backoff >= backoffWatcher {
+			s.registerLater(ctx, directory, host)
+			return
 		}
-		sleep(ctx, s.jitter(s.settings.HostsEvery))
+		backoff = min(max(2*backoff, backoffFirst), backoffWatcher)
+		sleep(ctx, s.jitter(backoff))
 	}
 }
 
-func (s *Spread) readHosts(ctx context.Context) {
+// registerLater goes on registering beside the reading of the list.
+func (s *Spread) registerLater(ctx context.Context, directory store.Directory, host store.Host) {
+	go func() {
+		for ctx.Err() == nil && directory.Register(ctx, host) != nil {
+			sleep(ctx, s.jitter(2*backoffWatcher))
+		}
+	}()
+}
+
+func (s *Spread) readHosts(ctx context.Context) error {
 	s.Counters.PlatformReads.Add(1)
 	o, err := s.platform.Get(ctx, store.HostsKey)
 	if errors.Is(err, store.ErrNotFound) {
-		return
+		return nil
 	}
 	if err != nil {
 		s.Counters.PlatformErrors.Add(1)
-		return
+		return err
 	}
 	var hosts []store.Host
 	if err := json.Unmarshal(o.Body, &hosts); err != nil {
 		s.Counters.PlatformErrors.Add(1)
 		s.log.Warn("list of hosts cannot be read", zap.Error(err))
-		return
+		return err
 	}
 	listed := make([]member.Listed, len(hosts))
 	for i, h := range hosts {
@@ -189,6 +253,7 @@
 		s.onView()
 		s.Announce()
 	}
+	return nil
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/store/store.go
+++ b/store/store.go
@@ -40,6 +40,13 @@
 	Watch(ctx context.Context, key, tag string, wait time.Duration) (o Object, changed bool, err error)
 }
 
+// Directory is a store in which nodes make themselves known. The object at
+// HostsKey then holds what they said.
+type Directory interface {
+	// Register adds a host or replaces what is said of it.
+	Register(ctx context.Context, host Host) error
+}
+
 // Keys of the objects that this system uses.
 const (
 	// TableKey holds an Envelope.
--- a/wire/message.go
+++ b/wire/message.go
@@ -126,6 +126,14 @@
 	// Patient says that no other server could take the request, so that it is
 	// better queued for long than refused.
 	Patient bool
+	// Tag is the caller's own number of the request; the server's answer must
+	// carry it back. Blank if callers number nothing.
+	Tag string
+	// Caller is the service on whose host the request began, if that is told.
+	Caller string
+	// WaitMicros is how long the request may be queued at the gate; 0 leaves it
+	// to the gate.
+	WaitMicros int64
 }
 
 // Data carries a part of a body in either direction.
@@ -166,6 +174,9 @@
 	// StalledMicros is how long the server has answered nothing although it
 	// has work, once that is longer than usual; else 0.
 	StalledMicros int64
+	// Slowness is how long work takes at the server now, in percent of usual;
+	// 0 when the server does not tell.
+	Slowness int
 }
 
 // Notice tells an entry unasked that a gate's state has changed much.
