--- a/cmd/ryehavend/main.go
+++ b/cmd/ryehavend/main.go
@@ -7,12 +7,14 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/rotisserie/eris"
@@ -53,6 +55,9 @@
 }
 
 func run(args arguments) int {
+	hangups := make(chan os.Signal, 1) // From the start on: an unheard one ends the process.
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	s, err := settings.Load(args.Settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -69,7 +74,7 @@
 	defer func() { _ = log.Sync() }()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	err = serve(ctx, s, log)
+	err = serve(ctx, file{args.Settings, hangups}, s, log)
 	switch {
 	case errors.Is(err, node.ErrStopBound):
 		return exitStopBound
@@ -80,9 +85,15 @@
 	return 0
 }
 
-func serve(ctx context.Context, s settings.Settings, log *zap.Logger) error {
+// file is the settings file and the signals that say it has changed.
+type file struct {
+	path    string
+	hangups <-chan os.Signal
+}
+
+func serve(ctx context.Context, f file, s settings.Settings, log *zap.Logger) error {
 	if s.Sidecar.Control != "" {
-		return servePlatform(ctx, s, log)
+		return servePlatform(ctx, f, s, log)
 	}
 	var options node.Options
 	if s.Platform.Address != "" {
@@ -92,11 +103,12 @@
 	if err != nil {
 		return err
 	}
+	go watchSettings(ctx, f, n, log)
 	return n.Run(ctx)
 }
 
 // servePlatform runs a node whose backend server announces itself.
-func servePlatform(ctx context.Context, s settings.Settings, log *zap.Logger) error {
+func servePlatform(ctx context.Context, f file, s settings.Settings, log *zap.Logger) error {
 	options := node.Options{Dialect: platform.Dialect()}
 	if s.Platform.Address != "" {
 		options.Store = platform.NewStore(s.Platform.Address, s.Platform.Limit)
@@ -110,9 +122,45 @@
 		return err
 	}
 	defer server.Close()
+	go watchSettings(ctx, f, n, log)
 	return n.Run(ctx)
 }
 
+// lookEvery is how often the settings file is looked at without a signal.
+const lookEvery = 5 * time.Second
+
+// watchSettings hands changed settings to the node, at a SIGHUP or when the
+// file has changed without one.
+func watchSettings(ctx context.Context, f file, n *node.Node, log *zap.Logger) {
+	ticker := time.NewTicker(lookEvery)
+	defer ticker.Stop()
+	text, _ := os.ReadFile(f.path) // It was read a moment ago; else the next look reads it.
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.hangups:
+		case <-ticker.C:
+		}
+		now, err := os.ReadFile(f.path)
+		if err != nil || bytes.Equal(now, text) {
+			continue
+		}
+		text = now
+		reload(f.path, text, n, log)
+	}
+}
+
+// reload hands over settings that hold; the old ones stay in force otherwise.
+func reload(path string, text []byte, n *node.Node, log *zap.Logger) {
+	s, err := settings.Parse(path, text)
+	if err != nil {
+		log.Error("settings refused, the old ones stay", zap.Error(err))
+		return
+	}
+	n.Reload(s)
+}
+
 func newLog(level string) (*zap.Logger, error) {
 	parsed, err := zapcore.ParseLevel(level)
 	if err != nil {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -43,8 +43,6 @@
 	// Caller is the service on whose host this entry stands; blank if that is
 	// not told to servers.
 	Caller string
-	// Terms bound what is sent to a second server.
-	Terms retry.Terms
 	// NoTableRetryAfter is when to come back while the node has no table.
 	NoTableRetryAfter time.Duration
 }
@@ -100,6 +98,7 @@
 	mu     sync.Mutex
 	used   time.Time
 	policy table.Policy
+	terms  retry.Terms
 	pool   *balance.Pool
 	budget retry.Budget
 	hedges retry.Budget
@@ -127,6 +126,8 @@
 	Announced func(service string) []balance.Spec
 	// Nodes is the number of nodes among which the retry budgets are shared.
 	Nodes int
+	// Terms bound what is sent to a second server.
+	Terms retry.Terms
 }
 
 // Update takes a table, with the places of its servers.
@@ -144,14 +145,14 @@
 				rng:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 			}
 		}
-		s.update(now, row, from, e.settings.Terms)
+		s.update(now, row, from)
 		services[name] = s
 	}
 	e.services = services
 	e.table = t
 }
 
-func (s *service) update(now time.Time, row *table.Service, from Sources, terms retry.Terms) {
+func (s *service) update(now time.Time, row *table.Service, from Sources) {
 	specs := make([]balance.Spec, 0, len(row.Servers))
 	if row.Discovery == table.Announced && from.Announced != nil {
 		specs = append(specs, from.Announced(s.name)...)
@@ -175,7 +176,8 @@
 	defer s.mu.Unlock()
 	s.policy = row.Policy
 	s.budget.Share = row.RetryShare
-	s.budget.Bound = terms.Split(from.Nodes)
+	s.terms = from.Terms
+	s.budget.Bound = from.Terms.Split(from.Nodes)
 	s.hedges.Share = min(retry.HedgeShare, row.RetryShare)
 	s.pool.Update(now, specs)
 }
--- a/entry/handle.go
+++ b/entry/handle.go
@@ -135,14 +135,14 @@
 		NoRetry:    a.response != nil && a.response.NoRetry,
 		Replayable: r.body.replayable(),
 		Attempts:   r.attempts,
-		Most:       e.settings.Terms.MostSends,
+		Most:       s.terms.MostSends,
 		Others:     s.pool.Others(now, r.tried),
 		Left:       r.deadline.Sub(now),
 	})
 	if !allowed {
 		return false
 	}
-	if !s.budget.Take(now, a.cost(&e.settings.Terms)) {
+	if !s.budget.Take(now, a.cost(&s.terms)) {
 		e.Counters.RetriesDenied.Add(1)
 		return false
 	}
--- a/member/view.go
+++ b/member/view.go
@@ -18,7 +18,7 @@
 	// leaveAlone is how long a node that could not be reached is not asked,
 	// doubled with each failure up to leaveAloneMost.
 	leaveAlone     = time.Second
-	leaveAloneMost = time.Minute
+	leaveAloneMost = 4 * time.Second
 )
 
 // entry is a record and what this node alone knows of it.
--- a/node/apply.go
+++ b/node/apply.go
@@ -61,6 +61,7 @@
 		},
 		Announced: func(service string) []balance.Spec { return n.announced(self, records, service) },
 		Nodes:     len(records),
+		Terms:     n.terms(),
 	})
 	n.refreshGates(now, leaving)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -195,7 +195,6 @@
 		NoTableRetryAfter: noTableRetry,
 		Dialect:           n.dialect,
 		Caller:            n.settings.Sidecar.Service,
-		Terms:             n.terms(),
 	}
 }
 
--- /dev/null
+++ b/node/reload.go
@@ -0,0 +1,47 @@
+// SPDX-License-Identifier: MIT
+
+package node
+
+import (
+	"go.uber.org/zap"
+
+	"github.com/ryehaven/ryehaven/settings"
+)
+
+// Reload takes changed settings while the node runs. What can change in place
+// is in force at once; the rest is named in the log and waits for a restart.
+func (n *Node) Reload(s settings.Settings) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	old := n.settings
+	n.settings.Retries = s.Retries
+	n.settings.Distance = s.Distance
+	n.settings.Sidecar.SlotShare = s.Sidecar.SlotShare
+	n.log.Info("settings reloaded",
+		zap.Bool("changed", old.Retries != s.Retries || old.Distance != s.Distance || old.Sidecar.SlotShare != s.Sidecar.SlotShare),
+		zap.Strings("after_restart", needRestart(old, s)))
+	if n.applied != nil {
+		n.refresh()
+	}
+}
+
+// needRestart names the groups of settings whose change waits for a restart.
+func needRestart(old, s settings.Settings) []string {
+	var names []string
+	note := func(name string, changed bool) {
+		if changed {
+			names = append(names, name)
+		}
+	}
+	note("host", old.Host != s.Host || old.Zone != s.Zone || old.Region != s.Region)
+	note("listen", old.Listen != s.Listen)
+	note("sidecar", old.Sidecar.Server != s.Sidecar.Server || old.Sidecar.Service != s.Sidecar.Service ||
+		old.Sidecar.Control != s.Sidecar.Control || old.Sidecar.Ready != s.Sidecar.Ready ||
+		old.Sidecar.MeasureAfter != s.Sidecar.MeasureAfter)
+	note("peers", old.Peers.Key != s.Peers.Key || old.Peers.PingAfter != s.Peers.PingAfter ||
+		old.Peers.SuspectAfter != s.Peers.SuspectAfter)
+	note("platform", old.Platform != s.Platform)
+	note("limits", old.Limits != s.Limits)
+	note("log", old.Log != s.Log)
+	return names
+}
--- a/node/stop.go
+++ b/node/stop.go
@@ -35,6 +35,9 @@
 	}
 	n.sayState(member.Leaving)
 	bound := began.Add(n.settings.Limits.Stop)
+	if n.settings.Sidecar.Control != "" {
+		return n.stopSidecar(began, bound)
+	}
 	time.Sleep(min(acceptGrace, time.Until(bound)))
 	n.callers.Close()
 	for n.unfinished() > 0 {
@@ -49,6 +52,39 @@
 	return nil
 }
 
+// The planned stop of a node whose callers look at its readiness.
+const (
+	// turnAway is how long callers take to see that the node is not ready: two
+	// questions, a second apart, and their work on the way.
+	turnAway = 2200 * time.Millisecond
+	// quietFor is how long nothing must have been under way before the end.
+	quietFor = 300 * time.Millisecond
+	// killMargin is how long before its bound the node ends in any case, so
+	// that it is not killed.
+	killMargin = 700 * time.Millisecond
+)
+
+// stopSidecar serves on until callers have turned away and everything is
+// answered. The node is not said to be gone: it may start again here while
+// nobody else remembers where it was.
+func (n *Node) stopSidecar(began, bound time.Time) error {
+	quietSince := time.Now()
+	for {
+		time.Sleep(stopPoll)
+		now := time.Now()
+		if n.busy() {
+			quietSince = now
+		}
+		if now.Sub(began) >= turnAway && now.Sub(quietSince) >= quietFor {
+			return nil
+		}
+		if now.After(bound.Add(-killMargin)) {
+			n.log.Warn("stop cut requests off", zap.Int("active", n.entry.Active()))
+			return ErrStopBound
+		}
+	}
+}
+
 // unfinished is the number of callers' connections and of requests at gates.
 func (n *Node) unfinished() int64 {
 	sum := n.openConns.Load()
