spread, node: an isolated node looks at the store itself; a stop answers what crosses its closing

Change: a node whose rounds reach nobody for 1.5 intervals watches the store itself; the closing waits for what still crosses it, within the bound. Ruled out: watching by every node always, whose calls would grow with the nodes.

--- a/node/node.go
+++ b/node/node.go
@@ -282,14 +282,17 @@
 		zap.String("peer", n.PeerAddress()),
 		zap.String("admin", n.AdminAddress()))
 	var err error
+	var limit time.Duration
 	select {
 	case <-ctx.Done():
+		began := time.Now()
 		err = n.stop()
+		limit = n.farewellLimit(began)
 	case err = <-failed:
 	}
 	cancel()
 	n.closeListeners()
-	ended, done := context.WithTimeout(context.Background(), farewell)
+	ended, done := context.WithTimeout(context.Background(), max(limit, farewell))
 	defer done()
 	_ = callers.ShutdownWithContext(ended) // What stop left is cut off now.
 	_ = admin.ShutdownWithContext(ended)
--- a/node/stop.go
+++ b/node/stop.go
@@ -64,6 +64,15 @@
 	killMargin = 700 * time.Millisecond
 )
 
+// farewellLimit is how long callers' connections may still take after a stop
+// that began at a time: a request that crossed the closing is still answered.
+func (n *Node) farewellLimit(began time.Time) time.Duration {
+	if n.settings.Sidecar.Control == "" {
+		return farewell
+	}
+	return time.Until(began.Add(n.settings.Limits.Stop - killMargin/2))
+}
+
 // stopSidecar serves on until callers have turned away and everything is
 // answered. The node is not said to be gone: it may start again here while
 // nobody else remembers where it was.
--- a/spread/round.go
+++ b/spread/round.go
@@ -123,6 +123,7 @@
 		s.View(func(v *member.View) { v.Failed(now, target.Host) })
 		return
 	}
+	s.noteExchange(now)
 	s.View(func(v *member.View) { v.Reached(target.Host) })
 	s.merge(now, append(reply.Records, reply.Digest.From))
 	s.learn(now, reply.Digest)
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -81,7 +81,9 @@
 	// ownConfirmed is when this node confirmed it, and othersConfirmed when
 	// another one did.
 	ownConfirmed, othersConfirmed time.Time
-	deflated                      tableReply
+	// exchanged is when digests were last exchanged with any node.
+	exchanged time.Time
+	deflated  tableReply
 }
 
 // tableBurst is how many seconds' worth of tables may be served at once.
@@ -94,17 +96,18 @@
 	}
 	perSecond := settings.TableBytesPerSecond
 	return &Spread{
-		settings: settings,
-		log:      log,
-		holder:   holder,
-		dialer:   dialer,
-		platform: client,
-		onView:   onView,
-		served:   rate.NewLimiter(rate.Limit(perSecond), perSecond*tableBurst),
-		news:     make(chan struct{}, 1),
-		pulls:    make(chan string, 1),
-		view:     view,
-		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		settings:  settings,
+		log:       log,
+		holder:    holder,
+		dialer:    dialer,
+		platform:  client,
+		onView:    onView,
+		served:    rate.NewLimiter(rate.Limit(perSecond), perSecond*tableBurst),
+		news:      make(chan struct{}, 1),
+		pulls:     make(chan string, 1),
+		view:      view,
+		exchanged: time.Now(),
+		rng:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
 
@@ -172,6 +175,26 @@
 	}
 }
 
+func (s *Spread) noteExchange(now time.Time) {
+	s.mu.Lock()
+	s.exchanged = now
+	s.mu.Unlock()
+}
+
+// isolatedRounds is how many rounds without any exchange make a node isolated.
+const isolatedRounds = 1.5
+
+// isolated reports whether the node knows others and has reached none of late.
+// It must then look at the store itself.
+func (s *Spread) isolated(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.view.Len() <= 1 {
+		return true
+	}
+	return now.Sub(s.exchanged) > time.Duration(isolatedRounds*float64(s.settings.Interval))
+}
+
 // merge takes records and reports news to whoever listens.
 func (s *Spread) merge(now time.Time, records []member.Record) {
 	s.Counters.RecordsReceived.Add(int64(len(records)))
@@ -207,6 +230,7 @@
 		return nil, err
 	}
 	now := time.Now()
+	s.noteExchange(now)
 	s.learn(now, d)
 	s.merge(now, []member.Record{d.From})
 	if s.holder.Judge(d.Generation, d.Hash) == Taken && d.Generation > 0 {
--- a/spread/spread_test.go
+++ b/spread/spread_test.go
@@ -155,3 +155,25 @@
 		t.Error("another node's confirmation does not count")
 	}
 }
+
+// A node that reaches no other looks at the store itself, and stops doing so
+// once it is back among them.
+func TestIsolatedNodeLooksAtTheStoreItself(t *testing.T) {
+	s := newSpread(t, 1000)
+	s.settings.Interval = time.Second
+	now := time.Now()
+	s.merge(now, []member.Record{{Host: "other", Incarnation: 1, Address: "127.0.0.1:2", Zone: "z"}})
+	s.noteExchange(now)
+	if s.isolated(now.Add(time.Second)) {
+		t.Error("isolated within a round of an exchange")
+	}
+	if !s.isolated(now.Add(2 * time.Second)) {
+		t.Error("not isolated although no round reached anybody")
+	}
+	if _, err := s.answerDigest(encode(&digest{From: member.Record{Host: "other", Incarnation: 1}})); err != nil {
+		t.Fatal(err)
+	}
+	if s.isolated(time.Now()) {
+		t.Error("isolated although another node has just asked")
+	}
+}
--- a/spread/watch.go
+++ b/spread/watch.go
@@ -25,7 +25,7 @@
 	// another node's and not its own, come back through others.
 	echo = 200 * time.Millisecond
 	// checkEvery is how often a node without a watch looks at the age.
-	checkEvery = 500 * time.Millisecond
+	checkEvery = 250 * time.Millisecond
 	// backoffFirst and backoffMost bound the wait after a failed call.
 	backoffFirst = 500 * time.Millisecond
 	backoffMost  = time.Minute
@@ -56,7 +56,7 @@
 	w := watchState{nextPoll: time.Now().Add(s.jitter(s.settings.PollEvery))}
 	for ctx.Err() == nil {
 		rank := s.rank()
-		watching := rank < watchers || w.acting
+		watching := rank < watchers || w.acting || s.isolated(time.Now())
 		if !watching && !s.pollDue(rank, w.nextPoll) {
 			sleep(ctx, s.jitter(checkEvery))
 			continue
@@ -82,7 +82,7 @@
 	}
 	// A node that reaches the platform while nobody else is known to stays
 	// with it, so that the next change finds it watching.
-	w.acting = rank >= watchers && s.aloneWithPlatform(time.Now())
+	w.acting = rank >= watchers && !s.isolated(time.Now()) && s.aloneWithPlatform(time.Now())
 	w.tag, w.backoff = tag, 0
 }
 
