balance, gate, peer: every entry hears of a server's slowness when it changes

Entries heard of changes only from gates they had sent work to within a second, so what they believed of servers in other zones was mostly old, and the choice between a slow server here and a fast one there was a guess. Change: a message of a few bytes, sent on each change to all nodes with a connection, in place of a whole report by name. Ruled out: more probes (8 a second and server were there already).

--- a/balance/pool.go
+++ b/balance/pool.go
@@ -34,8 +34,8 @@
 	// outstanding requests was sent.
 	lastProgress time.Time
 
-	// sentAt is when the last request was sent.
-	sentAt         time.Time
+	// heardAt is when the gate last told of its server's slowness.
+	heardAt        time.Time
 	report         wire.Load
 	reportAt       time.Time
 	ownAtReport    int
@@ -106,7 +106,6 @@
 		s.lastProgress = now
 	}
 	s.outstanding++
-	s.sentAt = now
 }
 
 // Result is how an attempt at a server ended.
@@ -182,12 +181,27 @@
 	}
 }
 
+// LearnSlowness takes how slow the server behind a node is now, in percent of
+// usual.
+func (p *Pool) LearnSlowness(now time.Time, node string, percent int) {
+	for _, s := range p.servers {
+		if s.Node == node && percent > 0 {
+			s.report.Slowness = percent
+			s.heardAt = now
+		}
+	}
+}
+
 func (s *Server) learn(now time.Time, load wire.Load) {
 	if load.Seq <= s.report.Seq && now.Sub(s.reportAt) < orderedFor {
 		return
 	}
+	if load.Slowness == 0 {
+		load.Slowness = s.report.Slowness
+	}
 	s.report = load
 	s.reportAt = now
+	s.heardAt = now
 	s.ownAtReport = s.outstanding
 }
 
--- a/balance/slowness.go
+++ b/balance/slowness.go
@@ -11,10 +11,11 @@
 	// slownessChoices is how many servers are drawn; what is known of each is
 	// news, so that herding costs less than missing the fast one.
 	slownessChoices = 8
-	// heardFor is how long after its last request an entry is told of changes.
-	heardFor = time.Second
+	// heardFor is how long a gate's word holds without another: it tells of
+	// each change while there is demand.
+	heardFor = 3 * time.Second
 	// slownessDecay is how fast what a gate no longer confirms fades.
-	slownessDecay = 500 * time.Millisecond
+	slownessDecay = time.Second
 	// busyCost and queueCost are what a full limit and each further one add, in
 	// times of the work.
 	busyCost  = 0.5
@@ -56,11 +57,7 @@
 	if s.report.Slowness == 0 {
 		return usual
 	}
-	heard := s.reportAt
-	if s.sentAt.After(heard) {
-		heard = s.sentAt
-	}
-	age := now.Sub(heard) - heardFor
+	age := now.Sub(s.heardAt) - heardFor
 	if age <= 0 {
 		return float64(s.report.Slowness)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -276,6 +276,18 @@
 	s.mu.Unlock()
 }
 
+// Slowness takes what the gate at a node's address tells of its server.
+func (e *Entry) Slowness(address string, percent int) {
+	now := time.Now()
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	for _, s := range e.services {
+		s.mu.Lock()
+		s.pool.LearnSlowness(now, address, percent)
+		s.mu.Unlock()
+	}
+}
+
 // watch makes Tick close r.gone when the caller closes its connection.
 func (e *Entry) watch(r *request) {
 	e.activeMu.Lock()
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -249,14 +249,25 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	stalled := g.queue.Stalled(now) > 0
-	if stalled == g.saidStalled && !g.newsOfSlowness(now) {
+	if stalled == g.saidStalled {
 		return nil, false
 	}
 	g.saidStalled = stalled
-	g.saidSlowness = g.slownessNow(now)
 	return &wire.Notice{Service: g.row.Service, Server: g.row.Name, Load: g.load()}, true
 }
 
+// Slowness returns what entries must hear of the server's slowness; ok is false
+// when it has not changed much since they heard of it.
+func (g *Gate) Slowness(now time.Time) (m *wire.Slowness, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.newsOfSlowness(now) {
+		return nil, false
+	}
+	g.saidSlowness = g.slownessNow(now)
+	return &wire.Slowness{Percent: g.saidSlowness}, true
+}
+
 // Busy returns how many requests have not been answered yet.
 func (g *Gate) Busy() int {
 	g.mu.Lock()
--- a/node/node.go
+++ b/node/node.go
@@ -133,6 +133,7 @@
 	}
 	n.entry = entry.New(n.entrySettings(), n.dialer)
 	n.dialer.OnNotice = n.entry.Notice
+	n.dialer.OnSlowness = n.entry.Slowness
 	n.notices = rate.NewLimiter(noticesPerSecond, noticesPerSecond)
 	n.holder = &spread.Holder{Log: n.log, OnTaken: n.apply}
 	n.spread = spread.New(spreadSettings(s), n.log, n.holder, member.NewView(n.record(incarnation)), n.dialer, options.Store, n.viewChanged)
@@ -363,6 +364,9 @@
 
 func (n *Node) sendNotices(now time.Time) {
 	for _, g := range n.everyGate() {
+		if slowness, ok := g.Slowness(now); ok {
+			n.told.Add(int64(n.peerServer.NotifyAll(slowness)))
+		}
 		notice, ok := g.Notice(now)
 		if !ok {
 			continue
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -35,6 +35,8 @@
 	counters *Counters
 	opened   time.Time
 	onNotice func(n *wire.Notice)
+	// onSlowness may be nil too.
+	onSlowness func(percent int)
 
 	// starting keeps requests in the order of their numbers on the way.
 	starting sync.Mutex
@@ -62,7 +64,7 @@
 
 func newSuspicion() *suspicion { return &suspicion{raised: make(chan struct{})} }
 
-func openConn(nc net.Conn, self Identity, counters *Counters, limit time.Duration, onNotice func(*wire.Notice)) (*Conn, error) {
+func openConn(nc net.Conn, self Identity, counters *Counters, limit time.Duration, onNotice func(*wire.Notice), onSlowness func(int)) (*Conn, error) {
 	reader := wire.NewReader(bufio.NewReaderSize(nc, readBuffer))
 	peer, err := dialHandshake(nc, reader, self, limit)
 	if err != nil {
@@ -80,6 +82,8 @@
 		asks:     map[uint64]chan *wire.Reply{},
 		lastUsed: now,
 		onNotice: onNotice,
+
+		onSlowness: onSlowness,
 	}
 	c.suspicion.Store(newSuspicion())
 	counters.Dialed.Add(1)
@@ -313,6 +317,11 @@
 			c.onNotice(m)
 		}
 		return nil
+	case *wire.Slowness:
+		if c.onSlowness != nil {
+			c.onSlowness(m.Percent)
+		}
+		return nil
 	case *wire.Pong:
 		return nil
 	default:
--- a/peer/counters.go
+++ b/peer/counters.go
@@ -30,7 +30,7 @@
 
 func isControl(kind wire.Kind) bool {
 	switch kind {
-	case wire.KindPing, wire.KindPong, wire.KindAsk, wire.KindReply, wire.KindNotice:
+	case wire.KindPing, wire.KindPong, wire.KindAsk, wire.KindReply, wire.KindNotice, wire.KindSlowness:
 		return true
 	}
 	return false
--- a/peer/dialer.go
+++ b/peer/dialer.go
@@ -33,6 +33,8 @@
 	// OnNotice is called with what gates tell unasked; it must not wait and
 	// may be nil.
 	OnNotice func(n *wire.Notice)
+	// OnSlowness is called likewise with the address of the gate's node.
+	OnSlowness func(address string, percent int)
 
 	mu        sync.Mutex
 	slots     map[string]*slot
@@ -121,7 +123,7 @@
 	d.Counters.Dials.Add(1)
 	nc, err := net.DialTimeout("tcp", address, d.Limit)
 	if err == nil {
-		s.conn, err = openConn(nc, d.Self, d.Counters, d.Limit, d.OnNotice)
+		s.conn, err = openConn(nc, d.Self, d.Counters, d.Limit, d.OnNotice, d.slownessOf(address))
 	}
 	if err == nil && d.OnPeer != nil {
 		go d.OnPeer(s.conn.Peer, address)
@@ -162,6 +164,14 @@
 	}
 }
 
+// slownessOf returns what a connection to an address calls with a slowness.
+func (d *Dialer) slownessOf(address string) func(percent int) {
+	if d.OnSlowness == nil {
+		return nil
+	}
+	return func(percent int) { d.OnSlowness(address, percent) }
+}
+
 func (d *Dialer) watchTimes() (pingAfter, suspectAfter time.Duration) {
 	pingAfter, suspectAfter = d.PingAfter, d.SuspectAfter
 	if pingAfter == 0 {
--- a/peer/server.go
+++ b/peer/server.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -108,6 +109,7 @@
 		go s.OnPeer(peer)
 	}
 	a.age.start(began, time.Now())
+	a.ready.Store(true)
 	s.Counters.Accepted.Add(1)
 	defer s.Counters.Accepted.Add(-1)
 	go a.w.run()
@@ -124,6 +126,9 @@
 	w      *writer
 	age    ageClock
 
+	// ready says that the handshake has ended.
+	ready atomic.Bool
+
 	mu      sync.Mutex
 	streams map[uint64]*Stream
 	lastID  uint64
@@ -148,6 +153,20 @@
 	return told
 }
 
+// NotifyAll tells every node that has a connection here the slowness of the
+// server, and returns to how many it went.
+func (s *Server) NotifyAll(m *wire.Slowness) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	told := 0
+	for a := range s.conns {
+		if a.ready.Load() && a.w.send(m) == nil {
+			told++
+		}
+	}
+	return told
+}
+
 // lately is how long after a request an entry is told of the gate's state.
 const lately = time.Second
 
--- a/wire/message.go
+++ b/wire/message.go
@@ -30,6 +30,7 @@
 	KindAsk       Kind = 30
 	KindReply     Kind = 31
 	KindNotice    Kind = 40
+	KindSlowness  Kind = 41
 )
 
 // Message is one of the types of this package.
@@ -186,6 +187,14 @@
 	Load    Load
 }
 
+// Slowness tells an entry unasked how long work takes now at the one backend
+// server that announced itself to the sender. It is sent on each change, so it
+// holds little.
+type Slowness struct {
+	// Percent of usual.
+	Percent int
+}
+
 // Response starts the answer of a request that was run.
 type Response struct {
 	ID     uint64
@@ -318,6 +327,9 @@
 // Kind implements Message.
 func (*Notice) Kind() Kind { return KindNotice }
 
+// Kind implements Message.
+func (*Slowness) Kind() Kind { return KindSlowness }
+
 // Kind implements Message.
 func (*Reply) Kind() Kind { return KindReply }
 
@@ -354,6 +366,8 @@
 		return new(Reply)
 	case KindNotice:
 		return new(Notice)
+	case KindSlowness:
+		return new(Slowness)
 	}
 	return nil
 }
