balance, entry: servers are compared by expected loss where a route gives an aim

Cause: a fixed factor for other zones treats a status read of 1.7 KB like an ownership lookup of 0.9 KB and a request with time to spare like a late one. Change: an entry learns for each route the usual time and bytes; the choice weighs the chance of missing the aim, slow spells learned as they end, and the bytes at a price that the operator sets (distance.late_per_mb). Ruled out: past latencies by server, which mix routes of different work.

--- /dev/null
+++ b/balance/demand.go
@@ -0,0 +1,125 @@
+// SPDX-License-Identifier: MIT
+
+package balance
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// Demand is what a request asks of whoever takes it. The zero value is a
+// request of which nothing is known.
+type Demand struct {
+	// Work is what such a request usually takes from sending to answer.
+	Work time.Duration
+	// Aim is what is left of the time within which the answer is worth its full
+	// value; 0 if there is no such time.
+	Aim time.Duration
+	// Bytes is what such a request and its answer usually take between nodes.
+	Bytes float64
+}
+
+// Known reports whether the demand tells enough to weigh servers by it.
+func (d Demand) Known() bool { return d.Work > 0 && d.Aim > 0 }
+
+// How lateness is judged.
+const (
+	// lateSteepness is how fast the chance to be late grows around the aim.
+	lateSteepness = 5
+	// earlyWorth is what an answer at the aim is worth less than one at once,
+	// in late requests.
+	earlyWorth = 0.1
+	// spellTime is how long a slow spell is taken to last on while nothing was
+	// learned; spellShare weighs one spell in the mean.
+	spellTime  = 150 * time.Millisecond
+	spellShare = 0.05
+	// slowFactor is by how much slower than usual a spell counts as slow.
+	slowFactor = 1.5
+)
+
+// PickFor is Pick for a request of which more is known. Servers that tell how
+// slow they are are compared by the expected loss: the chance that the answer
+// comes after its aim, and what the way to the server costs.
+func (p *Pool) PickFor(now time.Time, rng *rand.Rand, tried Tried, demand Demand) *Server {
+	if !demand.Known() || !p.tellSlowness() {
+		return p.Pick(now, rng, tried)
+	}
+	candidates := p.candidates(now, tried)
+	if len(candidates) == 0 {
+		return nil
+	}
+	usual := p.usualSlowness()
+	drawn := p.draw(now, rng, candidates, p.choices(slownessChoices))
+	return least(drawn, 0, func(s *Server) float64 {
+		return p.expectedLoss(now, s, usual, demand)
+	})
+}
+
+// expectedLoss is the expected loss by sending a request to a server, in late
+// requests.
+func (p *Pool) expectedLoss(now time.Time, s *Server, usual float64, demand Demand) float64 {
+	ratio := float64(p.expectedTime(now, s, usual, demand)) / float64(demand.Aim)
+	loss := 1/(1+math.Exp(lateSteepness*(1-ratio))) + earlyWorth*ratio
+	loss += s.failures * decay(now.Sub(s.lastFailure), failureDecay)
+	if !p.options.NoDistance {
+		loss += s.BytePrice * demand.Bytes
+	}
+	return loss
+}
+
+// expectedTime is what the request is expected to take at a server.
+func (p *Pool) expectedTime(now time.Time, s *Server, usual float64, demand Demand) time.Duration {
+	slowness := s.slowness(now, usual) / 100
+	busy := (p.load(now, s, demand.Work) + 1) / p.limit(s)
+	took := p.stretch(demand.Work, slowness)
+	took += time.Duration(busyCost * min(busy, 1) * float64(took))
+	if busy > 1 {
+		took += time.Duration(queueCost * (busy - 1) * slowness * float64(demand.Work))
+	}
+	if !p.options.NoNotices {
+		took += s.stalled(now, demand.Work)
+	}
+	return took + s.Distance
+}
+
+// stretch is what work takes at a server that is slow now and will not stay so
+// for long.
+func (p *Pool) stretch(work time.Duration, slowness float64) time.Duration {
+	if slowness <= 1 {
+		return work
+	}
+	spell := p.spell
+	if spell == 0 {
+		spell = spellTime
+	}
+	done := time.Duration(float64(spell) / slowness)
+	if work <= done {
+		return time.Duration(float64(work) * slowness)
+	}
+	return spell + work - done
+}
+
+// learnSpell takes the end of a slow spell of a server.
+func (p *Pool) learnSpell(now time.Time, s *Server, percent int) {
+	slow := float64(percent) > slowFactor*100
+	switch {
+	case slow && s.slowSince.IsZero():
+		s.slowSince = now
+	case !slow && !s.slowSince.IsZero():
+		lasted := now.Sub(s.slowSince)
+		s.slowSince = time.Time{}
+		if p.spell == 0 {
+			p.spell = lasted
+		}
+		p.spell += time.Duration(spellShare * float64(lasted-p.spell))
+	}
+}
+
+// choices is how many servers are drawn, unless the options say.
+func (p *Pool) choices(usual int) int {
+	if p.options.Choices > 0 {
+		return p.options.Choices
+	}
+	return usual
+}
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -18,6 +18,8 @@
 	// Distance is the usual time of a round trip to its availability zone
 	// beyond that within the entry's own.
 	Distance time.Duration
+	// BytePrice is what a byte on the way to the server costs, in late requests.
+	BytePrice float64
 	// Factor is how many times slower the server is taken to be, for what the
 	// way to it costs beside its time; 0 stands for 1.
 	Factor float64
@@ -34,6 +36,8 @@
 	// outstanding requests was sent.
 	lastProgress time.Time
 
+	// slowSince is when the server's present slow spell began; zero if none.
+	slowSince time.Time
 	// heardAt is when the gate last told of its server's slowness.
 	heardAt        time.Time
 	report         wire.Load
@@ -66,6 +70,8 @@
 	servers []*Server
 	turn    int
 	started bool
+	// spell is how long a server stays slow, as a mean.
+	spell time.Duration
 }
 
 // NewPool returns an empty pool.
@@ -188,6 +194,7 @@
 		if s.Node == node && percent > 0 {
 			s.report.Slowness = percent
 			s.heardAt = now
+			p.learnSpell(now, s, percent)
 		}
 	}
 }
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -55,7 +55,7 @@
 	s := r.service
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	server := s.pool.Pick(now, s.rng, r.tried)
+	server := s.pool.PickFor(now, s.rng, r.tried, r.demand(now))
 	if server == nil {
 		return nil
 	}
@@ -136,7 +136,7 @@
 		failed := a.outcome == retry.ServerError && !head.Response.NoRetry
 		e.end(r, a, balance.Result{Latency: took, Failed: failed, Load: &head.Response.Load})
 		if a.outcome == retry.Answered {
-			r.service.observe(took)
+			r.observe(took, head.Response)
 		}
 	case head.Refusal != nil:
 		a.outcome = retry.NotRun
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -78,6 +78,9 @@
 
 	activeMu sync.Mutex
 	active   map[*request]struct{}
+
+	traitsMu sync.Mutex
+	traits   map[string]*traits
 }
 
 // New returns an entry without a table; it refuses every request until
@@ -88,6 +91,7 @@
 		dialer:   dialer,
 		services: map[string]*service{},
 		active:   map[*request]struct{}{},
+		traits:   map[string]*traits{},
 	}
 }
 
@@ -149,6 +153,9 @@
 		services[name] = s
 	}
 	e.services = services
+	if e.table != t {
+		e.dropTraits(t)
+	}
 	e.table = t
 }
 
--- a/entry/race.go
+++ b/entry/race.go
@@ -8,6 +8,7 @@
 	"github.com/ryehaven/ryehaven/balance"
 	"github.com/ryehaven/ryehaven/peer"
 	"github.com/ryehaven/ryehaven/retry"
+	"github.com/ryehaven/ryehaven/wire"
 )
 
 // race waits for the first of an attempt and the hedge that may join it.
@@ -125,6 +126,9 @@
 	if e.settings.NoHedges || r.hedged || !r.message.Repeatable || !r.message.Last {
 		return 0, false
 	}
+	if r.traits != nil {
+		return r.traits.after()
+	}
 	r.service.mu.Lock()
 	defer r.service.mu.Unlock()
 	return r.service.delay.After()
@@ -159,7 +163,7 @@
 	if s.pool.Others(now, r.tried) == 0 {
 		return nil
 	}
-	server := s.pool.Pick(now, s.rng, r.tried)
+	server := s.pool.PickFor(now, s.rng, r.tried, r.demand(now))
 	if r.most > 0 && r.reached+1 >= r.most {
 		return nil // The first attempt may reach its server.
 	}
@@ -189,9 +193,13 @@
 	e.end(r, a, balance.Result{Latency: time.Since(a.began), TimedOut: true})
 }
 
-// observe teaches the service's hedge delay.
-func (s *service) observe(latency time.Duration) {
-	s.mu.Lock()
-	s.delay.Observe(latency)
-	s.mu.Unlock()
+// observe learns from an answer of a server.
+func (r *request) observe(latency time.Duration, answer *wire.Response) {
+	if r.traits != nil {
+		r.traits.observe(latency, r.size()+frameSize(answer.Header, int(max(answer.Length, int64(len(answer.Body))))))
+		return
+	}
+	r.service.mu.Lock()
+	r.service.delay.Observe(latency)
+	r.service.mu.Unlock()
 }
--- a/entry/request.go
+++ b/entry/request.go
@@ -24,6 +24,10 @@
 	service  *service
 	began    time.Time
 	deadline time.Time
+	// traits are what is known of such requests and aim is when the answer is
+	// due; nil and zero when no route says.
+	traits *traits
+	aim    time.Time
 	// refuseBy is until when the request may wait for room; zero leaves it to
 	// the gates.
 	refuseBy time.Time
@@ -41,6 +45,27 @@
 	mayHaveRun bool
 }
 
+// demand is what the request asks of a server.
+func (r *request) demand(now time.Time) balance.Demand {
+	if r.traits == nil {
+		return balance.Demand{}
+	}
+	return r.traits.demand(now, r.aim)
+}
+
+// size is the request's bytes on the way to a gate, near enough.
+func (r *request) size() int {
+	return frameSize(r.message.Header, len(r.message.URI)+int(max(r.message.Length, 0)))
+}
+
+// frameSize is the size of a message's header fields and the rest of it.
+func frameSize(header wire.Fields, rest int) int {
+	for _, f := range header {
+		rest += len(f.Name) + len(f.Value)
+	}
+	return rest
+}
+
 // note remembers whether an attempt that ended may have run the request.
 func (r *request) note(a *attempt) {
 	r.mayHaveRun = r.mayHaveRun || a.outcome.MayHaveRun()
@@ -103,6 +128,8 @@
 	}
 	if route != nil {
 		r.most = route.Attempts
+		r.traits = e.traitsOf(route)
+		r.aim = began.Add(route.Aim)
 		r.refuseBy = began.Add(route.Aim / refuseShare)
 	}
 	return r, ""
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -104,12 +104,15 @@
 		}
 		if r.Zone != self.Zone {
 			spec.Factor = n.settings.Distance.Factor
+			spec.BytePrice = n.settings.Distance.LatePerMB / bytesPerMB
 		}
 		specs = append(specs, spec)
 	}
 	return specs
 }
 
+const bytesPerMB = 1e6
+
 // usedSlots is how many of a server's slots its gate fills.
 func (n *Node) usedSlots(slots int) int {
 	return max(int(float64(slots)*n.settings.Sidecar.SlotShare), 1)
--- a/retry/hedge.go
+++ b/retry/hedge.go
@@ -43,6 +43,11 @@
 	}
 }
 
+// Median returns the usual latency; ok is false until enough was seen.
+func (d *Delay) Median() (median time.Duration, ok bool) {
+	return time.Duration(d.median), d.seen >= learnFirst
+}
+
 // After returns the delay; ok is false until enough was seen.
 func (d *Delay) After() (delay time.Duration, ok bool) {
 	return time.Duration(hedgeMedians * d.median), d.seen >= learnFirst
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -70,6 +70,7 @@
 	{"limits.stop_ms", "bound of a planned stop", false, millis(func(s *Settings) *time.Duration { return &s.Limits.Stop }, 100, 3_600_000)},
 	{"distance.zone_ms", "round trip to another zone beyond that within one", false, millis(func(s *Settings) *time.Duration { return &s.Distance.Zone }, 0, 10_000)},
 	{"distance.region_ms", "round trip to another region beyond that within a zone", false, millis(func(s *Settings) *time.Duration { return &s.Distance.Region }, 0, 10_000)},
+	{"distance.late_per_mb", "how many late requests are as bad as a megabyte between zones", false, number(func(s *Settings) *float64 { return &s.Distance.LatePerMB }, 0, 1e6)},
 	{"distance.factor", "how many times slower a server of another zone is taken to be", false, number(func(s *Settings) *float64 { return &s.Distance.Factor }, 1, 1000)},
 	{"sidecar.server", "address of the backend server that announces itself to this node", false, address(func(s *Settings) *string { return &s.Sidecar.Server })},
 	{"sidecar.service", "the service of that server", false, text(func(s *Settings) *string { return &s.Sidecar.Service })},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -122,6 +122,9 @@
 type Distance struct {
 	Zone   time.Duration
 	Region time.Duration
+	// LatePerMB is how many late requests are as bad as a megabyte between
+	// zones.
+	LatePerMB float64
 	// Factor is how many times slower a server of another zone is taken to be,
 	// for what the way there costs beside its time.
 	Factor float64
@@ -156,7 +159,7 @@
 			MaxDeadline: 10 * time.Minute,
 			Stop:        30 * time.Second,
 		},
-		Distance: Distance{Zone: time.Millisecond, Region: 30 * time.Millisecond, Factor: 1},
+		Distance: Distance{Zone: time.Millisecond, Region: 30 * time.Millisecond, Factor: 1, LatePerMB: 0},
 		Sidecar:  Sidecar{SlotShare: 1},
 		Log:      Log{Level: "info"},
 	}
