wire, spread: header fields travel packed, digests hold one number

Change: fields are packed by HPACK (RFC 7541, golang.org/x/net) with a table for each connection; values that change each time are kept out of it. A round sends one number for all member records and the buckets only when it differs. Ruled out: compressing whole connections (a megabyte of state each).

--- a/entry/reply.go
+++ b/entry/reply.go
@@ -48,7 +48,7 @@
 	if res.last != nil && res.last.response != nil {
 		failed = res.last.outcome == retry.ServerError
 		e.Counters.Answered.Add(1)
-		r.passOn(res.last, e.settings.BodyIdleLimit)
+		e.passOn(r, res.last)
 	} else {
 		e.fail(r.ctx, failureOf(res))
 	}
@@ -62,7 +62,8 @@
 }
 
 // passOn gives the caller the server's answer.
-func (r *request) passOn(a *attempt, idle time.Duration) {
+func (e *Entry) passOn(r *request, a *attempt) {
+	idle := e.settings.BodyIdleLimit
 	m := a.response
 	response := &r.ctx.Response
 	response.SetStatusCode(m.Status)
@@ -71,6 +72,9 @@
 		response.Header.Add(f.Name, f.Value)
 	}
 	response.Header.Set(header.Server, a.name)
+	if field := e.settings.Dialect.RequestID; field != "" {
+		response.Header.Set(field, r.message.Tag)
+	}
 	if m.NoRetry {
 		response.Header.Set(header.Retry, header.No)
 	}
--- a/gate/job.go
+++ b/gate/job.go
@@ -150,6 +150,9 @@
 	dialect := &j.gate.settings.Dialect
 	left := max(time.Until(j.stream.Deadline).Milliseconds(), 1)
 	r.Header.Set(dialect.Deadline, strconv.FormatInt(left, 10))
+	if dialect.Strict() {
+		r.Header.Set(dialect.RequestID, m.Tag)
+	}
 	if dialect.Caller != "" && m.Caller != "" {
 		r.Header.Set(dialect.Caller, m.Caller)
 	}
--- a/header/dialect.go
+++ b/header/dialect.go
@@ -44,8 +44,8 @@
 
 // Prepare computes what the methods need; call it once the fields are set.
 func (d *Dialect) Prepare() {
-	d.request = lowerAll(d.Deadline, d.Repeatable, d.Priority, d.Caller, d.ExpectServer, d.NotRun, d.ServerID, d.Load)
-	d.answer = lowerAll(d.NotRun, d.ServerID, d.Load)
+	d.request = lowerAll(d.Deadline, d.Repeatable, d.Priority, d.RequestID, d.Caller, d.ExpectServer, d.NotRun, d.ServerID, d.Load)
+	d.answer = lowerAll(d.RequestID, d.NotRun, d.ServerID, d.Load)
 }
 
 // Strict reports whether answers are held to the request's number.
--- a/member/record.go
+++ b/member/record.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/binary"
+	"math/bits"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -76,6 +77,15 @@
 // Digest has one number for each bucket of records.
 type Digest [Buckets]uint64
 
+// Root is one number for all buckets.
+func (d Digest) Root() uint64 {
+	root := uint64(0)
+	for i, bucket := range d {
+		root ^= bits.RotateLeft64(bucket, i) // Equal buckets must not cancel out.
+	}
+	return root
+}
+
 func bucketOf(host string) int {
 	return int(xxhash.Sum64String(host) % Buckets)
 }
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -51,6 +51,7 @@
 	// busySince is when the first of the calls under way began.
 	busySince time.Time
 	pingSent  time.Time
+	pings     uint64
 
 	lastReceived atomic.Int64
 	suspicion    atomic.Pointer[suspicion]
@@ -245,7 +246,8 @@
 	c.pingSent = time.Time{}
 	if now.Sub(heard) >= pingAfter && now.Sub(c.busySince) >= pingAfter {
 		c.pingSent = now
-		_ = c.w.send(&wire.Ping{Seq: uint64(now.UnixNano())})
+		c.pings++
+		_ = c.w.send(&wire.Ping{Seq: c.pings})
 	}
 }
 
--- a/peer/writer.go
+++ b/peer/writer.go
@@ -34,16 +34,17 @@
 	nc       net.Conn
 	counters *Counters
 
-	mu    sync.Mutex
-	buf   []byte
-	spare []byte
-	err   error
-	wake  chan struct{}
-	done  chan struct{}
+	mu     sync.Mutex
+	frames *wire.Encoder
+	buf    []byte
+	spare  []byte
+	err    error
+	wake   chan struct{}
+	done   chan struct{}
 }
 
 func newWriter(nc net.Conn, counters *Counters) *writer {
-	return &writer{nc: nc, counters: counters, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	return &writer{nc: nc, counters: counters, frames: wire.NewEncoder(), wake: make(chan struct{}, 1), done: make(chan struct{})}
 }
 
 // send queues a frame. After an error nothing of m was or will be sent.
@@ -57,8 +58,10 @@
 		return ErrNotReading
 	}
 	before := len(w.buf)
-	buf, err := wire.Append(w.buf, m)
+	buf, err := w.frames.Append(w.buf, m)
 	if err != nil {
+		w.err = err // The table of packed fields is no longer alike on both sides.
+		w.nc.Close()
 		return err
 	}
 	w.buf = buf
--- a/spread/holder.go
+++ b/spread/holder.go
@@ -3,6 +3,7 @@
 package spread
 
 import (
+	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -68,14 +69,15 @@
 	return judge(h.Current(), generation, hash)
 }
 
-// judge is the one rule by which tables replace each other.
+// judge is the one rule by which tables replace each other. hash may be the
+// start of one.
 func judge(held *table.Snapshot, generation table.Generation, hash string) Verdict {
 	switch {
 	case held == nil || generation > held.Generation:
 		return Taken
 	case generation < held.Generation:
 		return Older
-	case hash != held.Hash:
+	case !strings.HasPrefix(held.Hash, hash):
 		return Clash
 	}
 	return Known
--- a/spread/message.go
+++ b/spread/message.go
@@ -19,34 +19,42 @@
 const (
 	// TopicDigest carries a digest and is answered with a digestReply.
 	TopicDigest wire.Topic = "digest"
-	// TopicRecords carries member records and has a blank answer.
+	// TopicRecords carries a recordsMessage and is answered with one.
 	TopicRecords wire.Topic = "records"
 	// TopicTable has no content and is answered with a tableReply.
 	TopicTable wire.Topic = "table"
 )
 
-// digest is what a node says it has.
+// digest is what a node says it has. It is sent every round, so it holds little.
 type digest struct {
 	Generation table.Generation
-	Hash       string
+	// Hash is the start of the table's hash.
+	Hash string
 	// ConfirmedMillis is how long ago the generation was confirmed with the
-	// platform by any node that the sender heard of; -1 when never.
+	// store by any node that the sender heard of; -1 when never.
 	ConfirmedMillis int64
-	Members         member.Digest
-	// From is the sender's own record.
-	From member.Record
+	// Root sums up all member records.
+	Root uint64
+	// Host names the sender.
+	Host string
 }
 
-// digestReply is the answerer's own digest and its records of those buckets
-// that differ.
+// hashStart is how much of a table's hash a digest holds, in characters.
+const hashStart = 16
+
+// digestReply is the answerer's own digest, with its members' if the roots
+// differ.
 type digestReply struct {
 	Digest  digest
-	Records []member.Record
+	Members []uint64
 }
 
-// recordsMessage carries member records.
+// recordsMessage carries the member records that the other side lacks.
 type recordsMessage struct {
 	Records []member.Record
+	// Digest and Members are what the sender has.
+	Digest  digest
+	Members []uint64
 }
 
 // tableReply carries a table, its text compressed by DEFLATE.
--- a/spread/round.go
+++ b/spread/round.go
@@ -125,17 +125,34 @@
 	}
 	s.noteExchange(now)
 	s.View(func(v *member.View) { v.Reached(target.Host) })
-	s.merge(now, append(reply.Records, reply.Digest.From))
 	s.learn(now, reply.Digest)
-	lacking := append(s.differing(reply.Digest.Members), s.pastOf(target.Host)...)
-	if len(lacking) > 0 {
-		_, _ = conn.Ask(TopicRecords, encode(&recordsMessage{lacking}), s.settings.AskLimit)
+	if len(reply.Members) > 0 {
+		s.exchangeRecords(conn, reply)
 	}
 	if s.holder.Judge(reply.Digest.Generation, reply.Digest.Hash) == Taken && reply.Digest.Generation > 0 {
 		s.pull(conn)
 	}
 }
 
+// exchangeRecords sends a node the records that it lacks and takes those that
+// this one lacks.
+func (s *Spread) exchangeRecords(conn *peer.Conn, reply digestReply) {
+	now := time.Now()
+	m := recordsMessage{
+		Records: s.lackedBy(reply.Digest.Host, reply.Members),
+		Digest:  s.digest(now),
+		Members: s.members(),
+	}
+	payload, err := conn.Ask(TopicRecords, encode(&m), s.settings.AskLimit)
+	if err != nil {
+		return // The next round asks another.
+	}
+	var lacked recordsMessage
+	if decode(payload, &lacked) == nil {
+		s.merge(time.Now(), lacked.Records)
+	}
+}
+
 func (s *Spread) askDigest(address string) (*peer.Conn, digestReply, error) {
 	var reply digestReply
 	conn, err := s.dialer.Get(address, s.settings.AskLimit)
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -147,10 +147,10 @@
 	defer s.mu.Unlock()
 	d := digest{
 		Generation:      generation,
-		Hash:            hash,
+		Hash:            hash[:min(len(hash), hashStart)],
 		ConfirmedMillis: -1,
-		Members:         s.view.Digest(),
-		From:            s.view.Self(),
+		Root:            s.view.Digest().Root(),
+		Host:            s.view.Self().Host,
 	}
 	if !s.confirmed.IsZero() {
 		d.ConfirmedMillis = now.Sub(s.confirmed).Milliseconds()
@@ -212,10 +212,7 @@
 	case TopicDigest:
 		reply, err = s.answerDigest(payload)
 	case TopicRecords:
-		var m recordsMessage
-		if err = decode(payload, &m); err == nil {
-			s.merge(time.Now(), m.Records)
-		}
+		reply, err = s.answerRecords(payload)
 	case TopicTable:
 		reply, err = s.answerTable()
 	default:
@@ -232,18 +229,56 @@
 	now := time.Now()
 	s.noteExchange(now)
 	s.learn(now, d)
-	s.merge(now, []member.Record{d.From})
-	if s.holder.Judge(d.Generation, d.Hash) == Taken && d.Generation > 0 {
-		select {
-		case s.pulls <- d.From.Address:
-		default: // A pull is waiting already; the next round asks again.
-		}
-	}
+	s.pullFrom(d)
 	reply := digestReply{Digest: s.digest(now)}
-	reply.Records = append(s.differing(d.Members), s.pastOf(d.From.Host)...)
+	if reply.Digest.Root != d.Root {
+		reply.Members = s.members()
+	}
 	return encode(&reply), nil
 }
 
+// pullFrom has the table of a digest's sender fetched if it is newer. The
+// address of a new node comes with its record.
+func (s *Spread) pullFrom(d digest) {
+	record, known := s.recordOf(d.Host)
+	if !known || d.Generation == 0 || s.holder.Judge(d.Generation, d.Hash) != Taken {
+		return
+	}
+	select {
+	case s.pulls <- record.Address:
+	default: // A pull is waiting already; the next round asks again.
+	}
+}
+
+// members returns the digest of all member records.
+func (s *Spread) members() []uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d := s.view.Digest()
+	return d[:]
+}
+
+// answerRecords takes records and answers with those that the sender lacks.
+func (s *Spread) answerRecords(payload []byte) ([]byte, error) {
+	var m recordsMessage
+	if err := decode(payload, &m); err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	s.merge(now, m.Records)
+	s.learn(now, m.Digest)
+	s.pullFrom(m.Digest)
+	return encode(&recordsMessage{Records: s.lackedBy(m.Digest.Host, m.Members)}), nil
+}
+
+// lackedBy returns the records that a node lacks by its digest of members, with
+// what it must hear of its own past.
+func (s *Spread) lackedBy(host string, members []uint64) []member.Record {
+	var d member.Digest
+	copy(d[:], members)
+	return append(s.differing(d), s.pastOf(host)...)
+}
+
 // recordsAtOnce bounds the member records of one message, at about 60 bytes.
 const recordsAtOnce = 64
 
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -66,6 +66,7 @@
 	payload []byte
 	source  bytes.Reader
 	msgpack *msgpack.Decoder
+	packed  *unpacker
 	size    int
 }
 
@@ -74,7 +75,7 @@
 
 // NewReader returns a Reader of r, which should be buffered.
 func NewReader(r io.Reader) *Reader {
-	return &Reader{r: r, msgpack: msgpack.NewDecoder(nil)}
+	return &Reader{r: r, msgpack: msgpack.NewDecoder(nil), packed: newUnpacker()}
 }
 
 // keepPayload is the size up to which the payload buffer is kept for the next
@@ -129,5 +130,5 @@
 	if err := r.msgpack.Decode(m); err != nil {
 		return nil, eris.Wrapf(err, "decode message of kind %d", kind)
 	}
-	return m, nil
+	return m, r.packed.restore(m)
 }
--- a/wire/message.go
+++ b/wire/message.go
@@ -135,6 +135,8 @@
 	// WaitMicros is how long the request may be queued at the gate; 0 leaves it
 	// to the gate.
 	WaitMicros int64
+	// Packed stands for Header and some fields above on the way; see Encoder.
+	Packed []byte
 }
 
 // Data carries a part of a body in either direction.
@@ -207,6 +209,8 @@
 	Load    Load
 	Body    []byte
 	Last    bool
+	// Packed stands for Header on the way; see Encoder.
+	Packed []byte
 }
 
 // Reason says why a gate refused a request.
