admit, entry: when every server is full, one queues the request as long as it may wait

A gate judged its queue by the time since the last answer and refused at once, and nobody waited. Change: a bounded wait is judged by what goes before it and by a stall; when all servers refuse, the request goes to one of them to wait out its bound.

--- a/admit/queue.go
+++ b/admit/queue.go
@@ -148,7 +148,7 @@
 		q.refuse(t, Expired)
 	case q.inFlight < q.Limit() && q.queued == 0:
 		q.dispatch(now, t)
-	case !q.meetsDeadline(now, t), t.MaxWait > 0 && q.wait(now, t.Priority) > t.MaxWait:
+	case !q.meetsWait(now, t):
 		q.refuse(t, Overload)
 	case q.queued < q.settings.Queue:
 		q.push(now, t)
@@ -247,15 +247,36 @@
 	return q.wait(now, t.Priority)+q.service.value <= t.Deadline.Sub(now)
 }
 
-// wait is the time that a new ticket is expected to queue: one interval for
-// each that goes before it, and at least as long as the server has answered
-// nothing.
-func (q *Queue) wait(now time.Time, p table.Priority) time.Duration {
+// meetsWait reports whether t may be queued by what it must wait. A bounded
+// wait that would be too long is refused at once, so that another server is
+// asked; a patient ticket has no other and takes its chance within the bound.
+func (q *Queue) meetsWait(now time.Time, t *Ticket) bool {
+	if t.MaxWait == 0 {
+		return q.meetsDeadline(now, t)
+	}
+	return t.Patient || q.expectedWait(now, t.Priority) <= t.MaxWait
+}
+
+// expectedWait is one interval for each that goes before a new ticket, and at
+// least as long as a stalled server has answered nothing.
+func (q *Queue) expectedWait(now time.Time, p table.Priority) time.Duration {
+	return max(time.Duration(q.ahead(p))*q.interval(), q.Stalled(now))
+}
+
+// ahead counts a new ticket and those that go before it.
+func (q *Queue) ahead(p table.Priority) int {
 	ahead := 1
 	for i := table.Priority(0); i <= p; i++ {
 		ahead += len(q.waiting[i])
 	}
-	return max(time.Duration(ahead)*q.interval(), now.Sub(q.lastDone))
+	return ahead
+}
+
+// wait is the time that a new ticket is expected to queue: one interval for
+// each that goes before it, and at least as long as the server has answered
+// nothing.
+func (q *Queue) wait(now time.Time, p table.Priority) time.Duration {
+	return max(time.Duration(q.ahead(p))*q.interval(), now.Sub(q.lastDone))
 }
 
 // interval is the expected time between two answers at the present limit.
@@ -324,7 +345,7 @@
 	switch {
 	case !now.Before(t.Deadline):
 		return Expired
-	case !now.Before(t.patience) && !t.Patient && !q.settings.NoDeadlineBound:
+	case !now.Before(t.patience) && (!t.Patient || t.MaxWait > 0) && !q.settings.NoDeadlineBound:
 		return Overload
 	}
 	return NoCause
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -101,7 +101,7 @@
 	m.BudgetMicros = left.Microseconds()
 	m.Patient = a.patient
 	if !r.refuseBy.IsZero() {
-		m.Patient = false
+		m.Patient = r.waiting
 		m.WaitMicros = max(time.Until(r.refuseBy), time.Millisecond).Microseconds()
 	}
 	call, err := conn.Start(&m)
--- a/entry/handle.go
+++ b/entry/handle.go
@@ -96,7 +96,7 @@
 		}
 		res.last = a
 		r.note(a)
-		if a.outcome == retry.Answered || a.final || !e.again(r, a) {
+		if a.outcome == retry.Answered || a.final || !(e.again(r, a) || r.waitForRoom(a)) {
 			break
 		}
 		if a.response != nil {
@@ -110,6 +110,17 @@
 	return res
 }
 
+// waitForRoom reports whether a request that every server refused for want of
+// room goes to one of them all the same, to be queued as long as it may wait.
+func (r *request) waitForRoom(a *attempt) bool {
+	if a.outcome != retry.Overloaded || a.reached() || r.waiting || !time.Now().Before(r.refuseBy) {
+		return false
+	}
+	r.waiting = true
+	r.tried = nil
+	return true
+}
+
 // keepAnswer keeps an error answer that is at hand whole, in case that no
 // later attempt does better.
 func (e *Entry) keepAnswer(a *attempt) *attempt {
--- a/entry/request.go
+++ b/entry/request.go
@@ -31,6 +31,8 @@
 	// refuseBy is until when the request may wait for room; zero leaves it to
 	// the gates.
 	refuseBy time.Time
+	// waiting says that all servers were full and one of them is to queue it.
+	waiting bool
 	body     *body
 	// message is what is sent to gates; each attempt sends a copy.
 	message wire.Request
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -130,7 +130,7 @@
 		policy = s.Policy
 	}
 	policy.Slots = n.usedSlots(current.Slots)
-	policy.Queue = policy.Slots
+	policy.Queue = queueFactor * policy.Slots
 	if after := n.settings.Sidecar.MeasureAfter; after > 0 {
 		policy.MeasureRate = 1 / after.Seconds()
 	}
@@ -149,6 +149,10 @@
 	return gateKey{current.Service, current.ID}, row, true
 }
 
+// queueFactor is how many requests may wait at a gate for each that it lets
+// through; the bound in time comes first.
+const queueFactor = 2
+
 // mostSends bounds the sends of one request where the terms count what reaches
 // servers.
 const mostSends = 6
