balance, entry: a repeatable request is hedged when its server has turned slow

Cause: hedges went after 1.5 usual times, on clc too late to make the aim; entries hear within milliseconds that a server has turned slow. Change: from 0.4 usual times on, a request at a server that is slow now goes to another too if that lowers the expected loss by 0.3; both are paid from the budget of what reaches servers, whose margin rises from 0.5 to 0.7.

--- a/balance/demand.go
+++ b/balance/demand.go
@@ -59,8 +59,8 @@
 // expectedLoss is the expected loss by sending a request to a server, in late
 // requests.
 func (p *Pool) expectedLoss(now time.Time, s *Server, usual float64, demand Demand) float64 {
-	ratio := float64(p.expectedTime(now, s, usual, demand)) / float64(demand.Aim)
-	loss := 1/(1+math.Exp(lateSteepness*(1-ratio))) + earlyWorth*ratio
+	took := p.expectedTime(now, s, usual, demand)
+	loss := lateness(took, demand.Aim) + earlyWorth*float64(took)/float64(demand.Aim)
 	loss += s.failures * decay(now.Sub(s.lastFailure), failureDecay)
 	if !p.options.NoDistance {
 		loss += s.BytePrice * demand.Bytes
@@ -68,6 +68,33 @@
 	return loss
 }
 
+// leastLeft is the share of the work that a request which has not been answered
+// is taken to have left at least.
+const leastLeft = 0.3
+
+// HedgeGain is by how much less the expected loss would be, in late requests, if
+// a request that has been at a server for a time were sent to another one too.
+func (p *Pool) HedgeGain(now time.Time, at, other *Server, been time.Duration, demand Demand) float64 {
+	if !demand.Known() || at.report.Slowness == 0 {
+		return 0
+	}
+	usual := p.usualSlowness()
+	slowness := max(at.slowness(now, usual)/100, 1)
+	left := max(demand.Work-time.Duration(float64(been)/slowness), time.Duration(leastLeft*float64(demand.Work)))
+	stay := lateness(p.stretch(left, slowness), demand.Aim)
+	hedged := lateness(p.expectedTime(now, other, usual, demand), demand.Aim)
+	gain := stay - hedged
+	if !p.options.NoDistance {
+		gain -= other.BytePrice * demand.Bytes
+	}
+	return gain
+}
+
+// lateness is the chance that what is expected to take a time misses its aim.
+func lateness(took, aim time.Duration) float64 {
+	return 1 / (1 + math.Exp(lateSteepness*(1-float64(took)/float64(aim))))
+}
+
 // expectedTime is what the request is expected to take at a server.
 func (p *Pool) expectedTime(now time.Time, s *Server, usual float64, demand Demand) time.Duration {
 	slowness := s.slowness(now, usual) / 100
--- a/entry/race.go
+++ b/entry/race.go
@@ -27,8 +27,10 @@
 	deadline := time.NewTimer(time.Until(w.request.deadline))
 	defer deadline.Stop()
 	var hedgeAt <-chan time.Time
-	if delay, ok := w.entry.hedgeDelay(w.request); ok {
-		timer := time.NewTimer(delay)
+	var timer *time.Timer
+	plan, ok := w.entry.hedgePlan(w.request)
+	if ok {
+		timer = time.NewTimer(plan.first)
 		defer timer.Stop()
 		hedgeAt = timer.C
 	}
@@ -40,8 +42,11 @@
 		case head := <-w.hedgeHead():
 			decided = w.hedgeEnded(head)
 		case <-hedgeAt:
-			hedgeAt = nil
-			w.hedge = w.entry.hedge(w.request)
+			if w.hedge = w.entry.hedge(w.request, w.first, plan); w.hedge != nil || plan.every == 0 {
+				hedgeAt = nil
+			} else {
+				timer.Reset(plan.every)
+			}
 		case <-w.suspected:
 			decided = w.firstSuspected()
 		case <-w.request.gone:
@@ -121,27 +126,53 @@
 	return w.first
 }
 
-// hedgeDelay is when the request is to be hedged; ok is false when never.
-func (e *Entry) hedgeDelay(r *request) (time.Duration, bool) {
+// hedgePlan says when a second attempt beside the first is thought of.
+type hedgePlan struct {
+	// first is when, and every how often again; 0 only once.
+	first, every time.Duration
+	// late is after what time a request has waited unusually long.
+	late time.Duration
+}
+
+// The first look and the following ones, as shares of the usual time.
+const (
+	hedgeFirst = 0.4
+	hedgeEvery = 0.25
+	// hedgeEveryLeast bounds the looks of short requests.
+	hedgeEveryLeast = 5 * time.Millisecond
+	// hedgeGain is by how much less the expected loss must be, in late requests,
+	// for a hedge before the request has waited unusually long.
+	hedgeGain = 0.3
+)
+
+// hedgePlan returns when the request may be hedged; ok is false when never.
+func (e *Entry) hedgePlan(r *request) (plan hedgePlan, ok bool) {
 	if e.settings.NoHedges || r.hedged || !r.message.Repeatable || !r.message.Last {
-		return 0, false
+		return hedgePlan{}, false
 	}
 	if r.traits != nil {
-		return r.traits.after()
+		late, ok := r.traits.after()
+		usual := r.traits.demand(time.Now(), r.aim).Work
+		return hedgePlan{
+			first: time.Duration(hedgeFirst * float64(usual)),
+			every: max(time.Duration(hedgeEvery*float64(usual)), hedgeEveryLeast),
+			late:  late,
+		}, ok
 	}
 	r.service.mu.Lock()
 	defer r.service.mu.Unlock()
-	return r.service.delay.After()
+	late, ok := r.service.delay.After()
+	return hedgePlan{first: late, late: late}, ok
 }
 
 // hedge sends the request to a second server beside the first, if the budget
 // and the servers allow it and the way there is open; else it returns nil.
-func (e *Entry) hedge(r *request) *attempt {
-	r.hedged = true
-	a := r.pickHedge(time.Now())
+func (e *Entry) hedge(r *request, first *attempt, plan hedgePlan) *attempt {
+	a := r.pickHedge(time.Now(), first, plan)
 	if a == nil {
 		return nil
 	}
+	r.hedged = true
 	if e.dialer.Peek(a.node) == nil {
 		e.end(r, a, balance.Result{Abandoned: true})
 		return nil
@@ -156,14 +187,19 @@
 
 // pickHedge chooses a second server if it has room to spare and the budget
 // pays for it.
-func (r *request) pickHedge(now time.Time) *attempt {
+func (r *request) pickHedge(now time.Time, first *attempt, plan hedgePlan) *attempt {
 	s := r.service
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.pool.Others(now, r.tried) == 0 {
 		return nil
 	}
-	server := s.pool.PickFor(now, s.rng, r.tried, r.demand(now))
+	demand := r.demand(now)
+	server := s.pool.PickFor(now, s.rng, r.tried, demand)
+	been := now.Sub(first.began)
+	if been < plan.late && s.pool.HedgeGain(now, first.server, server, been, demand) < hedgeGain {
+		return nil
+	}
 	if r.most > 0 && r.reached+1 >= r.most {
 		return nil // The first attempt may reach its server.
 	}
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -65,7 +65,7 @@
 
 // margin is the part of the terms that is used: nodes come and go, and each
 // knows only its own requests.
-const margin = 0.5
+const margin = 0.7
 
 // Split returns one node's part of the terms among nodes.
 func (t Terms) Split(nodes int) Bound {
