--- a/announce/registry.go
+++ b/announce/registry.go
@@ -37,6 +37,10 @@
 	current member.Server
 	seq     uint64
 	cold    time.Time
+	// lost is the ID in whose place another server was met, and lostSeq the
+	// number up to which its announcements are from before.
+	lost    string
+	lostSeq uint64
 	// ended are the IDs that may not become current again.
 	ended map[string]bool
 	order []string
@@ -64,6 +68,9 @@
 	if a.ID == r.current.ID && a.Seq <= r.seq && r.seq != 0 {
 		return false, nil
 	}
+	if a.ID == r.lost && a.Seq <= r.lostSeq {
+		return false, nil
+	}
 	before := r.current
 	if a.ID != r.current.ID {
 		r.end(r.current.ID)
@@ -95,7 +102,7 @@
 // Remember takes what other nodes remember of this node's server from its
 // earlier life and reports whether it changed the server.
 func (r *Registry) Remember(past member.Server) bool {
-	if past.ID == "" || r.ended[past.ID] {
+	if past.ID == "" || past.ID == r.lost || r.ended[past.ID] {
 		return false
 	}
 	switch r.current.ID {
@@ -110,12 +117,13 @@
 	return false
 }
 
-// Lost takes the word of whoever met the server that the ID has ended.
+// Lost takes the word of whoever met another server in place of an ID. Only an
+// announcement that is newer than any before brings the ID back.
 func (r *Registry) Lost(id string) bool {
 	if id != r.current.ID || id == "" {
 		return false
 	}
-	r.end(id)
+	r.lost, r.lostSeq = id, r.seq
 	r.current = member.Server{}
 	r.seq = 0
 	return true
--- a/announce/registry_test.go
+++ b/announce/registry_test.go
@@ -56,6 +56,16 @@
 			mustAnnounce(t, r, ready("b", 1))
 			mustAnnounce(t, r, ready("a", 6))
 		}, "b", member.Live},
+		{"one in whose place another was met", func(t *testing.T, r *Registry) {
+			mustAnnounce(t, r, ready("a", 5))
+			r.Lost("a")
+			mustAnnounce(t, r, ready("a", 4))
+		}, "", member.Live},
+		{"one that announces itself after another was met", func(t *testing.T, r *Registry) {
+			mustAnnounce(t, r, ready("a", 5))
+			r.Lost("a")
+			mustAnnounce(t, r, ready("a", 6))
+		}, "a", member.Live},
 		{"leaving of one never seen", func(t *testing.T, r *Registry) {
 			mustAnnounce(t, r, ready("b", 1))
 			r.Leave("a")
--- a/gate/job.go
+++ b/gate/job.go
@@ -79,6 +79,11 @@
 	}
 }
 
+// staleWithin is how soon a kept connection that the server had closed already
+// ends: one way there and back on the same host. What ends later may have been
+// worked on, and whether it is sent again is for the entry's budget to say.
+const staleWithin = time.Millisecond
+
 // send opens an exchange and hands the request over. A repeatable request on a
 // kept connection that the server had closed already is sent once more.
 func (j *job) send(request *fasthttp.Request) (*backend.Exchange, wire.Reason, error) {
@@ -90,8 +95,9 @@
 		}
 		dialect := &j.gate.settings.Dialect
 		exchange.TagField, exchange.Tag = dialect.RequestID, j.stream.Request.Tag
+		sent := time.Now()
 		err := exchange.Send(request, j.sendLimit())
-		if fresh || !eris.Is(err, backend.ErrStale) || !j.stream.Request.Last {
+		if fresh || !eris.Is(err, backend.ErrStale) || !j.stream.Request.Last || time.Since(sent) > staleWithin {
 			return exchange, 0, err
 		}
 		exchange.Finish(false)
