platform/emulator, cmd/ryehaven-load: whole emulated sites, and policies compared on them

Cause: the emulator's parts were put together in tests only, and the load tool drove the product's own stand-ins only.

--- a/cmd/ryehaven-load/main.go
+++ b/cmd/ryehaven-load/main.go
@@ -22,6 +22,7 @@
 	Chain    chainCommand    `cmd:"" help:"Measure how load multiplies along a chain of services that is overloaded."`
 	Recover  recoverCommand  `cmd:"" help:"Measure how long callers see failures after a kill or a freeze."`
 	Spread   spreadCommand   `cmd:"" help:"Measure control cost and the time until a change is in force, against the number of nodes."`
+	Platform platformCommand `cmd:"" help:"Compare policies on an emulated site of the users' platform whose servers are slow in spells."`
 	Ablate   ablateCommand   `cmd:"" help:"Run scenarios with one part of the decisions switched off at a time."`
 }
 
--- /dev/null
+++ b/cmd/ryehaven-load/platform.go
@@ -0,0 +1,168 @@
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rotisserie/eris"
+
+	"github.com/ryehaven/ryehaven/balance"
+	"github.com/ryehaven/ryehaven/platform/emulator"
+	"github.com/ryehaven/ryehaven/settings"
+)
+
+// platformCommand compares policies on an emulated site of the users' platform
+// whose servers are slow in spells.
+type platformCommand struct {
+	Servers int           `default:"4" help:"Servers of the one service."`
+	Zones   int           `default:"3" help:"Zones over which they are spread."`
+	Work    time.Duration `default:"40ms" help:"Time of a request at usual speed."`
+	Aim     time.Duration `default:"120ms" help:"Time within which an answer is in time."`
+	Rate    float64       `default:"120" help:"Requests a second."`
+	Length  time.Duration `default:"10s" help:"Length of each run."`
+	Slow    int           `default:"4" help:"How many times slower a server is in a slow spell."`
+	Share   float64       `default:"0.25" help:"Share of the time that a server is slow."`
+	Spell   time.Duration `default:"300ms" help:"Mean time between changes of a server's speed."`
+	Seed    uint64        `default:"1" help:"Seed of arrivals and spells."`
+}
+
+// callerOutcome is what callers saw in one run.
+type callerOutcome struct {
+	mu                    sync.Mutex
+	sent, inAim, late     int
+	refused, failed, runs int
+	latency               *hdrhistogram.Histogram
+}
+
+// Run implements the command.
+func (c *platformCommand) Run() error {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "policy\tsent\tin aim %\tlate %\trefused %\tfailed %\truns a request\tp50 ms\tp99 ms")
+	for _, policy := range []balance.Policy{balance.Random, balance.LeastOutstanding, balance.TwoChoices, balance.Expected} {
+		o, err := c.one(policy)
+		if err != nil {
+			return err
+		}
+		percent := func(n int) float64 { return 100 * float64(n) / float64(max(o.sent, 1)) }
+		fmt.Fprintf(w, "%s\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.2f\t%.1f\t%.1f\n", policy, o.sent, percent(o.inAim), percent(o.late),
+			percent(o.refused), percent(o.failed), float64(o.runs)/float64(max(o.sent, 1)),
+			float64(o.latency.ValueAtQuantile(50))/1000, float64(o.latency.ValueAtQuantile(99))/1000)
+	}
+	return w.Flush()
+}
+
+const (
+	platformService = "a"
+	platformPath    = "/read/"
+	// settleLimit bounds the wait until every node knows every server.
+	settleLimit = 10 * time.Second
+)
+
+// one plays one policy.
+func (c *platformCommand) one(policy balance.Policy) (*callerOutcome, error) {
+	site, err := emulator.StartSite(emulator.SiteOptions{
+		Services: []emulator.ServiceOptions{{Name: platformService, Servers: c.Servers, Work: c.Work}},
+		Zones:    c.Zones,
+		Configuration: emulator.Configuration(1, []string{platformService}, []emulator.Route{{
+			Prefix: platformPath, Repeatable: true, Service: platformService, Attempts: 2, Rank: 1,
+			TimeoutMs: int(4 * c.Aim.Milliseconds()), AimMs: int(c.Aim.Milliseconds()),
+		}}),
+		Adjust: func(s *settings.Settings) { s.Experiment.Balance.Policy = policy },
+	})
+	defer site.Close()
+	if err != nil {
+		return nil, err
+	}
+	until := time.Now().Add(settleLimit)
+	for _, h := range site.Hosts {
+		for !h.Node.Ready() || h.KnownServers() < c.Servers {
+			if time.Now().After(until) {
+				return nil, eris.New("the site did not settle")
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var spells sync.WaitGroup
+	for i, h := range site.Hosts {
+		spells.Go(func() { c.spells(ctx, h.Server, rand.New(rand.NewPCG(c.Seed, uint64(i)))) })
+	}
+	o := c.load(site)
+	cancel()
+	spells.Wait()
+	for _, h := range site.Hosts {
+		o.runs += len(h.Server.Arrivals())
+	}
+	return o, nil
+}
+
+// spells makes a server slow and usual by turns until ctx ends.
+func (c *platformCommand) spells(ctx context.Context, server *emulator.Server, rng *rand.Rand) {
+	const usual = 100
+	for {
+		speed := usual
+		if rng.Float64() < c.Share {
+			speed = usual * c.Slow
+		}
+		server.SetSlowness(speed)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Duration(rng.ExpFloat64() * float64(c.Spell))):
+		}
+	}
+}
+
+// load sends requests at drawn moments, whether or not earlier ones have ended.
+func (c *platformCommand) load(site *emulator.Site) *callerOutcome {
+	o := &callerOutcome{latency: hdrhistogram.New(1, time.Minute.Microseconds(), 3)}
+	rng := rand.New(rand.NewPCG(c.Seed, 0))
+	var wait sync.WaitGroup
+	began := time.Now()
+	at := time.Duration(0)
+	for number := 0; ; number++ {
+		at += time.Duration(rng.ExpFloat64() / c.Rate * float64(time.Second))
+		if at >= c.Length {
+			break
+		}
+		host := site.Hosts[rng.IntN(len(site.Hosts))]
+		time.Sleep(time.Until(began.Add(at)))
+		sent := began.Add(at)
+		wait.Go(func() {
+			reply := emulator.Call{
+				Method: "GET", Path: platformPath + fmt.Sprint(number), ID: fmt.Sprintf("%016x", number),
+				DeadlineMs: int(4 * c.Aim.Milliseconds()),
+			}.Send(host.Caller())
+			o.count(reply, time.Since(sent), c.Aim)
+		})
+	}
+	wait.Wait()
+	return o
+}
+
+func (o *callerOutcome) count(reply emulator.Reply, took, aim time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.sent++
+	switch {
+	case reply.Err == nil && reply.Status == 200 && took <= aim:
+		o.inAim++
+	case reply.Err == nil && reply.Status == 200:
+		o.late++
+	case reply.Err == nil && reply.Status == 503:
+		o.refused++
+	default:
+		o.failed++
+	}
+	if reply.Err == nil && reply.Status == 200 {
+		_ = o.latency.RecordValue(took.Microseconds()) // Within the histogram's range.
+	}
+}
