node: a stopping node's gate serves on while its callers turn away

Change: the gate drains 1.4 s after the signal instead of at once; callers turn away meanwhile and the stop still ends only when nothing is under way. Ruled out: a shorter stop (callers look at readiness once a second and need two misses).

--- a/node/apply.go
+++ b/node/apply.go
@@ -47,7 +47,7 @@
 	leaving := false
 	n.spread.View(func(v *member.View) {
 		self = v.Self()
-		leaving = v.Replaced() || (self.State != member.Live && !n.stopping.Load())
+		leaving = v.Replaced() || (self.State != member.Live && !n.draining.Load())
 		records = make(map[string]member.Record, v.Len())
 		for _, r := range v.All() {
 			records[r.Host] = r
@@ -104,7 +104,7 @@
 		g.Configure(row, now)
 		g.SetCold(n.registry.ColdUntil())
 		g.SetDrain(gate.DrainHost, hostLeaving, now)
-		g.SetDrain(gate.DrainNode, n.stopping.Load(), now)
+		g.SetDrain(gate.DrainNode, n.draining.Load(), now)
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -74,6 +74,8 @@
 	notices  *rate.Limiter
 	told     atomic.Int64
 	stopping atomic.Bool
+	// draining says that the gates take no new work since the node stops.
+	draining atomic.Bool
 	// idle says that runTicks rests and wants to be woken.
 	idle      atomic.Bool
 	wake      chan struct{}
--- a/node/stop.go
+++ b/node/stop.go
@@ -43,14 +43,11 @@
 	began := time.Now()
 	n.stopping.Store(true)
 	n.log.Info("node stopping", zap.Duration("bound", n.settings.Limits.Stop))
-	for _, g := range n.everyGate() {
-		g.SetDrain(gate.DrainNode, true, began)
-	}
-	n.sayState(member.Leaving)
 	bound := began.Add(n.settings.Limits.Stop)
 	if n.settings.Sidecar.Control != "" {
 		return n.stopSidecar(began, bound)
 	}
+	n.drainGates(began)
 	time.Sleep(min(acceptGrace, time.Until(bound)))
 	n.callers.Close()
 	for n.unfinished() > 0 {
@@ -70,6 +67,9 @@
 	// turnAway is how long callers take to see that the node is not ready: two
 	// questions, a second apart, and their work on the way.
 	turnAway = 2200 * time.Millisecond
+	// serveOn is how long the gate still takes new work: its server goes on, and
+	// no other node can reach it.
+	serveOn = 1400 * time.Millisecond
 	// quietFor is how long nothing must have been under way before the end.
 	quietFor = 300 * time.Millisecond
 	// killMargin is how long before its bound the node ends in any case, so
@@ -77,6 +77,15 @@
 	killMargin = 700 * time.Millisecond
 )
 
+// drainGates makes the gates refuse new work and tells the other nodes.
+func (n *Node) drainGates(now time.Time) {
+	n.draining.Store(true)
+	for _, g := range n.everyGate() {
+		g.SetDrain(gate.DrainNode, true, now)
+	}
+	n.sayState(member.Leaving)
+}
+
 // farewellLimit is how long callers' connections may still take after a stop
 // that began at a time: a request that crossed the closing is still answered.
 func (n *Node) farewellLimit(began time.Time) time.Duration {
@@ -94,6 +103,9 @@
 	for {
 		time.Sleep(stopPoll)
 		now := time.Now()
+		if now.Sub(began) >= serveOn && !n.draining.Load() {
+			n.drainGates(now)
+		}
 		if n.busy() {
 			quietSince = now
 		}
--- /dev/null
+++ b/retry/terms_test.go
@@ -0,0 +1,61 @@
+// SPDX-License-Identifier: MIT
+
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// However requests fall on nodes, what all of them send again within any window
+// stays within the terms.
+func TestTermsHoldOverAllNodes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		terms := Terms{Share: 0.2, Extra: 58, Window: 10 * time.Second}
+		nodes := rapid.IntRange(1, 20).Draw(t, "nodes")
+		budgets := make([]Budget, nodes)
+		for i := range budgets {
+			budgets[i].Bound = terms.Split(nodes)
+		}
+		type moment struct {
+			at            time.Time
+			fresh, repeat int
+		}
+		now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		var seen []moment
+		for range rapid.IntRange(50, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+			m := moment{at: now}
+			node := &budgets[rapid.IntRange(0, nodes-1).Draw(t, "node")]
+			for range rapid.IntRange(0, 5).Draw(t, "fresh") {
+				node.Fresh(now)
+				m.fresh++
+			}
+			for range rapid.IntRange(0, 10).Draw(t, "wanted") {
+				if node.Take(now, 1) {
+					m.repeat++
+				}
+			}
+			seen = append(seen, m)
+		}
+		for i, from := range seen {
+			fresh, repeat := 0, 0
+			for _, m := range seen[i:] {
+				if m.at.Sub(from.at) >= terms.Window {
+					break
+				}
+				repeat += m.repeat
+			}
+			for _, m := range seen {
+				if d := m.at.Sub(from.at); d > -terms.Window && d < terms.Window {
+					fresh += m.fresh
+				}
+			}
+			if most := terms.Share*float64(fresh) + terms.Extra; float64(repeat) > most+1 {
+				t.Fatalf("%d sent again in a window; the terms allow %.1f", repeat, most)
+			}
+		}
+	})
+}
