--- a/table/column.go
+++ b/table/column.go
@@ -4,7 +4,7 @@
 
 import (
 	"fmt"
-	"net"
+	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -134,9 +134,19 @@
 	return nil
 }
 
+// cutLast cuts a text around the last separator.
+func cutLast(text, separator string) (before, after string, found bool) {
+	at := strings.LastIndex(text, separator)
+	if at < 0 {
+		return text, "", false
+	}
+	return text[:at], text[at+len(separator):], true
+}
+
 func checkAddress(cell string) error {
-	host, port, err := net.SplitHostPort(cell)
-	if err != nil || net.ParseIP(host) == nil {
+	host, port, found := cutLast(cell, ":")
+	_, err := netip.ParseAddr(strings.Trim(host, "[]"))
+	if !found || err != nil {
 		return fmt.Errorf("%q is not an IP number with a port, such as 127.0.0.1:9101", cell)
 	}
 	if n, err := strconv.Atoi(port); err != nil || n < 1 || n > 65535 {
