--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -159,6 +159,7 @@
 		e.end(r, a, balance.Result{Refused: a.reason, RetryAfter: a.retryAfter, Load: &head.Refusal.Load})
 	case head.Reset != nil:
 		a.outcome = retry.Unknown
+		a.final = head.Reset.Expired
 		e.end(r, a, balance.Result{Latency: took, Failed: true, Load: &head.Reset.Load})
 	default:
 		a.outcome = retry.Unknown
--- a/entry/handle.go
+++ b/entry/handle.go
@@ -30,12 +30,13 @@
 		e.refuseBad(ctx, fasthttp.StatusBadRequest, fault)
 		return
 	}
-	if int64(ctx.Request.Header.ContentLength()) > e.settings.MaxBody {
+	most := e.maxBody()
+	if int64(ctx.Request.Header.ContentLength()) > most {
 		e.refuseBad(ctx, fasthttp.StatusRequestEntityTooLarge, "the request's body is larger than limits.body_bytes")
 		ctx.SetConnectionClose()
 		return
 	}
-	r.body = newBody(ctx.RequestBodyStream(), e.settings.MaxBody)
+	r.body = newBody(ctx.RequestBodyStream(), most)
 	defer r.endBody()
 	if r.body.broken() != nil {
 		e.refuseBad(ctx, fasthttp.StatusBadRequest, "the request's body broke off")
@@ -49,6 +50,16 @@
 	e.reply(r, result)
 }
 
+// maxBody bounds a request's body, by the table in force or by the settings.
+func (e *Entry) maxBody() int64 {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	if bound := e.table.Bounds().BodyBytes; bound > 0 {
+		return int64(bound)
+	}
+	return e.settings.MaxBody
+}
+
 // prepareBody puts the part of the body that was read into the message.
 func (r *request) prepareBody() {
 	first, whole := r.body.whole()
--- a/gate/job.go
+++ b/gate/job.go
@@ -361,5 +361,9 @@
 	load := j.done(false)
 	j.gate.record(j, load, event.Unknown, err.Error(), 0)
 	j.gate.Counters.Reset.Add(1)
+	if !time.Now().Before(j.stream.Deadline) {
+		j.stream.Expire(err.Error(), load)
+		return
+	}
 	j.stream.Reset(err.Error(), load)
 }
--- a/node/callers.go
+++ b/node/callers.go
@@ -20,18 +20,19 @@
 	headerLimit = 10 * time.Second
 	// idleMargin is how much longer a connection is kept than callers are told.
 	idleMargin = time.Second
+	// sidecarIdle is kept where tables bound the idle time.
+	sidecarIdle = 5 * time.Minute
 )
 
 // callerServer returns the server of the caller port.
 func (n *Node) callerServer() *fasthttp.Server {
 	limits := n.settings.Limits
-	keepAlive := "timeout=" + strconv.Itoa(int(limits.Idle.Seconds()))
 	return &fasthttp.Server{
 		Name: "ryehaven",
 		Handler: func(ctx *fasthttp.RequestCtx) {
 			n.arrived()
 			n.entry.Handle(ctx)
-			ctx.Response.Header.Set("Keep-Alive", keepAlive)
+			ctx.Response.Header.Set("Keep-Alive", "timeout="+strconv.Itoa(int(n.idleLimit().Seconds())))
 			if n.stopping.Load() {
 				ctx.SetConnectionClose()
 			}
@@ -44,7 +45,7 @@
 		MaxRequestBodySize:    limits.BodyBytes,
 		ReadBufferSize:        limits.HeaderBytes,
 		ReadTimeout:           headerLimit,
-		IdleTimeout:           limits.Idle + idleMargin,
+		IdleTimeout:           n.longestIdle() + idleMargin,
 		Concurrency:           limits.Connections,
 		NoDefaultServerHeader: true,
 		NoDefaultContentType:  true,
@@ -52,6 +53,26 @@
 	}
 }
 
+// idleLimit is how long a caller's connection may wait for its next request, by
+// the table in force or by the settings.
+func (n *Node) idleLimit() time.Duration {
+	if current := n.holder.Current(); current != nil {
+		if idle := current.Table.Bounds().Idle; idle > 0 {
+			return idle
+		}
+	}
+	return n.settings.Limits.Idle
+}
+
+// longestIdle bounds the wait while the node runs: a table may change it, the
+// server of the caller port takes it once.
+func (n *Node) longestIdle() time.Duration {
+	if n.settings.Sidecar.Control != "" {
+		return sidecarIdle
+	}
+	return n.settings.Limits.Idle
+}
+
 // quiet drops the HTTP library's lines about single connections; counters
 // tell of them.
 type quiet struct{}
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -45,6 +45,11 @@
 	s.end(&wire.Reset{ID: s.Request.ID, Message: message, Load: load})
 }
 
+// Expire is Reset because the request's time was up.
+func (s *Stream) Expire(message string, load wire.Load) {
+	s.end(&wire.Reset{ID: s.Request.ID, Message: message, Load: load, Expired: true})
+}
+
 // end sends a stream's last message unless the stream has ended.
 func (s *Stream) end(m wire.Message) {
 	if !s.conn.forget(s.Request.ID) {
--- a/wire/message.go
+++ b/wire/message.go
@@ -260,6 +260,8 @@
 	ID      uint64
 	Message string
 	Load    Load
+	// Expired says that the request's time was up.
+	Expired bool
 }
 
 // Ping asks for a Pong with the same number.
