gate, retry: the gate never sends again, and half of the terms are used

Servers that reset right after a run looked like connections that had been closed before, so the gate sent again, unpaid; with that, 0.7 of the terms was too much, the more as the calls of a repeated run count as repeats too. Ruled out: a shorter time than a millisecond (the reset came in the same one). Change: what reaches a server twice is decided and paid at the entry alone; 0.5 of the terms are used.

--- a/gate/job.go
+++ b/gate/job.go
@@ -80,30 +80,16 @@
 	}
 }
 
-// staleWithin is how soon a kept connection that the server had closed already
-// ends: one way there and back on the same host. What ends later may have been
-// worked on, and whether it is sent again is for the entry's budget to say.
-const staleWithin = time.Millisecond
-
-// send opens an exchange and hands the request over. A repeatable request on a
-// kept connection that the server had closed already is sent once more.
+// send opens an exchange and hands the request over. A request whose kept
+// connection ends at once is not sent again here: the server may have run it, and
+// what reaches a server twice is paid from the entry's budget.
 func (j *job) send(request *fasthttp.Request) (*backend.Exchange, wire.Reason, error) {
-	fresh := !j.stream.Request.Repeatable
-	for {
-		exchange, reason := j.open(fresh)
-		if reason != 0 {
-			return nil, reason, nil
-		}
-		dialect := &j.gate.settings.Dialect
-		exchange.TagField, exchange.Tag = dialect.RequestID, j.stream.Request.Tag
-		sent := time.Now()
-		err := exchange.Send(request, j.sendLimit())
-		if fresh || !eris.Is(err, backend.ErrStale) || !j.stream.Request.Last || time.Since(sent) > staleWithin {
-			return exchange, 0, err
-		}
-		exchange.Finish(false)
-		fresh = true
+	exchange, reason := j.open(!j.stream.Request.Repeatable)
+	if reason != 0 {
+		return nil, reason, nil
 	}
+	exchange.TagField, exchange.Tag = j.gate.settings.Dialect.RequestID, j.stream.Request.Tag
+	return exchange, 0, exchange.Send(request, j.sendLimit())
 }
 
 // open gets a connection and, under the gate's lock, makes the one decision
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -73,9 +73,10 @@
 // Counted reports whether the terms count what reaches servers.
 func (t Terms) Counted() bool { return t.Window > 0 }
 
-// margin is the part of the terms that is used: nodes come and go, and each
-// knows only its own requests.
-const margin = 0.7
+// margin is the part of the terms that is used: nodes come and go, each knows
+// only its own requests, and the calls of a run that was itself a repeat count as
+// repeats at the services that it calls.
+const margin = 0.5
 
 // Split returns one node's part of the terms among nodes.
 func (t Terms) Split(nodes int) Bound {
