spread, member, node: registering beside reading, hosts that vanished leave the store

Cause: a hidden goroutine went on registering; records of hosts whose addresses went to others stayed in the store for good; three functions of node/sidecar.go were alike. Change: runRegister is one of Run's own goroutines; whoever is met at an address marks the former host there as gone, and the first node of a zone takes it out of the store; the registry is changed in one place.

--- a/member/member_test.go
+++ b/member/member_test.go
@@ -223,3 +223,28 @@
 		t.Errorf("the node's own past is %+v", self.Past())
 	}
 }
+
+// Whoever is met at an address is there alone; who was thought to be there has
+// gone, and an old record of it does not bring it back.
+func TestAnotherHostAtAnAddress(t *testing.T) {
+	v := NewView(record(0))
+	old, next := record(1), record(2)
+	next.Address = old.Address
+	v.Merge(start, []Record{old, next})
+	if !v.Supersede(start, next.Host, next.Address) || v.Supersede(start, next.Host, next.Address) {
+		t.Error("meeting another host there is news once")
+	}
+	v.Merge(start, []Record{old})
+	if r, _ := v.Record(old.Host); r.State != Gone {
+		t.Errorf("the former host is %s", r.State)
+	}
+	if r, _ := v.Record(next.Host); r.State != Live {
+		t.Errorf("the host that was met is %s", r.State)
+	}
+	back := old
+	back.Incarnation, back.Address = old.Incarnation+1, "elsewhere"
+	v.Merge(start, []Record{back})
+	if r, _ := v.Record(old.Host); r.State != Live {
+		t.Error("a new life elsewhere does not count")
+	}
+}
--- a/member/view.go
+++ b/member/view.go
@@ -234,6 +234,23 @@
 	return records
 }
 
+// Supersede takes note that a host was met at an address, and marks whoever was
+// thought to be there as gone. It reports whether that was news.
+func (v *View) Supersede(now time.Time, host, address string) bool {
+	news := false
+	for _, old := range v.hosts {
+		r := v.entries[old].Record
+		if old == host || old == v.self || r.Address != address || r.State == Gone {
+			continue
+		}
+		r.State = Gone
+		r.Version++
+		v.take(now, r)
+		news = true
+	}
+	return news
+}
+
 // Reached takes note that a node answered.
 func (v *View) Reached(host string) {
 	if e := v.entries[host]; e != nil {
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -17,37 +17,30 @@
 // Announce takes what the backend server beside the node says of itself. Once
 // it returns, what was said is in force at this node's gate.
 func (n *Node) Announce(a announce.Announcement) error {
-	n.mu.Lock()
-	changed, err := n.registry.Announce(time.Now(), a)
-	if changed {
-		n.serverChanged("announced")
-	}
-	n.mu.Unlock()
-	if changed {
-		n.spread.Announce()
-	}
+	var err error
+	n.changeServer("announced", func(r *announce.Registry) (changed bool) {
+		changed, err = r.Announce(time.Now(), a)
+		return changed
+	})
 	return err
 }
 
 // Leave takes a backend server's word that it is gone.
 func (n *Node) Leave(id string) {
-	n.mu.Lock()
-	changed := n.registry.Leave(id)
-	if changed {
-		n.serverChanged("left")
-	}
-	n.mu.Unlock()
-	if changed {
-		n.spread.Announce()
-	}
+	n.changeServer("left", func(r *announce.Registry) bool { return r.Leave(id) })
 }
 
 // lostServer takes note that another server answers in place of the current.
 func (n *Node) lostServer(id string) {
+	n.changeServer("another server is at its address", func(r *announce.Registry) bool { return r.Lost(id) })
+}
+
+// changeServer puts a change of the registry in force and tells other nodes.
+func (n *Node) changeServer(why string, change func(r *announce.Registry) (changed bool)) {
 	n.mu.Lock()
-	changed := n.registry.Lost(id)
+	changed := change(&n.registry)
 	if changed {
-		n.serverChanged("another server is at its address")
+		n.serverChanged(why)
 	}
 	n.mu.Unlock()
 	if changed {
--- a/spread/met.go
+++ b/spread/met.go
@@ -3,6 +3,8 @@
 package spread
 
 import (
+	"time"
+
 	"github.com/ryehaven/ryehaven/member"
 	"github.com/ryehaven/ryehaven/peer"
 )
@@ -10,6 +12,13 @@
 // Met takes note of the node to which a connection was opened. One that has
 // started anew knows nothing, so digests are exchanged with it at once.
 func (s *Spread) Met(who peer.Identity, address string) {
+	s.mu.Lock()
+	superseded := s.view.Supersede(time.Now(), who.Host, address)
+	s.mu.Unlock()
+	if superseded {
+		s.onView()
+		s.Announce()
+	}
 	record, known := s.recordOf(who.Host)
 	if known && record.Incarnation == who.Incarnation && record.Address == address {
 		return
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -73,6 +73,8 @@
 	served *rate.Limiter
 	news   chan struct{}
 	pulls  chan string
+	// registered is closed once the node is known in the store.
+	registered chan struct{}
 
 	mu        sync.Mutex
 	view      *member.View
@@ -96,18 +98,19 @@
 	}
 	perSecond := settings.TableBytesPerSecond
 	return &Spread{
-		settings:  settings,
-		log:       log,
-		holder:    holder,
-		dialer:    dialer,
-		platform:  client,
-		onView:    onView,
-		served:    rate.NewLimiter(rate.Limit(perSecond), perSecond*tableBurst),
-		news:      make(chan struct{}, 1),
-		pulls:     make(chan string, 1),
-		view:      view,
-		exchanged: time.Now(),
-		rng:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		settings:   settings,
+		log:        log,
+		holder:     holder,
+		dialer:     dialer,
+		platform:   client,
+		onView:     onView,
+		served:     rate.NewLimiter(rate.Limit(perSecond), perSecond*tableBurst),
+		news:       make(chan struct{}, 1),
+		pulls:      make(chan string, 1),
+		registered: make(chan struct{}),
+		view:       view,
+		exchanged:  time.Now(),
+		rng:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
 
--- a/spread/watch.go
+++ b/spread/watch.go
@@ -152,7 +152,7 @@
 // runHosts reads the list of hosts in one node of each zone, and in any node
 // that knows no other.
 func (s *Spread) runHosts(ctx context.Context) {
-	s.register(ctx)
+	s.waitForRegistering(ctx)
 	backoff := time.Duration(0)
 	for first := s.settings.Register; ctx.Err() == nil; {
 		wait := s.settings.HostsEvery
@@ -185,8 +185,9 @@
 	return s.view.Len() <= 1
 }
 
-// register makes the node known in the store until that has succeeded.
-func (s *Spread) register(ctx context.Context) {
+// runRegister makes the node known in the store until that has succeeded.
+func (s *Spread) runRegister(ctx context.Context) {
+	defer close(s.registered)
 	directory, ok := s.platform.(store.Directory)
 	if !s.settings.Register || !ok {
 		return
@@ -197,27 +198,50 @@
 	backoff := time.Duration(0)
 	for ctx.Err() == nil {
 		s.Counters.PlatformReads.Add(1)
-		err := directory.Register(ctx, host)
-		if err == nil {
+		if directory.Register(ctx, host) == nil {
 			return
 		}
 		s.Counters.PlatformErrors.Add(1)
-		if !s.alone() && backoff >= backoffWatcher {
-			s.registerLater(ctx, directory, host)
-			return
-		}
 		backoff = min(max(2*backoff, backoffFirst), backoffWatcher)
 		sleep(ctx, s.jitter(backoff))
 	}
 }
 
-// registerLater goes on registering beside the reading of the list.
-func (s *Spread) registerLater(ctx context.Context, directory store.Directory, host store.Host) {
-	go func() {
-		for ctx.Err() == nil && directory.Register(ctx, host) != nil {
-			sleep(ctx, s.jitter(2*backoffWatcher))
+// waitForRegistering waits until the node is known in the store, so that of two
+// nodes that start at once the later reader finds the other, or until other
+// nodes have found this one.
+func (s *Spread) waitForRegistering(ctx context.Context) {
+	ticker := time.NewTicker(checkEvery)
+	defer ticker.Stop()
+	for s.alone() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.registered:
+			return
+		case <-ticker.C:
 		}
-	}()
+	}
+}
+
+// removeVanished takes hosts out of the store's list in whose place others were
+// met.
+func (s *Spread) removeVanished(ctx context.Context, listed []member.Listed) {
+	directory, ok := s.platform.(store.Directory)
+	if !s.settings.Register || !ok || s.rank() != 0 {
+		return
+	}
+	for _, l := range listed {
+		record, known := s.recordOf(l.Host)
+		if !known || record.State != member.Gone {
+			continue
+		}
+		s.Counters.PlatformReads.Add(1)
+		if directory.Remove(ctx, l.Host) != nil {
+			s.Counters.PlatformErrors.Add(1)
+			return // The next reading tries again.
+		}
+	}
 }
 
 func (s *Spread) readHosts(ctx context.Context) error {
@@ -253,6 +277,7 @@
 		s.onView()
 		s.Announce()
 	}
+	s.removeVanished(ctx, listed)
 	return nil
 }
 
--- a/store/store.go
+++ b/store/store.go
@@ -45,6 +45,8 @@
 type Directory interface {
 	// Register adds a host or replaces what is said of it.
 	Register(ctx context.Context, host Host) error
+	// Remove takes out a host that has vanished.
+	Remove(ctx context.Context, host string) error
 }
 
 // Keys of the objects that this system uses.
