balance, entry: wait at a full fast server rather than run at a slow one

Change: after such a refusal the expected loss of waiting there is compared with that of going on; the wait may then last until 1.2 usual times are left of the aim. Ruled out: longer queues everywhere, which made others late. Tests of the choice by expected loss, zones, hedges and spells, which had none.

--- a/balance/demand.go
+++ b/balance/demand.go
@@ -56,6 +56,31 @@
 	})
 }
 
+// waitGain is by how much less the expected loss must be, in late requests, for
+// waiting at a full server instead of going to another one.
+const waitGain = 0.1
+
+// BetterFull returns the server of those that were full for a request at which
+// it had better wait than go to other, or nil. other may be nil.
+func (p *Pool) BetterFull(now time.Time, full []*Server, other *Server, demand Demand) *Server {
+	if !demand.Known() || !p.tellSlowness() {
+		return nil
+	}
+	usual := p.usualSlowness()
+	least := 1.0
+	if other != nil {
+		least = p.expectedLoss(now, other, usual, demand)
+	}
+	least -= waitGain
+	var best *Server
+	for _, s := range full {
+		if loss := p.expectedLoss(now, s, usual, demand); loss < least && p.troubleOf(now, s) <= fullTrouble {
+			best, least = s, loss
+		}
+	}
+	return best
+}
+
 // expectedLoss is the expected loss by sending a request to a server, in late
 // requests.
 func (p *Pool) expectedLoss(now time.Time, s *Server, usual float64, demand Demand) float64 {
--- /dev/null
+++ b/balance/demand_test.go
@@ -0,0 +1,110 @@
+// SPDX-License-Identifier: MIT
+
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/ryehaven/ryehaven/wire"
+)
+
+// slowPool has servers of which each told a slowness.
+func slowPool(now time.Time, slowness ...int) *Pool {
+	p := newTestPool(len(slowness), Options{})
+	for i, percent := range slowness {
+		p.LearnSlowness(now, p.servers[i].Node, percent)
+	}
+	return p
+}
+
+// fill makes a server look full by its gate's report.
+func fill(p *Pool, now time.Time, s *Server, slowness int) {
+	s.learn(now, wire.Load{Seq: 1, InFlight: 4, Limit: 4, Slowness: slowness})
+	s.ownAtReport = 0
+}
+
+var demand = Demand{Work: 60 * time.Millisecond, Aim: 200 * time.Millisecond, Bytes: 2000}
+
+func TestFastServerIsPicked(t *testing.T) {
+	now := start.Add(time.Second)
+	p := slowPool(now, 400, 100, 400)
+	for range 50 {
+		if s := p.PickFor(now, newRand(), nil, demand); s != p.servers[1] {
+			t.Fatalf("picked %s", s.Name)
+		}
+	}
+}
+
+// The way to another zone is worth its bytes when the own zone's server would
+// miss the aim, and not when both make it.
+func TestZoneAgainstLateness(t *testing.T) {
+	now := start.Add(time.Second)
+	for _, test := range []struct {
+		own, other int
+		aim        time.Duration
+		want       int
+	}{
+		{100, 100, 200 * time.Millisecond, 0},
+		{400, 100, 200 * time.Millisecond, 1},
+		{400, 400, 200 * time.Millisecond, 0},
+		{400, 100, 2 * time.Second, 0},
+	} {
+		p := slowPool(now, test.own, test.other)
+		p.servers[1].BytePrice = 40e-6
+		d := demand
+		d.Aim = test.aim
+		if s := p.PickFor(now, newRand(), nil, d); s != p.servers[test.want] {
+			t.Errorf("%+v: picked %s", test, s.Name)
+		}
+	}
+}
+
+// A full fast server is worth waiting for when the only other one is slow.
+func TestBetterFull(t *testing.T) {
+	now := start.Add(time.Second)
+	p := slowPool(now, 100, 400)
+	fast, slow := p.servers[0], p.servers[1]
+	fill(p, now, fast, 100)
+	if got := p.BetterFull(now, []*Server{fast}, slow, demand); got != fast {
+		t.Errorf("better is %v", got)
+	}
+	p.LearnSlowness(now, slow.Node, 100)
+	if got := p.BetterFull(now, []*Server{fast}, slow, demand); got != nil {
+		t.Errorf("waits at %s although another is idle and fast", got.Name)
+	}
+	fast.Leaving = true
+	if got := p.BetterFull(now, []*Server{fast}, nil, demand); got != nil {
+		t.Error("waits at a server that is leaving")
+	}
+}
+
+func TestHedgeGain(t *testing.T) {
+	now := start.Add(time.Second)
+	p := slowPool(now, 400, 100)
+	if gain := p.HedgeGain(now, p.servers[0], p.servers[1], 20*time.Millisecond, demand); gain < 0.1 {
+		t.Errorf("gain from slow to fast is %.2f", gain)
+	}
+	p = slowPool(now, 100, 400)
+	if gain := p.HedgeGain(now, p.servers[0], p.servers[1], 20*time.Millisecond, demand); gain > 0 {
+		t.Errorf("gain from fast to slow is %.2f", gain)
+	}
+}
+
+// Slow spells teach how long they last.
+func TestSpellsAreLearned(t *testing.T) {
+	now := start
+	p := slowPool(now, 100)
+	for range 200 {
+		p.LearnSlowness(now, p.servers[0].Node, 400)
+		now = now.Add(80 * time.Millisecond)
+		p.LearnSlowness(now, p.servers[0].Node, 100)
+		now = now.Add(100 * time.Millisecond)
+	}
+	if p.spell < 70*time.Millisecond || p.spell > 90*time.Millisecond {
+		t.Errorf("spell is %v", p.spell)
+	}
+	if got := p.stretch(300*time.Millisecond, 4); got > 400*time.Millisecond {
+		t.Errorf("work of 300 ms in a spell of 80 ms takes %v", got)
+	}
+}
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -124,7 +124,7 @@
 
 const (
 	noTrouble trouble = iota
-	full
+	fullTrouble
 	ejected
 	unreachable
 	suspected
@@ -183,7 +183,7 @@
 	case s.Ejected(now):
 		return ejected
 	case now.Before(s.fullUntil):
-		return full
+		return fullTrouble
 	}
 	return noTrouble
 }
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -60,7 +60,14 @@
 	s := r.service
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	server := s.pool.PickFor(now, s.rng, r.tried, r.demand(now))
+	demand := r.demand(now)
+	server := s.pool.PickFor(now, s.rng, r.tried, demand)
+	if !r.waiting {
+		if better := s.pool.BetterFull(now, r.full, server, demand); better != nil {
+			server = better
+			r.waiting = true
+		}
+	}
 	if server == nil {
 		return nil
 	}
@@ -112,7 +119,7 @@
 	m.Patient = a.patient
 	if !r.refuseBy.IsZero() {
 		m.Patient = r.waiting
-		m.WaitMicros = max(time.Until(r.refuseBy), time.Millisecond).Microseconds()
+		m.WaitMicros = max(r.mayWait(time.Now()), time.Millisecond).Microseconds()
 	}
 	call, err := conn.Start(&m)
 	if err != nil {
@@ -154,6 +161,9 @@
 		if a.reason == wire.ReasonOverload || a.reason == wire.ReasonShed {
 			a.outcome = retry.Overloaded
 		}
+		if a.reason == wire.ReasonOverload && !r.waiting {
+			r.full = append(r.full, a.server)
+		}
 		a.final = a.reason == wire.ReasonDeadline
 		a.retryAfter = time.Duration(head.Refusal.RetryAfterMicros) * time.Microsecond
 		e.end(r, a, balance.Result{Refused: a.reason, RetryAfter: a.retryAfter, Load: &head.Refusal.Load})
--- a/entry/request.go
+++ b/entry/request.go
@@ -40,6 +40,8 @@
 	// refuseBy is until when the request may wait for room; zero leaves it to
 	// the gates.
 	refuseBy time.Time
+	// full are the servers that refused the request for want of room.
+	full []*balance.Server
 	// waiting says that all servers were full and one of them is to queue it.
 	waiting bool
 	body    *body
@@ -56,6 +58,20 @@
 	mayHaveRun bool
 }
 
+// roomAfterWait is how many usual times must be left of the aim after a wait at
+// a full server that is still the best one.
+const roomAfterWait = 1.2
+
+// mayWait is how long the request may be queued at a gate from now on.
+func (r *request) mayWait(now time.Time) time.Duration {
+	wait := r.refuseBy.Sub(now)
+	if r.waiting {
+		demand := r.demand(now)
+		wait = max(wait, demand.Aim-time.Duration(roomAfterWait*float64(demand.Work)))
+	}
+	return wait
+}
+
 // demand is what the request asks of a server.
 func (r *request) demand(now time.Time) balance.Demand {
 	if r.traits == nil {
