balance, node: an entry works with a subset of each service's servers

Change: of each service an entry keeps 10 servers of its own zone and 6 of others by rendezvous hashing; the others are picked only when all of those are in trouble. Ruled out: telling fewer changes (the choice lives on them).

--- a/balance/pick.go
+++ b/balance/pick.go
@@ -188,8 +188,23 @@
 	return noTrouble
 }
 
+// usualCandidates returns the untried servers without trouble that are no
+// spares.
+func (p *Pool) usualCandidates(now time.Time, tried Tried) []*Server {
+	var found []*Server
+	for _, s := range p.servers {
+		if !s.Spare && !tried.Has(s) && p.troubleOf(now, s) == noTrouble {
+			found = append(found, s)
+		}
+	}
+	return found
+}
+
 // candidates returns the untried servers with the least trouble.
 func (p *Pool) candidates(now time.Time, tried Tried) []*Server {
+	if usual := p.usualCandidates(now, tried); len(usual) > 0 {
+		return usual
+	}
 	best := leaving
 	var found []*Server
 	for _, s := range p.servers {
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -25,6 +25,9 @@
 	Factor float64
 	// Leaving servers get no new work.
 	Leaving bool
+	// Spare servers are picked only when no other is without trouble, so that
+	// an entry works with a bounded number of them.
+	Spare bool
 }
 
 // Server is what an entry knows of one server.
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -101,6 +101,7 @@
 		}
 		specs = append(specs, spec)
 	}
+	balance.Subset(n.settings.Host, specs, func(s *balance.Spec) bool { return s.Distance == 0 })
 	return specs
 }
 
