entry, node: latency by route and the log's own counts at the metrics address

Cause: on-call engineers asked for latency histograms beside the counters; lines that the log dropped were told in the log only. Change: a histogram of whole answers for each route of the table (about 20 KB each), served as latency_by_route; log_events and log_events_dropped; the emulator's sites close themselves when they cannot start.

--- a/cmd/ryehaven-load/platform.go
+++ b/cmd/ryehaven-load/platform.go
@@ -77,10 +77,10 @@
 		}}),
 		Adjust: func(s *settings.Settings) { s.Experiment.Balance.Policy = policy },
 	})
-	defer site.Close()
 	if err != nil {
 		return nil, err
 	}
+	defer site.Close()
 	until := time.Now().Add(settleLimit)
 	for _, h := range site.Hosts {
 		for !h.Node.Ready() || h.KnownServers() < c.Servers {
--- a/entry/traits.go
+++ b/entry/traits.go
@@ -3,9 +3,12 @@
 package entry
 
 import (
+	"sort"
 	"sync"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"github.com/ryehaven/ryehaven/balance"
 	"github.com/ryehaven/ryehaven/retry"
 	"github.com/ryehaven/ryehaven/table"
@@ -17,6 +20,55 @@
 	mu    sync.Mutex
 	delay retry.Delay
 	bytes float64
+	// latency holds the time of whole answers in histogramUnit; nil until there
+	// is one.
+	latency *hdrhistogram.Histogram
+}
+
+// The histograms of latency: their unit, their longest value in it and their
+// digits, which make about 20 KB a route.
+const (
+	histogramUnit   = 100 * time.Microsecond
+	histogramMost   = int64(time.Minute / histogramUnit)
+	histogramDigits = 2
+)
+
+// Latency sums up the latency of one route's answers.
+type Latency struct {
+	Route string `json:"route"`
+	Count int64  `json:"count"`
+	// The quantiles are in milliseconds.
+	P50 float64 `json:"p50_ms"`
+	P90 float64 `json:"p90_ms"`
+	P99 float64 `json:"p99_ms"`
+	Max float64 `json:"max_ms"`
+}
+
+// Latencies returns the latency of every route that had answers, by route.
+func (e *Entry) Latencies() []Latency {
+	e.traitsMu.Lock()
+	defer e.traitsMu.Unlock()
+	var all []Latency
+	for route, t := range e.traits {
+		if l, ok := t.summary(); ok {
+			l.Route = route
+			all = append(all, l)
+		}
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Route < all[j].Route })
+	return all
+}
+
+func (t *traits) summary() (Latency, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.latency == nil {
+		return Latency{}, false
+	}
+	at := func(quantile float64) float64 {
+		return float64(t.latency.ValueAtQuantile(quantile)) * histogramUnit.Seconds() * 1000
+	}
+	return Latency{Count: t.latency.TotalCount(), P50: at(50), P90: at(90), P99: at(99), Max: at(100)}, true
 }
 
 // bytesShare weighs one request in the mean of bytes.
@@ -27,6 +79,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.delay.Observe(latency)
+	if t.latency == nil {
+		t.latency = hdrhistogram.New(1, histogramMost, histogramDigits)
+	}
+	_ = t.latency.RecordValue(min(max(int64(latency/histogramUnit), 1), histogramMost)) // Within its range.
 	if t.bytes == 0 {
 		t.bytes = float64(bytes)
 	}
--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	row := regexp.MustCompile("(?m)^\\| ([0-9]) \\| (.*?) \\|")
+	row := regexp.MustCompile(`(?m)^\| ([0-9]) \| (.*?) \|`)
 	name := regexp.MustCompile("`([^`]+)`")
 	layers := map[string]int{}
 	for _, m := range row.FindAllStringSubmatch(string(text), -1) {
--- a/node/admin.go
+++ b/node/admin.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"expvar"
 	"sort"
 	"time"
 
@@ -23,7 +24,9 @@
 		n.handleReady(ctx)
 	case query.MetricsPath:
 		ctx.SetContentType("application/json; charset=utf-8")
-		ctx.SetBodyString(metric.Render("ryehaven", n.metrics.Map()))
+		values := n.metrics.Map()
+		values.Set("latency_by_route", expvar.Func(func() any { return n.entry.Latencies() }))
+		ctx.SetBodyString(metric.Render("ryehaven", values))
 	case query.StatusPath:
 		writeJSON(ctx, n.Status())
 	case query.BurnPath:
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -5,6 +5,7 @@
 import (
 	"sync/atomic"
 
+	"github.com/ryehaven/ryehaven/event"
 	"github.com/ryehaven/ryehaven/gate"
 	"github.com/ryehaven/ryehaven/member"
 	"github.com/ryehaven/ryehaven/metric"
@@ -20,6 +21,7 @@
 	s = append(s, n.entryMetrics()...)
 	s = append(s, n.gateMetrics()...)
 	s = append(s, n.peerMetrics()...)
+	s = append(s, n.logMetrics()...)
 	return append(s, n.spreadMetrics()...)
 }
 
@@ -41,6 +43,21 @@
 	}
 }
 
+func (n *Node) logMetrics() metric.Set {
+	read := func(at func(r *event.Recorder) *atomic.Int64) func() int64 {
+		return func() int64 {
+			if n.recorder == nil {
+				return 0
+			}
+			return at(n.recorder).Load()
+		}
+	}
+	return metric.Set{
+		{Name: "log_events", Unit: "lines", Meaning: "lines about requests and beliefs", Value: read(func(r *event.Recorder) *atomic.Int64 { return &r.Written })},
+		{Name: "log_events_dropped", Unit: "lines", Meaning: "such lines that were more than allowed", Value: read(func(r *event.Recorder) *atomic.Int64 { return &r.Dropped })},
+	}
+}
+
 // sumGates returns a metric that adds up one counter of all gates. Gates that
 // have gone are no longer counted.
 func (n *Node) sumGates(name, unit, meaning string, counter func(c *gate.Counters) *atomic.Int64) metric.Metric {
