internal/soak, cmd/ryehaven-soak: nodes as processes under drawn faults

The users ask for a randomized soak that runs the real programs as processes and injects faults from outside.

experiment.clock_step_ms moves the time of day that a node reads, since the system's cannot be shifted for one process.

--- /dev/null
+++ b/cmd/ryehaven-soak/main.go
@@ -0,0 +1,143 @@
+// SPDX-License-Identifier: MIT
+
+// Command ryehaven-soak runs real nodes as processes on loopback, injects
+// faults from outside them and checks the promises. Package internal/soak says
+// how.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/ryehaven/ryehaven/internal/process"
+	"github.com/ryehaven/ryehaven/internal/soak"
+)
+
+// arguments is the command line.
+type arguments struct {
+	Seeds    int           `default:"1" help:"How many seeds to play, one after the other."`
+	Seed     uint64        `help:"The first seed; drawn from the time if not given."`
+	Hosts    int           `help:"Hosts of each run; drawn from the seed, 4 to 9, if not given."`
+	Callers  int           `default:"3" help:"Callers on each host."`
+	Length   time.Duration `default:"20s" help:"How long faults are injected in each run."`
+	Programs string        `help:"Directory of the built commands; they are built if not given."`
+	Keep     string        `default:"out/soak" help:"Directory for settings, logs and histories of runs that fail."`
+	Schedule bool          `help:"Print the schedules of the seeds and play none."`
+}
+
+// Exit codes besides 0.
+const (
+	exitBroken = 1
+	exitFailed = 2
+)
+
+func main() {
+	var args arguments
+	kong.Parse(&args, kong.Name("ryehaven-soak"),
+		kong.Description("Runs nodes as processes, injects faults, and checks what callers and backend servers saw."))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	broken, err := run(ctx, args)
+	switch {
+	case err != nil:
+		fmt.Fprintln(os.Stderr, "ryehaven-soak:", err)
+		os.Exit(exitFailed)
+	case broken > 0:
+		os.Exit(exitBroken)
+	}
+}
+
+// run plays every seed and returns how many broke a promise.
+func run(ctx context.Context, args arguments) (broken int, err error) {
+	if args.Seed == 0 {
+		args.Seed = uint64(time.Now().Unix())
+	}
+	if args.Schedule {
+		printSchedules(args)
+		return 0, nil
+	}
+	programs, err := programsOf(args)
+	if err != nil {
+		return 0, err
+	}
+	for i := 0; i < args.Seeds && ctx.Err() == nil; i++ {
+		report, err := play(ctx, args, programs, args.Seed+uint64(i))
+		if err != nil {
+			return broken, err
+		}
+		if len(report.Violations) > 0 {
+			broken++
+		}
+	}
+	fmt.Printf("%d seeds from %d, %d broke a promise\n", args.Seeds, args.Seed, broken)
+	return broken, nil
+}
+
+// programsOf returns the directory of the commands, built now if need be.
+func programsOf(args arguments) (string, error) {
+	if args.Programs != "" {
+		return args.Programs, nil
+	}
+	dir, err := filepath.Abs(filepath.Join(args.Keep, "programs"))
+	if err != nil {
+		return "", err
+	}
+	return dir, process.Build(dir)
+}
+
+// hostsOf is how many hosts a seed has.
+func hostsOf(args arguments, seed uint64) int {
+	if args.Hosts > 0 {
+		return args.Hosts
+	}
+	return 4 + int(seed%6)
+}
+
+func printSchedules(args arguments) {
+	for i := range args.Seeds {
+		seed := args.Seed + uint64(i)
+		hosts := hostsOf(args, seed)
+		fmt.Printf("seed %d, %d hosts\n", seed, hosts)
+		for _, step := range soak.Draw(seed, hosts, args.Length) {
+			fmt.Println(" ", step)
+		}
+	}
+}
+
+// play plays one seed. Its directory stays if a promise was broken.
+func play(ctx context.Context, args arguments, programs string, seed uint64) (soak.Report, error) {
+	dir := filepath.Join(args.Keep, fmt.Sprint("seed-", seed))
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return soak.Report{}, err
+	}
+	report, err := soak.Run(ctx, soak.Options{
+		Programs: programs,
+		Dir:      dir,
+		Seed:     seed,
+		Hosts:    hostsOf(args, seed),
+		Callers:  args.Callers,
+		Length:   args.Length,
+	})
+	if err != nil {
+		return report, err
+	}
+	fmt.Println(report)
+	for _, v := range report.Violations {
+		fmt.Printf("  %s %s: %s\n", v.At.Format("15:04:05.000"), v.Promise, v.Detail)
+	}
+	for _, note := range report.Notes {
+		fmt.Println("  note:", note)
+	}
+	if len(report.Violations) > 0 {
+		fmt.Printf("  kept in %s; play it again: ryehaven-soak --seed %d --hosts %d --callers %d --length %s\n", dir, seed, report.Hosts, args.Callers, args.Length)
+		return report, nil
+	}
+	return report, os.RemoveAll(dir)
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -64,6 +64,8 @@
 	// MeasureAfter is how long after the last answer the server is measured,
 	// while there is demand; 0 measures whenever the budget allows it.
 	MeasureAfter time.Duration
+	// ClockStep moves the time of day that the gate reads, for tests.
+	ClockStep time.Duration
 	// FailedBelow reports whether a request that this host sent on to another
 	// service has failed since a time; it may be nil. A server error is then
 	// taken for the echo of that failure, which was retried already.
@@ -125,7 +127,7 @@
 		},
 		jobs: map[*peer.Stream]*job{},
 		// The high bits let a restarted gate's reports count as newer.
-		seq: uint64(time.Now().UnixMicro()),
+		seq: uint64(time.Now().Add(settings.ClockStep).UnixMicro()),
 	}
 	g.queue = admit.NewQueue(g.bounds(row))
 	g.Configure(row, time.Now())
--- /dev/null
+++ b/internal/soak/history.go
@@ -0,0 +1,117 @@
+// SPDX-License-Identifier: MIT
+
+package soak
+
+import (
+	"time"
+
+	"github.com/ryehaven/ryehaven/platform/emulator"
+)
+
+// Call is one request as its caller saw it.
+type Call struct {
+	ID   string
+	Host int
+	// Method, URI and Body are what was sent.
+	Method, URI, Body string
+	// Repeatable says that the route allows the request to run again.
+	Repeatable bool
+	// Since is the version that introduced the route, for requests that only
+	// show which configuration is in force; 0 for others.
+	Since int
+	// Sent is when its last byte was written and Done when its end was known.
+	Sent, Done time.Time
+	Reply      emulator.Reply
+	// Left says that the caller closed its connection before an answer.
+	Left bool
+}
+
+// Arrival is a request as it reached a backend server.
+type Arrival struct {
+	emulator.Arrival
+	Server string
+	Host   int
+}
+
+// Ack is a node's word that a backend server's leaving is known.
+type Ack struct {
+	Server string
+	Host   int
+	At     time.Time
+}
+
+// Version is a configuration and when the store took it.
+type Version struct {
+	Serial int
+	At     time.Time
+}
+
+// Span is a time during which something was done to a host, or to all.
+type Span struct {
+	// Host is a host's number or Everywhere.
+	Host       int
+	From, To   time.Time
+	Kind       Kind
+	Unplanned  bool
+	Concerning string
+}
+
+// Everywhere stands for all hosts.
+const Everywhere = -1
+
+// Life is one process of a node.
+type Life struct {
+	Host       int
+	From, To   time.Time
+	Unexpected string
+}
+
+// History is all that a run has seen.
+type History struct {
+	// Services are the hosts' services.
+	Services []string
+	Calls    []Call
+	Arrivals []Arrival
+	Acks     []Ack
+	Versions []Version
+	Spans    []Span
+	Lives    []Life
+	// Attempts is how many servers a request of any route may come to.
+	Attempts int
+	// Healed says that all hosts served again in time after the last fault.
+	Healed bool
+	// Unhealed says what did not.
+	Unhealed string
+}
+
+// Bounds are the times that the promises name.
+type Bounds struct {
+	Contact, Drain, Apply, Rollback, LossSlack time.Duration
+	// RetryShare and RetryExtra bound what reaches a second server within
+	// RetryWindow.
+	RetryShare  float64
+	RetryExtra  int
+	RetryWindow time.Duration
+}
+
+// UsualBounds are those of the users' small deployments.
+func UsualBounds() Bounds {
+	return Bounds{
+		Contact:     3 * time.Second,
+		Drain:       2 * time.Second,
+		Apply:       2 * time.Second,
+		Rollback:    250 * time.Millisecond,
+		LossSlack:   200 * time.Millisecond,
+		RetryShare:  0.2,
+		RetryExtra:  58,
+		RetryWindow: 10 * time.Second,
+	}
+}
+
+// Violation is a broken promise.
+type Violation struct {
+	// Promise is its name in docs/PROMISES.md.
+	Promise string
+	At      time.Time
+	Detail  string
+}
--- /dev/null
+++ b/internal/soak/schedule_test.go
@@ -0,0 +1,40 @@
+// SPDX-License-Identifier: MIT
+
+package soak
+
+import (
+	"reflect"
+	"testing"
+	"time"
+)
+
+// A seed always draws the same schedule, within the length and among the hosts.
+func TestScheduleIsItsSeeds(t *testing.T) {
+	const hosts, length = 7, 20 * time.Second
+	kinds := map[Kind]bool{}
+	for seed := range uint64(200) {
+		steps := Draw(seed, hosts, length)
+		if !reflect.DeepEqual(steps, Draw(seed, hosts, length)) {
+			t.Fatalf("seed %d draws two schedules", seed)
+		}
+		for _, s := range steps {
+			kinds[s.Kind] = true
+			if s.At < 0 || s.At >= length || s.For <= 0 {
+				t.Errorf("seed %d: %v", seed, s)
+			}
+			for _, h := range s.Hosts {
+				if h < 0 || h >= hosts {
+					t.Errorf("seed %d: %v", seed, s)
+				}
+			}
+			if seed%10 < plannedDays && !isPlanned(s.Kind) {
+				t.Errorf("seed %d, of planned work only: %v", seed, s)
+			}
+		}
+	}
+	for _, k := range append(append([]Kind(nil), planned...), unplanned...) {
+		if !kinds[k] {
+			t.Errorf("no seed of 200 draws %s", k)
+		}
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -124,7 +124,7 @@
 		n.closeListeners()
 		return nil, err
 	}
-	incarnation := uint64(time.Now().UnixMilli())
+	incarnation := uint64(time.Now().Add(s.Experiment.ClockStep).UnixMilli())
 	self := peer.Identity{Host: s.Host, Incarnation: incarnation, Key: []byte(s.Peers.Key)}
 	n.dialer = &peer.Dialer{
 		Self:         self,
@@ -226,6 +226,7 @@
 		Recorder:        n.recorder,
 		WrongServer:     func(name string) { go n.lostServer(name) },
 		MeasureAfter:    n.settings.Sidecar.MeasureAfter,
+		ClockStep:       n.settings.Experiment.ClockStep,
 	}
 }
 
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -84,6 +84,7 @@
 	{"log.level", "debug, info, warn or error", false, oneOf(func(s *Settings) *string { return &s.Log.Level }, "debug", "info", "warn", "error")},
 	{"log.requests", "of how many requests that went well one is written; 0 of none", false, integer(func(s *Settings) *int { return &s.Log.Requests }, 0, 1_000_000)},
 	{"log.lines_per_s", "most lines about requests and beliefs a second", false, integer(func(s *Settings) *int { return &s.Log.LinesPerSecond }, 1, 1_000_000)},
+	{"experiment.clock_step_ms", "how far the time of day is moved, forward or back; for tests", false, millis(func(s *Settings) *time.Duration { return &s.Experiment.ClockStep }, -3_600_000, 3_600_000)},
 	{"experiment.policy", "how a server is picked; for comparison", false, setPolicy},
 	{"experiment.choices", "how many servers are drawn; for comparison", false, integer(func(s *Settings) *int { return &s.Experiment.Balance.Choices }, 0, 1000)},
 	{"experiment.no_reports", "ignore the gates' reports; for comparison", false, truth(func(s *Settings) *bool { return &s.Experiment.Balance.NoReports })},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -142,6 +142,8 @@
 
 // Experiment switches parts off for comparison; the zero value is what ships.
 type Experiment struct {
+	// ClockStep moves the time of day that the node reads.
+	ClockStep       time.Duration
 	Balance         balance.Options
 	NoRetries       bool
 	NoHedges        bool
