admit, gate: calls of running requests fill slots that others may not

Cause: a request holds its slot for as long as its calls wait. On tcg, with nine slots of twelve, calls of 30 ms wait 11 ms.

So a call goes above the share only where the expected wait for a slot is longer than half of what a call takes at this server.

sidecar.call_slot_share bounds it (1: all slots).

--- a/admit/queue.go
+++ b/admit/queue.go
@@ -68,6 +68,9 @@
 type Settings struct {
 	Slots int
 	Queue int
+	// CallSlots is how many requests may be in flight for a call to be
+	// dispatched; below Slots it stands for Slots.
+	CallSlots int
 	// FixedLimit keeps the limit at Slots, as nodes do by default.
 	FixedLimit bool
 	// NoDeadlineBound queues what cannot meet its deadline, for comparison.
@@ -98,6 +101,8 @@
 	lastDone time.Time
 	waiting  [levels][]*Ticket
 	service  average
+	// callService is the average of calls alone.
+	callService average
 }
 
 // NewQueue returns an idle queue.
@@ -160,7 +165,7 @@
 		q.refuse(t, Draining)
 	case !now.Before(t.Deadline):
 		q.refuse(t, Expired)
-	case q.inFlight < q.Limit() && q.queued == 0:
+	case q.hasRoom(t) && q.ahead(t.level()) == 1:
 		q.dispatch(now, t)
 	case !q.meetsWait(now, t):
 		q.refuse(t, Overload)
@@ -185,7 +190,7 @@
 func (q *Queue) Advance(now time.Time) []*Ticket {
 	left := q.expire(now)
 	for p := range q.waiting {
-		for len(q.waiting[p]) > 0 && q.inFlight < q.Limit() {
+		for len(q.waiting[p]) > 0 && q.hasRoom(q.waiting[p][0]) {
 			t := q.waiting[p][0]
 			q.remove(p, 0)
 			q.dispatch(now, t)
@@ -195,6 +200,25 @@
 	return left
 }
 
+// hasRoom reports whether a ticket may be dispatched now. A call may fill slots
+// that others may not: the request above it holds one at its own server for as
+// long as the call waits.
+func (q *Queue) hasRoom(t *Ticket) bool {
+	if t.Call && q.callsWaitLong() {
+		return q.inFlight < max(q.Limit(), q.settings.CallSlots)
+	}
+	return q.inFlight < q.Limit()
+}
+
+// callWait is the wait for a slot, as a share of a call's own time, from which on
+// it costs more than what a server loses that is fuller than it should be.
+const callWait = 0.5
+
+// callsWaitLong reports whether a call would wait long for one of the slots.
+func (q *Queue) callsWaitLong() bool {
+	return float64(q.interval()) > callWait*float64(q.callService.value)
+}
+
 // Done takes the answer of a dispatched ticket and lowers the number in
 // flight. ok says that the server answered without an error; only such
 // answers teach the limit, so that a server that fails fast does not look
@@ -212,6 +236,9 @@
 	}
 	took := now.Sub(t.dispatched)
 	q.service.add(took)
+	if t.Call {
+		q.callService.add(took)
+	}
 	q.limit.Observe(now, took, busy)
 }
 
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -106,6 +106,8 @@
 	// saidStalled and saidSlowness are what entries were told last.
 	saidStalled  bool
 	saidSlowness int
+	// callSlots is how many of the server's slots calls may fill.
+	callSlots int
 	// slowness is what the server said last, at toldAt.
 	slowness  int
 	toldAt    time.Time
@@ -137,6 +139,7 @@
 func (g *Gate) bounds(row table.Server) admit.Settings {
 	return admit.Settings{
 		Slots:           row.Slots,
+		CallSlots:       g.callSlots,
 		Queue:           row.Queue,
 		FixedLimit:      g.settings.FixedLimit,
 		NoDeadlineBound: g.settings.NoDeadlineBound,
@@ -219,6 +222,17 @@
 	g.coldUntil = until
 }
 
+// SetCallSlots says how many of the server's slots calls of running requests may
+// fill, if that is more than the row's for all requests.
+func (g *Gate) SetCallSlots(slots int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.callSlots != slots {
+		g.callSlots = slots
+		g.queue.Configure(g.bounds(g.row))
+	}
+}
+
 // learn takes what the server's answer tells of its state.
 func (g *Gate) learn(answer *fasthttp.ResponseHeader) {
 	if g.settings.Dialect.Load == "" {
--- a/node/apply.go
+++ b/node/apply.go
@@ -103,6 +103,7 @@
 		}
 		g.Configure(row, now)
 		g.SetCold(n.registry.ColdUntil())
+		g.SetCallSlots(n.callSlots(key))
 		g.SetDrain(gate.DrainHost, hostLeaving, now)
 		g.SetDrain(gate.DrainNode, n.draining.Load(), now)
 	}
--- a/node/reload.go
+++ b/node/reload.go
@@ -17,8 +17,10 @@
 	n.settings.Retries = s.Retries
 	n.settings.Distance = s.Distance
 	n.settings.Sidecar.SlotShare = s.Sidecar.SlotShare
+	n.settings.Sidecar.CallSlotShare = s.Sidecar.CallSlotShare
 	n.log.Info("settings reloaded",
-		zap.Bool("changed", old.Retries != s.Retries || old.Distance != s.Distance || old.Sidecar.SlotShare != s.Sidecar.SlotShare),
+		zap.Bool("changed", old.Retries != s.Retries || old.Distance != s.Distance || old.Sidecar.SlotShare != s.Sidecar.SlotShare ||
+			old.Sidecar.CallSlotShare != s.Sidecar.CallSlotShare),
 		zap.Strings("after_restart", needRestart(old, s)))
 	if n.applied != nil {
 		n.refresh()
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -112,6 +112,16 @@
 	return max(int(float64(slots)*n.settings.Sidecar.SlotShare), 1)
 }
 
+// callSlots is how many slots of a gate's server calls may fill; 0 leaves it to the
+// row. It is called with the lock held.
+func (n *Node) callSlots(key gateKey) int {
+	current := n.registry.Current()
+	if current.ID != key.server || current.Service != key.service {
+		return 0
+	}
+	return int(float64(current.Slots) * n.settings.Sidecar.CallSlotShare)
+}
+
 // announcedRow returns the row of the server that announced itself. It is
 // called with the lock held.
 func (n *Node) announcedRow() (gateKey, table.Server, bool) {
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -77,6 +77,7 @@
 	{"sidecar.control", "address where it announces itself", false, address(func(s *Settings) *string { return &s.Sidecar.Control })},
 	{"sidecar.ready", "address where the node says whether it takes work", false, address(func(s *Settings) *string { return &s.Sidecar.Ready })},
 	{"sidecar.slot_share", "share of the server's slots that are filled", false, number(func(s *Settings) *float64 { return &s.Sidecar.SlotShare }, 0.01, 1)},
+	{"sidecar.call_slot_share", "share of them that calls of running requests may fill; below slot_share it stands for that", false, number(func(s *Settings) *float64 { return &s.Sidecar.CallSlotShare }, 0.01, 1)},
 	{"sidecar.measure_after_ms", "how long after its last answer the server is measured; 0 by the row's rate alone", false, millis(func(s *Settings) *time.Duration { return &s.Sidecar.MeasureAfter }, 0, 60_000)},
 	{"retries.share", "share of a service's requests that may reach a second server, over all nodes", false, number(func(s *Settings) *float64 { return &s.Retries.Share }, 0, 10)},
 	{"retries.extra", "how many more may in each window", false, integer(func(s *Settings) *int { return &s.Retries.Extra }, 0, 1_000_000)},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -50,6 +50,8 @@
 	Ready string
 	// SlotShare is the share of a server's slots that its gate fills.
 	SlotShare float64
+	// CallSlotShare is the share that calls of running requests may fill.
+	CallSlotShare float64
 	// MeasureAfter is how long after its last answer a server is measured.
 	MeasureAfter time.Duration
 }
@@ -166,7 +168,7 @@
 			Stop:        30 * time.Second,
 		},
 		Distance: Distance{Zone: time.Millisecond, Region: 30 * time.Millisecond, Factor: 1, LatePerMB: 0},
-		Sidecar:  Sidecar{SlotShare: 1},
+		Sidecar:  Sidecar{SlotShare: 1, CallSlotShare: 1},
 		Log:      Log{Level: "info", Requests: 1000, LinesPerSecond: 100},
 	}
 }
