gate: a cold server is as slow as it says

Cause: a server's figure of how long work takes counts its cold start already, and the gate doubled it as long as the server said that it was cold. With every server beyond the aim, the choice among them had nothing left to go by.

Ruled out: that the figure leaves the cold start out.

Now the figure holds as it is, and a cold server that has told nothing yet is taken for twice as slow as usual. The emulated server tells its cold start too, as the platform's do. TestSlownessOfAColdServer failed with 0 and 400 in place of 200.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -203,14 +203,15 @@
 	}
 }
 
-// coldFactor is how much slower a server is taken to be while it says that it
-// is cold; servers tell for how long but not how much.
-const coldFactor = 2
+// coldSlowness is how slow a cold server is taken to be, in percent of usual,
+// until it has said so itself. What a server says of its slowness counts its cold
+// start too.
+const coldSlowness = 200
 
 // slownessNow is called with the lock held.
 func (g *Gate) slownessNow(now time.Time) int {
-	if now.Before(g.coldUntil) {
-		return coldFactor * g.slowness
+	if g.slowness == 0 && now.Before(g.coldUntil) {
+		return coldSlowness
 	}
 	return g.slowness
 }
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -31,13 +31,18 @@
 // bench is a gate with a server that a test answers for, and a connection to it
 // as an entry has.
 type bench struct {
-	t       *testing.T
-	gate    *gate.Gate
+	t    *testing.T
+	gate *gate.Gate
+	// load is what the server tells of its load with each answer.
+	load    string
 	conn    *peer.Conn
 	started chan string
 	release chan int
 }
 
+// loadField is where the server tells its load.
+const loadField = "X-Load"
+
 // newBench starts a gate to a server that works on requests until it is told a
 // status for one of them.
 func newBench(t *testing.T, slots, queue int) *bench {
@@ -47,9 +52,11 @@
 	http := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
 		b.started <- string(ctx.Path())
 		ctx.SetStatusCode(<-b.release)
+		ctx.Response.Header.Set(loadField, b.load)
 	}}
 	go http.Serve(server)
 	dialect := header.Own()
+	dialect.Load = loadField
 	dialect.Prepare()
 	row := table.Server{Policy: table.DefaultPolicy(), Service: "s", Name: "a", Address: server.Addr().String(), State: table.Active}
 	row.Slots, row.Queue, row.MeasureRate = slots, queue, 0
@@ -246,3 +253,24 @@
 	b := &bench{t: t, gate: g, conn: connect(t, g)}
 	b.refused(b.start("/x", nil), wire.ReasonConnect)
 }
+
+// A cold server is taken to be slow until it has said how slow it is; what it says
+// holds as it is, since it counts the cold start too.
+func TestSlownessOfAColdServer(t *testing.T) {
+	b := newBench(t, 1, 5)
+	b.load = "1,0,12,200"
+	if got := b.gate.Load().Slowness; got != 0 {
+		t.Fatalf("slowness %d before anything was told", got)
+	}
+	b.gate.SetCold(time.Now().Add(time.Hour))
+	if got := b.gate.Load().Slowness; got != 200 {
+		t.Errorf("slowness %d of a cold server that has told nothing", got)
+	}
+	call := b.start("/1", nil)
+	b.running()
+	b.release <- 200
+	b.head(call)
+	if got := b.gate.Load().Slowness; got != 200 {
+		t.Errorf("slowness %d of a cold server that says 200", got)
+	}
+}
