event, node, spread, explain: lines of members, suspicions and the store

Cause: on-call engineers have only logs, and what a node believed of others was not in them: that another node was seen, has a new life or a new server, that a server's node fell silent or spoke again, that the store was lost and regained. A request that ended unknown since its server's node was started anew was explained by "look for `node started` of that host", by hand.

Now: `member` lines (bounded with the others by log.lines_per_s), `belief` lines with suspected and regained, `store lost` and `store regained` once for an outage whatever the calls in it. `ryehaven explain` shows with each request what became of its entry's node, and with each attempt what became of the server's node, five seconds around it.

--- a/balance/pool.go
+++ b/balance/pool.go
@@ -248,15 +248,17 @@
 	s.rampFrom = s.unreachableTil
 }
 
-// Suspect sets whether the server's node is silent while it has work. A
-// server that is no longer suspected starts slowly, and what was known of it
-// from before is forgotten.
-func (p *Pool) Suspect(now time.Time, s *Server, suspected bool) {
+// Suspect sets whether the server's node is silent while it has work, and reports
+// whether that is news. A server that is no longer suspected starts slowly, and
+// what was known of it from before is forgotten.
+func (p *Pool) Suspect(now time.Time, s *Server, suspected bool) (news bool) {
 	if s.suspected && !suspected {
 		s.rampFrom = now
 		s.latency = 0
 		s.report = wire.Load{}
 		s.reportAt = time.Time{}
 	}
+	news = s.suspected != suspected
 	s.suspected = suspected
+	return news
 }
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -204,7 +204,9 @@
 	a.outcome = retry.Silent
 	s := r.service
 	s.mu.Lock()
-	s.pool.Suspect(time.Now(), a.server, true)
+	if s.pool.Suspect(time.Now(), a.server, true) {
+		e.settings.Recorder.Record(suspicionOf(s.name, a.server, true))
+	}
 	s.mu.Unlock()
 	e.end(r, a, balance.Result{Abandoned: true})
 }
@@ -242,6 +244,6 @@
 	ejected := !before && a.server.Ejected(now)
 	s.mu.Unlock()
 	if ejected {
-		e.settings.Recorder.Record(&event.Belief{Service: s.name, Server: a.name, Node: a.node, Now: "ejected", Why: "it failed too often, last " + a.outcome.String() + " of request " + r.message.Tag})
+		e.settings.Recorder.Record(&event.Belief{Service: s.name, Server: a.name, Node: a.node, Now: event.Ejected, Why: "it failed too often, last " + a.outcome.String() + " of request " + r.message.Tag})
 	}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -251,7 +251,7 @@
 	e.mu.RLock()
 	defer e.mu.RUnlock()
 	for _, s := range e.services {
-		s.updateSuspicions(now, e.dialer)
+		s.updateSuspicions(now, e.dialer, e.settings.Recorder)
 	}
 }
 
@@ -259,7 +259,7 @@
 // still looked at.
 const suspicionsFor = time.Second
 
-func (s *service) updateSuspicions(now time.Time, dialer *peer.Dialer) {
+func (s *service) updateSuspicions(now time.Time, dialer *peer.Dialer, recorder *event.Recorder) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if now.Sub(s.used) > suspicionsFor {
@@ -267,8 +267,20 @@
 	}
 	for _, server := range s.pool.Servers() {
 		conn := dialer.Peek(server.Node)
-		s.pool.Suspect(now, server, conn != nil && conn.IsSuspected())
+		suspected := conn != nil && conn.IsSuspected()
+		if s.pool.Suspect(now, server, suspected) {
+			recorder.Record(suspicionOf(s.name, server, suspected))
+		}
+	}
+}
+
+// suspicionOf is the line about a node that fell silent or spoke again.
+func suspicionOf(service string, server *balance.Server, suspected bool) *event.Belief {
+	b := &event.Belief{Service: service, Server: server.Name, Node: server.Node, Now: event.Regained, Why: "its node speaks again"}
+	if suspected {
+		b.Now, b.Why = event.Suspected, "its node is silent while it has work"
 	}
+	return b
 }
 
 // Active returns how many requests are under way.
--- a/event/event.go
+++ b/event/event.go
@@ -223,6 +223,13 @@
 	return nil
 }
 
+// What a server may be taken for.
+const (
+	Ejected   = "ejected"
+	Suspected = "suspected"
+	Regained  = "regained"
+)
+
 // Belief is a change of what a node believes of a server.
 type Belief struct {
 	Service string
@@ -253,6 +260,39 @@
 	return nil
 }
 
+// Member is a change of what a node knows of another.
+type Member struct {
+	Host        string
+	Address     string
+	Incarnation uint64
+	State       string
+	// Server is the backend server beside it; blank while none is known.
+	Server      string
+	ServerState string
+}
+
+// Message implements Event.
+func (*Member) Message() string { return "member" }
+
+// Key implements Event.
+func (*Member) Key() string { return "" }
+
+// Unusual implements Event.
+func (*Member) Unusual() bool { return true }
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (m *Member) MarshalLogObject(e zapcore.ObjectEncoder) error {
+	e.AddString("member", m.Host)
+	e.AddString("address", m.Address)
+	e.AddUint64("incarnation", m.Incarnation)
+	e.AddString("state", m.State)
+	if m.Server != "" {
+		e.AddString("server", m.Server)
+		e.AddString("server_state", m.ServerState)
+	}
+	return nil
+}
+
 func millis(d time.Duration) float64 {
 	return float64(d.Microseconds()) / 1000
 }
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -48,21 +48,35 @@
 	kindBelief  = "belief"
 	kindServer  = "backend server changed"
 	kindTable   = "table in force"
+	kindMember  = "member"
 )
 
+// lifeKinds are lines about a node as a whole.
+var lifeKinds = map[string]bool{
+	"node started":      true,
+	"node stopping":     true,
+	"node stopped":      true,
+	"settings reloaded": true,
+	"store lost":        true,
+	"store regained":    true,
+}
+
 // Log collects the lines of several nodes that matter for one request.
 type Log struct {
 	id       string
 	requests []Line
 	jobs     []Line
-	// beliefs are changes of state by host.
+	// beliefs are changes of state by host, and lives what became of nodes.
 	beliefs []Line
+	lives   []Line
+	// hostOf is the host beside which a backend server stands.
+	hostOf map[string]string
 	// Skipped counts lines that could not be read.
 	Skipped int
 }
 
 // NewLog returns an empty log for a request's number.
-func NewLog(id string) *Log { return &Log{id: id} }
+func NewLog(id string) *Log { return &Log{id: id, hostOf: map[string]string{}} }
 
 // Read takes the lines of one file. What stands before a line's object, as some
 // collectors put it there, is passed over.
@@ -95,8 +109,14 @@
 		l.requests = append(l.requests, line)
 	case line.Kind == kindJob && mine:
 		l.jobs = append(l.jobs, line)
-	case line.Kind == kindBelief, line.Kind == kindServer, line.Kind == kindTable:
+		l.hostOf[line.text("server")] = line.Host
+	case line.Kind == kindServer:
 		l.beliefs = append(l.beliefs, line)
+		l.hostOf[line.text("id")] = line.Host
+	case line.Kind == kindBelief, line.Kind == kindTable, line.Kind == kindMember:
+		l.beliefs = append(l.beliefs, line)
+	case lifeKinds[line.Kind]:
+		l.lives = append(l.lives, line)
 	}
 }
 
@@ -145,6 +165,7 @@
 	for _, c := range objects(line.Fields["candidates"]) {
 		steps = append(steps, Step{Depth: 1, Host: line.Host, Text: "knew " + candidateText(c)})
 	}
+	steps = append(steps, l.livesOf(1, line.Host, line)...)
 	for _, a := range objects(line.Fields["attempts"]) {
 		steps = append(steps, l.attempt(line, Line{Fields: a}, used)...)
 	}
@@ -181,7 +202,30 @@
 			break
 		}
 	}
-	return append(steps, l.beliefsAbout(a.text("server"), request)...)
+	steps = append(steps, l.beliefsAbout(a.text("server"), request)...)
+	if host := l.hostOf[a.text("server")]; host != request.Host {
+		steps = append(steps, l.livesOf(2, host, request)...)
+	}
+	return steps
+}
+
+// livesOf returns what became of a host's node about the time of a request, by
+// each host's own clock.
+func (l *Log) livesOf(depth int, host string, request *Line) []Step {
+	var steps []Step
+	for i := range l.lives {
+		life := &l.lives[i]
+		age := request.Time.Sub(life.Time)
+		if life.Host != host || age < -beliefSpan || age > beliefSpan {
+			continue
+		}
+		text := life.Kind
+		if fault := life.text("error"); fault != "" {
+			text += ": " + fault
+		}
+		steps = append(steps, Step{Depth: depth, Host: host, Text: fmt.Sprintf("%s, %.1f s before the request ended", text, age.Seconds()), Line: life})
+	}
+	return steps
 }
 
 func (l *Log) job(depth int, line *Line) Step {
@@ -210,7 +254,7 @@
 		if age := request.Time.Sub(b.Time); age < -beliefSpan || age > beliefSpan {
 			continue
 		}
-		text := fmt.Sprintf("%s: %s %s", b.Kind, server, b.text("now")+b.text("state"))
+		text := fmt.Sprintf("%s: %s %s", b.Kind, server, b.text("now")+b.stateOfServer())
 		if why := b.text("why"); why != "" {
 			text += " (" + why + ")"
 		}
@@ -219,6 +263,14 @@
 	return steps
 }
 
+// stateOfServer is the state of a server that a line names, if it does.
+func (l Line) stateOfServer() string {
+	if l.Kind == kindMember {
+		return l.text("server_state")
+	}
+	return l.text("state")
+}
+
 func objects(v any) []map[string]any {
 	list, _ := v.([]any)
 	var found []map[string]any
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -66,3 +66,42 @@
 		t.Errorf("error %v", err)
 	}
 }
+
+// A request whose server's node was started anew, at a time without the store, is
+// explained by lines that do not name it.
+func TestStoryOfALostNode(t *testing.T) {
+	const logs = `{"ts":"2026-01-01T00:00:10.5Z","msg":"request","host":"host-1","id":"9c41","route":"h/write/","service":"a","outcome":"unknown","status":502,"took_ms":41.5,"attempts":[{"server":"i-1","node":"10.0.0.1:1","began_ms":0.2,"took_ms":40,"outcome":"unknown"}]}
+{"ts":"2026-01-01T00:00:08Z","msg":"store lost","host":"host-1","error":"platform is unavailable"}
+{"ts":"2026-01-01T00:00:09Z","msg":"store lost","host":"host-3","error":"of another host"}
+{"ts":"2026-01-01T00:00:01Z","msg":"backend server changed","host":"host-2","id":"i-1","state":"live"}
+{"ts":"2026-01-01T00:00:11Z","msg":"node started","host":"host-2"}
+{"ts":"2026-01-01T00:01:11Z","msg":"node stopping","host":"host-2"}
+{"ts":"2026-01-01T00:00:10.6Z","msg":"belief","host":"host-1","service":"a","server":"i-1","now":"suspected","why":"its node is silent while it has work"}
+{"ts":"2026-01-01T00:00:11.2Z","msg":"member","host":"host-1","member":"host-2","server":"i-1","server_state":"live"}
+`
+	l := NewLog("9c41")
+	if err := l.Read(strings.NewReader(logs)); err != nil {
+		t.Fatal(err)
+	}
+	steps, err := l.Story()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var b bytes.Buffer
+	if err := Write(&b, steps); err != nil {
+		t.Fatal(err)
+	}
+	story := b.String()
+	for _, want := range []string{
+		"store lost: platform is unavailable, 2.5 s before", "belief: i-1 suspected", "member: i-1 live", "node started, -0.5 s before",
+	} {
+		if !strings.Contains(story, want) {
+			t.Errorf("%q is missing in\n%s", want, story)
+		}
+	}
+	for _, wrong := range []string{"of another host", "node stopping"} {
+		if strings.Contains(story, wrong) {
+			t.Errorf("%q stands in\n%s", wrong, story)
+		}
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -91,6 +91,8 @@
 	applied  *table.Snapshot
 	gates    map[gateKey]*gate.Gate
 	retired  []*gate.Gate
+	// members are the records that were put in force last.
+	members map[string]member.Record
 }
 
 // gateKey names a backend server.
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -75,6 +75,8 @@
 	pulls  chan string
 	// registered is closed once the node is known in the store.
 	registered chan struct{}
+	// reached tells when the store is lost and regained.
+	reached dependency
 
 	mu        sync.Mutex
 	view      *member.View
--- a/spread/watch.go
+++ b/spread/watch.go
@@ -119,6 +119,7 @@
 		wait = 0
 	}
 	o, changed, err := s.platform.Watch(ctx, store.TableKey, tag, wait)
+	s.noteStore(ctx, err)
 	if errors.Is(err, store.ErrNotFound) {
 		return "", err // Nobody has applied a table yet.
 	}
@@ -203,7 +204,9 @@
 	backoff := time.Duration(0)
 	for ctx.Err() == nil {
 		s.Counters.PlatformReads.Add(1)
-		if register(ctx, directory, host) == nil {
+		err := register(ctx, directory, host)
+		s.noteStore(ctx, err)
+		if err == nil {
 			return
 		}
 		s.Counters.PlatformErrors.Add(1)
@@ -212,6 +215,13 @@
 	}
 }
 
+// noteStore takes how a call to the store ended, unless the node is ending.
+func (s *Spread) noteStore(ctx context.Context, err error) {
+	if ctx.Err() == nil {
+		s.reached.note(s.log, time.Now(), err)
+	}
+}
+
 // register makes one call. One that is not answered in time is made again; what
 // it says is the same, so that it does no harm if it takes effect late.
 func register(ctx context.Context, directory store.Directory, host store.Host) error {
@@ -250,7 +260,9 @@
 			continue
 		}
 		s.Counters.PlatformReads.Add(1)
-		if directory.Remove(ctx, l.Host) != nil {
+		err := directory.Remove(ctx, l.Host)
+		s.noteStore(ctx, err)
+		if err != nil {
 			s.Counters.PlatformErrors.Add(1)
 			return // The next reading tries again.
 		}
@@ -260,6 +272,7 @@
 func (s *Spread) readHosts(ctx context.Context) error {
 	s.Counters.PlatformReads.Add(1)
 	o, err := s.platform.Get(ctx, store.HostsKey)
+	s.noteStore(ctx, err)
 	if errors.Is(err, store.ErrNotFound) {
 		return nil
 	}
