node, settings, deploy: counters at a port that is known beforehand

The admin port stays among the drawn ones. listen.metrics serves the counters and nothing else; if its port is taken, which nobody can rule out, the node says so and goes on without, since counters are not worth a node that does not start.

--- a/node/admin.go
+++ b/node/admin.go
@@ -23,10 +23,7 @@
 	case query.ReadyPath:
 		n.handleReady(ctx)
 	case query.MetricsPath:
-		ctx.SetContentType("application/json; charset=utf-8")
-		values := n.metrics.Map()
-		values.Set("latency_by_route", expvar.Func(func() any { return n.entry.Latencies() }))
-		ctx.SetBodyString(metric.Render("ryehaven", values))
+		n.handleMetrics(ctx)
 	case query.StatusPath:
 		writeJSON(ctx, n.Status())
 	case query.BurnPath:
@@ -38,6 +35,22 @@
 	}
 }
 
+// handleFigures serves counters and nothing else.
+func (n *Node) handleFigures(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) != query.MetricsPath {
+		ctx.Error("no such path\n", fasthttp.StatusNotFound)
+		return
+	}
+	n.handleMetrics(ctx)
+}
+
+func (n *Node) handleMetrics(ctx *fasthttp.RequestCtx) {
+	ctx.SetContentType("application/json; charset=utf-8")
+	values := n.metrics.Map()
+	values.Set("latency_by_route", expvar.Func(func() any { return n.entry.Latencies() }))
+	ctx.SetBodyString(metric.Render("ryehaven", values))
+}
+
 func writeJSON(ctx *fasthttp.RequestCtx, v any) {
 	body, err := json.Marshal(v)
 	if err != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -62,6 +62,8 @@
 	callers net.Listener
 	peers   net.Listener
 	admin   net.Listener
+	// figures serves counters alone; nil if it has no address or that is taken.
+	figures net.Listener
 
 	counters   peer.Counters
 	dialer     *peer.Dialer
@@ -170,11 +172,26 @@
 		}
 		*l.at = listener
 	}
+	n.listenForFigures()
 	return nil
 }
 
+// listenForFigures opens the port for counters. It was chosen beforehand, without
+// a look at the host's other ports, and is not worth a node that does not start.
+func (n *Node) listenForFigures() {
+	if n.settings.Listen.Metrics == "" {
+		return
+	}
+	listener, err := net.Listen("tcp", n.settings.Listen.Metrics)
+	if err != nil {
+		n.log.Warn("no port for counters alone, they are at the admin port only", zap.Error(err))
+		return
+	}
+	n.figures = listener
+}
+
 func (n *Node) closeListeners() {
-	for _, l := range []net.Listener{n.callers, n.peers, n.admin} {
+	for _, l := range []net.Listener{n.callers, n.peers, n.admin, n.figures} {
 		if l != nil {
 			l.Close()
 		}
@@ -288,7 +305,7 @@
 	var wait sync.WaitGroup
 	callers := n.callerServer()
 	admin := &fasthttp.Server{Handler: n.handleAdmin, Name: "ryehaven", IdleTimeout: n.settings.Limits.Idle}
-	failed := make(chan error, 3)
+	failed := make(chan error, 4)
 	serve := func(name string, f func() error) {
 		wait.Go(func() {
 			if err := f(); err != nil && background.Err() == nil && !n.stopping.Load() {
@@ -299,6 +316,10 @@
 	serve("callers", func() error { return callers.Serve(n.callerListener()) })
 	serve("nodes", func() error { return n.peerServer.Serve(n.peers) })
 	serve("operators", func() error { return admin.Serve(n.admin) })
+	figures := &fasthttp.Server{Handler: n.handleFigures, Name: "ryehaven", IdleTimeout: n.settings.Limits.Idle}
+	if n.figures != nil {
+		serve("figures", func() error { return figures.Serve(n.figures) })
+	}
 	wait.Go(func() { n.spread.Run(background) })
 	wait.Go(func() { n.runTicks(background) })
 	n.log.Info("node started",
@@ -322,6 +343,7 @@
 	defer done()
 	_ = callers.ShutdownWithContext(ended) // What stop left is cut off now.
 	_ = admin.ShutdownWithContext(ended)
+	_ = figures.ShutdownWithContext(ended)
 	n.dialer.Close()
 	n.peerServer.Close()
 	wait.Wait()
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -55,6 +55,7 @@
 	{"listen.peer", "address for other nodes", true, address(func(s *Settings) *string { return &s.Listen.Peer })},
 	{"listen.advertise", "peer address that other nodes are told, if not listen.peer", false, address(func(s *Settings) *string { return &s.Listen.Advertise })},
 	{"listen.admin", "address for operators; keep it on loopback", true, address(func(s *Settings) *string { return &s.Listen.Admin })},
+	{"listen.metrics", "address that serves the counters alone; the node goes on without it if the port is taken", false, address(func(s *Settings) *string { return &s.Listen.Metrics })},
 	{"peers.key", "shared key of all nodes, at least 32 bytes; required without sidecar.control", false, setKey},
 	{"peers.ping_after_ms", "how long a node with work may be silent before it is asked", false, millis(func(s *Settings) *time.Duration { return &s.Peers.PingAfter }, 1, 10_000)},
 	{"peers.suspect_after_ms", "how long it may leave that unanswered", false, millis(func(s *Settings) *time.Duration { return &s.Peers.SuspectAfter }, 1, 10_000)},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -77,6 +77,9 @@
 	Advertise string
 	// Admin serves operators; keep it on loopback.
 	Admin string
+	// Metrics serves counters alone, at a port that whoever fetches them knows
+	// beforehand; blank serves them at Admin only.
+	Metrics string
 }
 
 // Peers tells how nodes find and trust each other.
