node, gate, announce: a server is found by asking it

Ruled out: the store and the spreading. The table was in force in a quarter of a second, and every late line says "announced".

Now a node whose registry is blank asks the server's health path every 100 ms in its first two seconds, and takes the one that answers 200 with its ID and its slots. Other nodes' memory and the server's own word go before, and a leaving that was acknowledged binds as soon as either says so. It asks only while no server was known in this life: in place of one that is gone, another at the address may be of another service and must announce itself (TestAddressThatWasReused failed until that was so).

TestServersAreFoundAfterAllNodesWereKilled failed before: no request was ever served without an announcement.

--- a/announce/registry.go
+++ b/announce/registry.go
@@ -85,6 +85,24 @@
 	return r.current != before, nil
 }
 
+// Blank reports whether no server was ever known in this life of the node.
+func (r *Registry) Blank() bool {
+	return r.current.ID == "" && r.lost == "" && len(r.ended) == 0
+}
+
+// Found takes a server that answered for itself to a blank registry, and reports
+// whether it is current now. Any announcement of its own is newer. Where a server
+// was known and is gone, another at its address may be of another service, and
+// must announce itself.
+func (r *Registry) Found(s member.Server) bool {
+	if !r.Blank() || s.ID == "" {
+		return false
+	}
+	r.current = s
+	r.seq = 0
+	return true
+}
+
 // Leave takes a server's word that it is gone and reports whether that changed
 // the current server.
 func (r *Registry) Leave(id string) bool {
--- a/announce/registry_test.go
+++ b/announce/registry_test.go
@@ -141,3 +141,42 @@
 		}
 	})
 }
+
+// A server that answers for itself is current where none is known, and its own word
+// goes before.
+func TestFound(t *testing.T) {
+	found := member.Server{ID: "a", Service: "s", Slots: 12}
+	tests := []struct {
+		name   string
+		before func(r *Registry)
+		want   bool
+	}{
+		{"nothing known", func(*Registry) {}, true},
+		{"another is known", func(r *Registry) { mustAnnounce(t, r, ready("b", 1)) }, false},
+		{"itself is known to leave", func(r *Registry) { mustAnnounce(t, r, draining("a", 1)) }, false},
+		{"it has left", func(r *Registry) { r.Leave("a") }, false},
+		{"another was met in its place", func(r *Registry) {
+			mustAnnounce(t, r, ready("a", 1))
+			r.Lost("a")
+		}, false},
+	}
+	for _, test := range tests {
+		var r Registry
+		test.before(&r)
+		before := r.Current()
+		if got := r.Found(found); got != test.want || (!got && r.Current() != before) {
+			t.Errorf("%s: %v, current is %+v", test.name, got, r.Current())
+		}
+	}
+	var r Registry
+	r.Found(found)
+	mustAnnounce(t, &r, draining("a", 1))
+	if r.Current().State != member.Leaving {
+		t.Errorf("after its own word: %+v", r.Current())
+	}
+	var told Registry
+	told.Found(found)
+	if !told.Remember(member.Server{ID: "a", Service: "s", Slots: 12, State: member.Leaving}) || told.Current().State != member.Leaving {
+		t.Errorf("after others remembered its leaving: %+v", told.Current())
+	}
+}
--- a/gate/measure.go
+++ b/gate/measure.go
@@ -8,6 +8,8 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/ryehaven/ryehaven/backend"
+	"github.com/ryehaven/ryehaven/header"
 	"github.com/ryehaven/ryehaven/measure"
 	"github.com/ryehaven/ryehaven/table"
 )
@@ -70,18 +72,10 @@
 }
 
 func (g *Gate) askReport(row table.Server, limit time.Duration) (measure.Report, bool) {
-	exchange, err := g.server.Open(false)
+	exchange, err := ask(g.server, row.HealthPath, row.Service, limit)
 	if err != nil {
 		return measure.Report{}, false
 	}
-	request := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(request)
-	request.SetRequestURI(row.HealthPath)
-	request.Header.SetHost(row.Service)
-	if err := exchange.Send(request, time.Now().Add(limit)); err != nil {
-		exchange.Finish(false)
-		return measure.Report{}, false
-	}
 	body, err := readFirst(exchange.Body(), maxReport)
 	whole := err == io.EOF
 	g.learn(&exchange.Response.Header)
@@ -98,3 +92,46 @@
 	}
 	return measure.Parse(body)
 }
+
+// ask sends a measuring call.
+func ask(server *backend.Pool, path, service string, limit time.Duration) (*backend.Exchange, error) {
+	exchange, err := server.Open(false)
+	if err != nil {
+		return nil, err
+	}
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	request.SetRequestURI(path)
+	request.Header.SetHost(service)
+	if err := exchange.Send(request, time.Now().Add(limit)); err != nil {
+		exchange.Finish(false)
+		return nil, err
+	}
+	return exchange, nil
+}
+
+// Found is a backend server that answered for itself.
+type Found struct {
+	ID    string
+	Slots int
+}
+
+// Find asks whoever stands at a server's address who it is. It is for a node that
+// nobody could tell; ok is false unless a server that takes work has answered with
+// its ID and its slots.
+func Find(address, path, service string, dialect *header.Dialect, limit time.Duration) (found Found, ok bool) {
+	if dialect.ServerID == "" {
+		return Found{}, false
+	}
+	server := &backend.Pool{Address: address, MaxConns: 1, DialLimit: limit}
+	defer server.Close()
+	exchange, err := ask(server, path, service, limit)
+	if err != nil {
+		return Found{}, false
+	}
+	defer exchange.Finish(false)
+	answer := &exchange.Response
+	load, told := header.ParseLoad(string(answer.Header.Peek(dialect.Load)))
+	found = Found{ID: string(answer.Header.Peek(dialect.ServerID)), Slots: load.Slots}
+	return found, told && answer.StatusCode() == fasthttp.StatusOK && found.ID != "" && found.Slots > 0
+}
--- a/node/node.go
+++ b/node/node.go
@@ -322,6 +322,9 @@
 	}
 	wait.Go(func() { n.spread.Run(background) })
 	wait.Go(func() { n.runTicks(background) })
+	if n.settings.Sidecar.Control != "" {
+		wait.Go(func() { n.findServer(background) })
+	}
 	n.log.Info("node started",
 		zap.String("caller", n.CallerAddress()),
 		zap.String("peer", n.PeerAddress()),
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -3,12 +3,14 @@
 package node
 
 import (
+	"context"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/ryehaven/ryehaven/announce"
 	"github.com/ryehaven/ryehaven/balance"
+	"github.com/ryehaven/ryehaven/gate"
 	"github.com/ryehaven/ryehaven/member"
 	"github.com/ryehaven/ryehaven/retry"
 	"github.com/ryehaven/ryehaven/table"
@@ -30,6 +32,71 @@
 	n.changeServer("left", func(r *announce.Registry) bool { return r.Leave(id) })
 }
 
+// Finding the server at a node's start.
+const (
+	// findFirst leaves the other nodes and the server the time to tell, and
+	// findEvery is the time between questions.
+	findFirst = 50 * time.Millisecond
+	findEvery = 100 * time.Millisecond
+	// findFor is for how long after the start the server is asked: by then its own
+	// announcement has come.
+	findFor   = 2 * time.Second
+	findLimit = 500 * time.Millisecond
+)
+
+// findServer asks the server at the node's start who it is, unless it announces
+// itself first or other nodes remember it. When all nodes were killed at once, no
+// one does, and the next announcement may be seconds away.
+func (n *Node) findServer(ctx context.Context) {
+	timer := time.NewTimer(findFirst)
+	defer timer.Stop()
+	for until := time.Now().Add(findFor); time.Now().Before(until); timer.Reset(findEvery) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		if n.askServer() {
+			return
+		}
+	}
+}
+
+// askServer asks the server once and reports whether there is nothing to ask any
+// more, since a server is or was known.
+func (n *Node) askServer() bool {
+	path, known := n.healthPath()
+	if known || path == "" {
+		return known
+	}
+	service := n.settings.Sidecar.Service
+	found, ok := gate.Find(n.settings.Sidecar.Server, path, service, &n.dialect, findLimit)
+	if !ok {
+		return false
+	}
+	n.changeServer("it answered at its address", func(r *announce.Registry) bool {
+		return r.Found(member.Server{ID: found.ID, Service: service, Slots: found.Slots})
+	})
+	return true
+}
+
+// healthPath is where the server of the node's service tells of itself by the table
+// in force; blank while there is none. known says that a server is or was known.
+func (n *Node) healthPath() (path string, known bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.registry.Blank() {
+		return "", true
+	}
+	if n.applied == nil {
+		return "", false
+	}
+	if row := n.applied.Table.Service(n.settings.Sidecar.Service); row != nil {
+		path = row.Policy.HealthPath
+	}
+	return path, false
+}
+
 // lostServer takes note that another server answers in place of the current.
 func (n *Node) lostServer(id string) {
 	n.changeServer("another server is at its address", func(r *announce.Registry) bool { return r.Lost(id) })
