admit: the newest queued request goes first where the wait is bounded

First in first out makes all of them late by the same.

Calls keep their order. What may wait until its deadline keeps it too, as everywhere without routes. TestOrderWithinALevel.

--- a/admit/queue.go
+++ b/admit/queue.go
@@ -191,8 +191,9 @@
 	left := q.expire(now)
 	for p := range q.waiting {
 		for len(q.waiting[p]) > 0 && q.hasRoom(q.waiting[p][0]) {
-			t := q.waiting[p][0]
-			q.remove(p, 0)
+			next := q.next(p)
+			t := q.waiting[p][next]
+			q.remove(p, next)
 			q.dispatch(now, t)
 			left = append(left, t)
 		}
@@ -200,6 +201,20 @@
 	return left
 }
 
+// next is the place of the ticket of a level that goes first. Where the wait is
+// bounded the newest does, as in adaptive LIFO (Maurer 2015): what has waited long
+// is likely to miss its aim wherever it goes, and handing out the oldest first makes
+// all of them late. Calls keep their order, since the request above waits for all of
+// its calls.
+func (q *Queue) next(level int) int {
+	waiting := q.waiting[level]
+	newest := len(waiting) - 1
+	if waiting[newest].Call || waiting[newest].MaxWait == 0 {
+		return 0
+	}
+	return newest
+}
+
 // hasRoom reports whether a ticket may be dispatched now. A call may fill slots
 // that others may not: the request above it holds one at its own server for as
 // long as the call waits.
--- a/admit/queue_test.go
+++ b/admit/queue_test.go
@@ -316,3 +316,38 @@
 		t.Errorf("state %d: a slot is free each millisecond, the call takes 9", call.State())
 	}
 }
+
+// Of those whose wait is bounded the newest goes first; calls, and what may wait
+// until its deadline, go in their order.
+func TestOrderWithinALevel(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		ticket Ticket
+		want   string
+	}{
+		{"bounded wait", Ticket{MaxWait: time.Second}, "cba"},
+		{"calls", Ticket{MaxWait: time.Second, Call: true}, "abc"},
+		{"no bound", Ticket{Patient: true}, "abc"},
+	} {
+		q, taken := full(Settings{Slots: 1, Queue: 3, FixedLimit: true})
+		now := start.Add(10 * time.Millisecond)
+		for _, name := range []string{"a", "b", "c"} {
+			ticket := test.ticket
+			ticket.Deadline, ticket.Value, ticket.Patient = start.Add(time.Hour), name, true
+			q.Offer(now, &ticket)
+		}
+		order := ""
+		for running := taken[0]; running != nil; {
+			now = now.Add(10 * time.Millisecond)
+			q.Done(now, running, true)
+			running = nil
+			for _, t := range q.Advance(now) {
+				running = t
+				order += t.Value.(string)
+			}
+		}
+		if order != test.want {
+			t.Errorf("%s: %s, want %s", test.name, order, test.want)
+		}
+	}
+}
