--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -242,3 +242,41 @@
 		t.Errorf("%d connections are still open", p.open)
 	}
 }
+
+// A connection on which a request's body was not written to its end carries no other
+// request, however well it was answered: what comes next would be taken for the rest
+// of that body.
+func TestConnectionWithACutBodyIsNotReused(t *testing.T) {
+	address, conns := rawServer(t, func(c net.Conn, _ int) {
+		reader := bufio.NewReader(c)
+		for readRequest(reader) { // It answers by the head and never reads the body.
+			io.WriteString(c, "HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	p := newPool(address)
+	defer p.Close()
+	rest, writer := io.Pipe()
+	e, err := p.Open(false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var r fasthttp.Request
+	r.SetRequestURI("/x")
+	r.Header.SetHost("s")
+	r.Header.SetMethod("POST")
+	r.SetBodyStream(rest, 1<<20)
+	go writer.Write(make([]byte, 64<<10)) // More than is kept before the first bytes go.
+	if err := e.Send(&r, time.Now().Add(5*time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	e.Finish(true)
+	writer.CloseWithError(errors.New("the caller has gone"))
+	next, err := send(t, p, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	next.Finish(true)
+	if got := conns.Load(); got != 2 {
+		t.Errorf("%d connections, want a second one for the next request", got)
+	}
+}
