report, cmd/ryehaven-load: an HTML page of an experiment

Charts are drawn by gonum/plot as SVG; package report lays them out and knows nothing of this module.

--- a/cmd/ryehaven-load/platform.go
+++ b/cmd/ryehaven-load/platform.go
@@ -32,6 +32,7 @@
 	Share   float64       `default:"0.25" help:"Share of the time that a server is slow."`
 	Spell   time.Duration `default:"300ms" help:"Mean time between changes of a server's speed."`
 	Seed    uint64        `default:"1" help:"Seed of arrivals and spells."`
+	Report  string        `help:"File for an HTML page of the runs." type:"path"`
 }
 
 // callerOutcome is what callers saw in one run.
@@ -40,23 +41,29 @@
 	sent, inAim, late     int
 	refused, failed, runs int
 	latency               *hdrhistogram.Histogram
+	recording             recording
 }
 
 // Run implements the command.
 func (c *platformCommand) Run() error {
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "policy\tsent\tin aim %\tlate %\trefused %\tfailed %\truns a request\tp50 ms\tp99 ms")
+	var runs []policyRun
 	for _, policy := range []balance.Policy{balance.Random, balance.LeastOutstanding, balance.TwoChoices, balance.Expected} {
 		o, err := c.one(policy)
 		if err != nil {
 			return err
 		}
+		runs = append(runs, policyRun{policy, o})
 		percent := func(n int) float64 { return 100 * float64(n) / float64(max(o.sent, 1)) }
 		fmt.Fprintf(w, "%s\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.2f\t%.1f\t%.1f\n", policy, o.sent, percent(o.inAim), percent(o.late),
 			percent(o.refused), percent(o.failed), float64(o.runs)/float64(max(o.sent, 1)),
 			float64(o.latency.ValueAtQuantile(50))/1000, float64(o.latency.ValueAtQuantile(99))/1000)
 	}
-	return w.Flush()
+	if err := w.Flush(); err != nil || c.Report == "" {
+		return err
+	}
+	return c.writeReport(runs)
 }
 
 const (
@@ -91,13 +98,18 @@
 		}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	var spells sync.WaitGroup
+	o := &callerOutcome{latency: hdrhistogram.New(1, time.Minute.Microseconds(), 3)}
+	o.recording.start(site)
+	var beside sync.WaitGroup
 	for i, h := range site.Hosts {
-		spells.Go(func() { c.spells(ctx, h.Server, rand.New(rand.NewPCG(c.Seed, uint64(i)))) })
+		beside.Go(func() { c.spells(ctx, &o.recording, h.Server, rand.New(rand.NewPCG(c.Seed, uint64(i)))) })
 	}
-	o := c.load(site)
+	if c.Report != "" {
+		beside.Go(func() { o.recording.runCounters(ctx, site) })
+	}
+	c.load(o, site)
 	cancel()
-	spells.Wait()
+	beside.Wait()
 	for _, h := range site.Hosts {
 		o.runs += len(h.Server.Arrivals())
 	}
@@ -105,7 +117,7 @@
 }
 
 // spells makes a server slow and usual by turns until ctx ends.
-func (c *platformCommand) spells(ctx context.Context, server *emulator.Server, rng *rand.Rand) {
+func (c *platformCommand) spells(ctx context.Context, r *recording, server *emulator.Server, rng *rand.Rand) {
 	const usual = 100
 	for {
 		speed := usual
@@ -113,6 +125,7 @@
 			speed = usual * c.Slow
 		}
 		server.SetSlowness(speed)
+		r.speed(server.ID, speed)
 		select {
 		case <-ctx.Done():
 			return
@@ -122,8 +135,7 @@
 }
 
 // load sends requests at drawn moments, whether or not earlier ones have ended.
-func (c *platformCommand) load(site *emulator.Site) *callerOutcome {
-	o := &callerOutcome{latency: hdrhistogram.New(1, time.Minute.Microseconds(), 3)}
+func (c *platformCommand) load(o *callerOutcome, site *emulator.Site) {
 	rng := rand.New(rand.NewPCG(c.Seed, 0))
 	var wait sync.WaitGroup
 	began := time.Now()
@@ -141,28 +153,34 @@
 				Method: "GET", Path: platformPath + fmt.Sprint(number), ID: fmt.Sprintf("%016x", number),
 				DeadlineMs: int(4 * c.Aim.Milliseconds()),
 			}.Send(host.Caller())
-			o.count(reply, time.Since(sent), c.Aim)
+			o.count(host, reply, sent, c.Aim)
 		})
 	}
 	wait.Wait()
-	return o
 }
 
-func (o *callerOutcome) count(reply emulator.Reply, took, aim time.Duration) {
+// count takes the end of a request that was due at a time.
+func (o *callerOutcome) count(from *emulator.Host, reply emulator.Reply, due time.Time, aim time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	took := time.Since(due)
 	o.sent++
+	end := failedEnd
 	switch {
 	case reply.Err == nil && reply.Status == 200 && took <= aim:
 		o.inAim++
+		end = inAimEnd
 	case reply.Err == nil && reply.Status == 200:
 		o.late++
+		end = lateEnd
 	case reply.Err == nil && reply.Status == 503:
 		o.refused++
+		end = refusedEnd
 	default:
 		o.failed++
 	}
-	if reply.Err == nil && reply.Status == 200 {
+	if end == inAimEnd || end == lateEnd {
 		_ = o.latency.RecordValue(took.Microseconds()) // Within the histogram's range.
 	}
+	o.recording.call(from, reply.Server(), due, took, end)
 }
--- a/cmd/ryehaven-load/recover.go
+++ b/cmd/ryehaven-load/recover.go
@@ -110,7 +110,7 @@
 		return err
 	}
 	<-done
-	report(w, r.name, calls, faultAt, again.Sub(undone))
+	printRecovery(w, r.name, calls, faultAt, again.Sub(undone))
 	return nil
 }
 
@@ -166,7 +166,7 @@
 	return calls
 }
 
-func report(w *tabwriter.Writer, name string, calls []call, faultAt, again time.Duration) {
+func printRecovery(w *tabwriter.Writer, name string, calls []call, faultAt, again time.Duration) {
 	var repeatableFailed, notRun, unknown, heldUp int
 	var lastFailure, lastHeldUp, slowest time.Duration
 	for _, one := range calls {
