member, spread, node: nodes that vanish are forgotten

Cause: a host that is taken away while its node is killed or cut off never says that its node is gone. Only another node at the same address ended a record.

Now a node that answered nobody's question here for two hours is forgotten, its old records are kept out while others still hold them, and the store's list loses it. What it says anew brings it back. Budgets are shared among the nodes that take work.

Ruled out: a mark that spreads (docs/design/membership.md).

Tests: TestVanishedNodesAreForgotten (two views, gossip and the list in between, a new life), TestNodesThatAnswerInTimeStay.

--- a/member/listed.go
+++ b/member/listed.go
@@ -32,7 +32,7 @@
 func (v *View) list(now time.Time, l Listed) bool {
 	e := v.entries[l.Host]
 	if e == nil {
-		if l.Leaving {
+		if l.Leaving || v.HasForgotten(l.Host, l.Address) {
 			return false
 		}
 		v.take(now, Record{Host: l.Host, Address: l.Address, Zone: l.Zone, Region: l.Region})
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -248,3 +248,62 @@
 		t.Error("a new life elsewhere does not count")
 	}
 }
+
+// A node that answers nobody for long is forgotten everywhere, though nodes that have
+// not forgotten it yet still tell of it, and is taken back by whatever it says anew.
+func TestVanishedNodesAreForgotten(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	lost := Record{Host: "lost", Incarnation: 5, Address: "a:1", Zone: "z"}
+	views := map[string]*View{}
+	for _, host := range []string{"one", "two"} {
+		v := NewView(Record{Host: host, Incarnation: 1, Address: host + ":1", Zone: "z"})
+		v.Merge(now, []Record{lost})
+		views[host] = v
+	}
+	one, two := views["one"], views["two"]
+	before := NewView(one.Self()).Digest()
+	one.Failed(now, "lost")
+	one.Tidy(now.Add(forgetLost - time.Second))
+	if _, known := one.Record("lost"); !known || one.Working() != 2 {
+		t.Fatal("forgotten too early")
+	}
+	now = now.Add(forgetLost)
+	one.Tidy(now)
+	if _, known := one.Record("lost"); known || one.Working() != 1 || one.Digest() != before {
+		t.Fatal("not forgotten, or its digest stays")
+	}
+	one.Merge(now, two.All())
+	if _, known := one.Record("lost"); known {
+		t.Error("an old record brought it back")
+	}
+	if one.List(now, []Listed{{Host: "lost", Address: "a:1", Zone: "z"}}); one.Len() != 2 || !one.HasForgotten("lost", "a:1") {
+		t.Error("the list brought it back")
+	}
+	anew := lost
+	anew.Incarnation++
+	one.Merge(now, []Record{anew})
+	if _, known := one.Record("lost"); !known || one.HasForgotten("lost", "a:1") {
+		t.Error("its new life was not taken")
+	}
+}
+
+// An answer, or a newer record by way of another node, shows that a node lives.
+func TestNodesThatAnswerInTimeStay(t *testing.T) {
+	for name, sign := range map[string]func(v *View, now time.Time){
+		"answers":        func(v *View, _ time.Time) { v.Reached("other") },
+		"is told of":     func(v *View, now time.Time) { v.Merge(now, []Record{{Host: "other", Incarnation: 1, Version: 2}}) },
+		"is never asked": nil,
+	} {
+		now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		v := NewView(Record{Host: "self", Incarnation: 1})
+		v.Merge(now, []Record{{Host: "other", Incarnation: 1}})
+		if sign != nil {
+			v.Failed(now, "other")
+			sign(v, now.Add(time.Hour))
+		}
+		v.Tidy(now.Add(forgetLost + time.Minute))
+		if _, known := v.Record("other"); !known {
+			t.Errorf("%s: forgotten", name)
+		}
+	}
+}
--- a/member/view.go
+++ b/member/view.go
@@ -26,7 +26,9 @@
 	Record
 	failures   int
 	aloneUntil time.Time
-	goneSince  time.Time
+	// lostSince is when the node was first asked in vain since it last answered.
+	lostSince time.Time
+	goneSince time.Time
 	// past is the node's last record of an earlier incarnation that named a
 	// backend server, so that a node that starts anew can be told of it.
 	past Record
@@ -43,6 +45,8 @@
 	entries  map[string]*entry
 	hosts    []string
 	digest   Digest
+	// forgotten are nodes that vanished, by host.
+	forgotten map[string]forgotten
 	// Conflicts counts records of this node's own name by another author.
 	Conflicts int
 }
@@ -119,7 +123,7 @@
 		if old != nil && !r.newer(old.Record) {
 			continue
 		}
-		if old == nil && r.State == Gone {
+		if old == nil && (r.State == Gone || v.isForgotten(r)) {
 			continue
 		}
 		v.take(now, r)
@@ -135,8 +139,10 @@
 	if known && old.Incarnation != r.Incarnation && old.Server.ID != "" {
 		e.past = old
 	}
+	delete(v.forgotten, r.Host)
 	e.failures = 0
 	e.aloneUntil = time.Time{}
+	e.lostSince = time.Time{}
 	e.goneSince = time.Time{}
 	e.listedLeaving = 0
 	if r.State == Gone {
@@ -256,6 +262,7 @@
 	if e := v.entries[host]; e != nil {
 		e.failures = 0
 		e.aloneUntil = time.Time{}
+		e.lostSince = time.Time{}
 	}
 }
 
@@ -265,6 +272,9 @@
 		alone := min(leaveAlone<<min(e.failures, 10), leaveAloneMost)
 		e.failures++
 		e.aloneUntil = now.Add(alone)
+		if e.lostSince.IsZero() {
+			e.lostSince = now
+		}
 	}
 }
 
@@ -295,17 +305,22 @@
 	return able[:min(n, len(able))]
 }
 
-// Tidy forgets nodes that have gone long ago.
+// Tidy forgets nodes that have gone or vanished long ago.
 func (v *View) Tidy(now time.Time) {
 	for host, e := range v.entries {
-		if e.State != Gone || e.goneSince.IsZero() || now.Sub(e.goneSince) < forgetGone || host == v.self {
-			continue
+		if e.State == Gone && !e.goneSince.IsZero() && now.Sub(e.goneSince) >= forgetGone && host != v.self {
+			v.drop(host)
 		}
-		v.digest[bucketOf(host)] ^= e.hash()
-		delete(v.entries, host)
-		at := sort.SearchStrings(v.hosts, host)
-		v.hosts = append(v.hosts[:at], v.hosts[at+1:]...)
 	}
+	v.forgetVanished(now)
+}
+
+// drop takes a node out of the view.
+func (v *View) drop(host string) {
+	v.digest[bucketOf(host)] ^= v.entries[host].hash()
+	delete(v.entries, host)
+	at := sort.SearchStrings(v.hosts, host)
+	v.hosts = append(v.hosts[:at], v.hosts[at+1:]...)
 }
 
 // Rank returns this node's place, from 0, among the nodes of its zone that
--- a/node/apply.go
+++ b/node/apply.go
@@ -45,8 +45,9 @@
 	now := time.Now()
 	var records map[string]member.Record
 	var self member.Record
-	leaving := false
+	leaving, working := false, 1
 	n.spread.View(func(v *member.View) {
+		working = v.Working()
 		self = v.Self()
 		leaving = v.Replaced() || (self.State != member.Live && !n.draining.Load())
 		records = make(map[string]member.Record, v.Len())
@@ -65,7 +66,7 @@
 			}, ok
 		},
 		Announced: func(service string) []balance.Spec { return n.announced(self, records, service) },
-		Nodes:     len(records),
+		Nodes:     working,
 		Terms:     n.terms(),
 	})
 	n.refreshGates(now, leaving)
--- a/spread/watch.go
+++ b/spread/watch.go
@@ -247,16 +247,23 @@
 	}
 }
 
-// removeVanished takes hosts out of the store's list in whose place others were
-// met.
+// hasVanished reports whether a listed host's node is known to be no more: another
+// was met in its place, or nobody has met it for long.
+func (s *Spread) hasVanished(l member.Listed) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	record, known := s.view.Record(l.Host)
+	return (known && record.State == member.Gone) || (!known && s.view.HasForgotten(l.Host, l.Address))
+}
+
+// removeVanished takes hosts out of the store's list whose nodes have vanished.
 func (s *Spread) removeVanished(ctx context.Context, listed []member.Listed) {
 	directory, ok := s.platform.(store.Directory)
 	if !s.settings.Register || !ok || s.rank() != 0 {
 		return
 	}
 	for _, l := range listed {
-		record, known := s.recordOf(l.Host)
-		if !known || record.State != member.Gone {
+		if !s.hasVanished(l) {
 			continue
 		}
 		s.Counters.PlatformReads.Add(1)
