cmd/ryehaven-load: a bound for the policies on emulated sites

ryehaven-load platform compares with an all-knowing scheduler too: it knows each emulated server's true speed and load at the moment of the request and reaches it directly, so that no policy of nodes can do better but by sending twice.

--- a/cmd/ryehaven-load/platform.go
+++ b/cmd/ryehaven-load/platform.go
@@ -49,7 +49,7 @@
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "policy\tsent\tin aim %\tlate %\trefused %\tfailed %\truns a request\tp50 ms\tp99 ms")
 	var runs []policyRun
-	for _, policy := range []balance.Policy{balance.Random, balance.LeastOutstanding, balance.TwoChoices, balance.Expected} {
+	for _, policy := range []balance.Policy{balance.Random, balance.LeastOutstanding, balance.TwoChoices, balance.Expected, allKnowing} {
 		o, err := c.one(policy)
 		if err != nil {
 			return err
@@ -73,6 +73,22 @@
 	settleLimit = 10 * time.Second
 )
 
+// allKnowing is a scheduler that knows every server's true speed and load at the
+// moment of each request, and reaches every server at no cost: a bound that no policy
+// of nodes can pass but for requests that it sends twice.
+const allKnowing balance.Policy = "all-knowing"
+
+// askAllKnowing sends a call to the server that would answer first now.
+func askAllKnowing(site *emulator.Site, call emulator.Call) emulator.Reply {
+	var best *emulator.Host
+	for _, h := range site.Hosts {
+		if best == nil || h.Server.Takes() < best.Server.Takes() {
+			best = h
+		}
+	}
+	return call.Send(best.Server.Address())
+}
+
 // one plays one policy.
 func (c *platformCommand) one(policy balance.Policy) (*callerOutcome, error) {
 	site, err := emulator.StartSite(emulator.SiteOptions{
@@ -82,7 +98,11 @@
 			Prefix: platformPath, Repeatable: true, Service: platformService, Attempts: 2, Rank: 1,
 			TimeoutMs: int(4 * c.Aim.Milliseconds()), AimMs: int(c.Aim.Milliseconds()),
 		}}),
-		Adjust: func(s *settings.Settings) { s.Experiment.Balance.Policy = policy },
+		Adjust: func(s *settings.Settings) {
+			if policy != allKnowing {
+				s.Experiment.Balance.Policy = policy
+			}
+		},
 	})
 	if err != nil {
 		return nil, err
@@ -107,7 +127,7 @@
 	if c.Report != "" {
 		beside.Go(func() { o.recording.runCounters(ctx, site) })
 	}
-	c.load(o, site)
+	c.load(o, site, policy)
 	cancel()
 	beside.Wait()
 	for _, h := range site.Hosts {
@@ -135,7 +155,7 @@
 }
 
 // load sends requests at drawn moments, whether or not earlier ones have ended.
-func (c *platformCommand) load(o *callerOutcome, site *emulator.Site) {
+func (c *platformCommand) load(o *callerOutcome, site *emulator.Site, policy balance.Policy) {
 	rng := rand.New(rand.NewPCG(c.Seed, 0))
 	var wait sync.WaitGroup
 	began := time.Now()
@@ -149,10 +169,16 @@
 		time.Sleep(time.Until(began.Add(at)))
 		sent := began.Add(at)
 		wait.Go(func() {
-			reply := emulator.Call{
+			call := emulator.Call{
 				Method: "GET", Path: platformPath + fmt.Sprint(number), ID: fmt.Sprintf("%016x", number),
 				DeadlineMs: int(4 * c.Aim.Milliseconds()),
-			}.Send(host.Caller())
+			}
+			var reply emulator.Reply
+			if policy == allKnowing {
+				reply = askAllKnowing(site, call)
+			} else {
+				reply = call.Send(host.Caller())
+			}
 			o.count(host, reply, sent, c.Aim)
 		})
 	}
