--- a/cmd/ryehaven/main.go
+++ b/cmd/ryehaven/main.go
@@ -35,16 +35,17 @@
 
 // arguments is the command line.
 type arguments struct {
-	Check   checkCommand   `cmd:"" help:"Check a table and list every fault as file:line:column: message."`
-	Show    showCommand    `cmd:"" help:"Print the table in the platform's service, or the one in force at a node."`
-	Diff    diffCommand    `cmd:"" help:"Compare a table with the one in the platform's service."`
-	Apply   applyCommand   `cmd:"" help:"Put a table into the platform's service."`
-	Drain   drainCommand   `cmd:"" help:"Mark a backend server as leaving, or take that back."`
-	Status  statusCommand  `cmd:"" help:"Print what nodes say of themselves."`
-	Burn    burnCommand    `cmd:"" help:"Print the service-level burn of all nodes."`
-	Metrics metricsCommand `cmd:"" help:"List what nodes count, with units, as a table in Markdown."`
-	Explain explainCommand `cmd:"" help:"Tell the story of one request from the logs of nodes."`
-	Demo    demoCommand    `cmd:"" help:"Run a whole small site in this process, with stand-ins."`
+	Check    checkCommand    `cmd:"" help:"Check a table and list every fault as file:line:column: message."`
+	Show     showCommand     `cmd:"" help:"Print the table in the platform's service, or the one in force at a node."`
+	Diff     diffCommand     `cmd:"" help:"Compare a table with the one in the platform's service."`
+	Apply    applyCommand    `cmd:"" help:"Put a table into the platform's service."`
+	Drain    drainCommand    `cmd:"" help:"Mark a backend server as leaving, or take that back."`
+	Status   statusCommand   `cmd:"" help:"Print what nodes say of themselves."`
+	Burn     burnCommand     `cmd:"" help:"Print the service-level burn of all nodes."`
+	Settings settingsCommand `cmd:"" help:"List the keys of a node's settings file as a table in Markdown."`
+	Metrics  metricsCommand  `cmd:"" help:"List what nodes count, with units, as a table in Markdown."`
+	Explain  explainCommand  `cmd:"" help:"Tell the story of one request from the logs of nodes."`
+	Demo     demoCommand     `cmd:"" help:"Run a whole small site in this process, with stand-ins."`
 }
 
 func main() {
--- a/cmd/ryehaven/read.go
+++ b/cmd/ryehaven/read.go
@@ -120,3 +120,20 @@
 	}
 	return nil
 }
+
+// settingsCommand lists the keys of a settings file.
+type settingsCommand struct{}
+
+// Run prints the list that docs/SETTINGS.md holds.
+func (c *settingsCommand) Run() error {
+	fmt.Println("| key | required | meaning |")
+	fmt.Println("| --- | --- | --- |")
+	for _, k := range settings.Keys() {
+		required := ""
+		if k.Required {
+			required = "yes"
+		}
+		fmt.Printf("| `%s` | %s | %s |\n", k.Name, required, k.Meaning)
+	}
+	return nil
+}
