--- a/cmd/ryehaven-soak/main.go
+++ b/cmd/ryehaven-soak/main.go
@@ -28,6 +28,7 @@
 	Callers  int           `default:"3" help:"Callers on each host."`
 	Length   time.Duration `default:"20s" help:"How long faults are injected in each run."`
 	Programs string        `help:"Directory of the built commands; they are built if not given."`
+	Older    string        `help:"Directory of the commands of an earlier version, which all nodes begin with; each restart upgrades one."`
 	Keep     string        `default:"out/soak" help:"Directory for settings, logs and histories of runs that fail."`
 	Schedule bool          `help:"Print the schedules of the seeds and play none."`
 }
@@ -119,6 +120,7 @@
 	}
 	report, err := soak.Run(ctx, soak.Options{
 		Programs: programs,
+		Older:    args.Older,
 		Dir:      dir,
 		Seed:     seed,
 		Hosts:    hostsOf(args, seed),
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -68,6 +68,8 @@
 	life     Life
 	clock    time.Duration
 	revision int
+	// upgraded says that the node no longer runs the earlier version.
+	upgraded bool
 }
 
 func (h *host) address(port int) string { return fmt.Sprintf("%s:%d", h.ip, port) }
@@ -105,11 +107,25 @@
 [distance]
 factor = 2.5
 late_per_mb = 40
-[experiment]
-clock_step_ms = %d
-`, h.number, h.zone, h.address(callerPort), h.address(peerPort), h.address(adminPort), h.peer.Address(),
+%s`, h.number, h.zone, h.address(callerPort), h.address(peerPort), h.address(adminPort), h.peer.Address(),
 		h.address(serverPort), h.service, h.address(controlPort), h.address(readyPort), h.store.Address(),
-		stopBound.Milliseconds(), UsualBounds().RetryExtra+h.revision%2, h.clock.Milliseconds())
+		stopBound.Milliseconds(), UsualBounds().RetryExtra+h.revision%2, h.experiment())
+}
+
+// experiment is the part of the settings that an earlier version may not know.
+func (h *host) experiment() string {
+	if h.clock == 0 {
+		return ""
+	}
+	return fmt.Sprintf("[experiment]\nclock_step_ms = %d\n", h.clock.Milliseconds())
+}
+
+// programs is the directory of the commands that the host runs now.
+func (h *host) programs() string {
+	if h.site.options.Older != "" && !h.upgraded {
+		return h.site.options.Older
+	}
+	return h.site.options.Programs
 }
 
 func (h *host) settingsPath() string {
@@ -130,7 +146,7 @@
 		return err
 	}
 	defer log.Close()
-	cmd := exec.Command(filepath.Join(h.site.options.Programs, "ryehavend"), h.settingsPath())
+	cmd := exec.Command(filepath.Join(h.programs(), "ryehavend"), h.settingsPath())
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return eris.Wrapf(err, "start node of host %d", h.number)
--- a/internal/soak/play.go
+++ b/internal/soak/play.go
@@ -23,8 +23,11 @@
 	// Programs is the directory of the built commands, Dir one for settings and
 	// logs that is kept if the run fails.
 	Programs, Dir string
-	Seed          uint64
-	Hosts         int
+	// Older is a directory of the commands of an earlier version. If it is given,
+	// all nodes start as that version, and every restart of one is its upgrade.
+	Older string
+	Seed  uint64
+	Hosts int
 	// Callers is how many callers each host has.
 	Callers int
 	// Length is how long faults are injected; healing follows.
@@ -314,6 +317,7 @@
 		h.clock = clockSteps[int(step.For)%len(clockSteps)]
 	}
 	pause(ctx, step.For/4)
+	h.upgraded = true
 	if err := h.start(); err != nil {
 		s.note("host %d: %v", h.number, err)
 		s.addLife(Life{Host: h.number, To: time.Now(), Unexpected: err.Error()})
