--- a/cmd/ryehaven-soak/main.go
+++ b/cmd/ryehaven-soak/main.go
@@ -68,16 +68,21 @@
 	if err != nil {
 		return 0, err
 	}
-	for i := 0; i < args.Seeds && ctx.Err() == nil; i++ {
+	played := 0
+	for i := 0; i < args.Seeds; i++ {
 		report, err := play(ctx, args, programs, args.Seed+uint64(i))
 		if err != nil {
 			return broken, err
 		}
+		if ctx.Err() != nil {
+			break // It was ended in the middle of this seed.
+		}
+		played++
 		if len(report.Violations) > 0 {
 			broken++
 		}
 	}
-	fmt.Printf("%d seeds from %d, %d broke a promise\n", args.Seeds, args.Seed, broken)
+	fmt.Printf("%d seeds from %d, %d broke a promise\n", played, args.Seed, broken)
 	return broken, nil
 }
 
