--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -49,11 +49,10 @@
 // Span is a time during which something was done to a host, or to all.
 type Span struct {
 	// Host is a host's number or Everywhere.
-	Host       int
-	From, To   time.Time
-	Kind       Kind
-	Unplanned  bool
-	Concerning string
+	Host      int
+	From, To  time.Time
+	Kind      Kind
+	Unplanned bool
 }
 
 // Everywhere stands for all hosts.
