--- a/cmd/ryehaven-soak/main.go
+++ b/cmd/ryehaven-soak/main.go
@@ -22,15 +22,16 @@
 
 // arguments is the command line.
 type arguments struct {
-	Seeds    int           `default:"1" help:"How many seeds to play, one after the other."`
-	Seed     uint64        `help:"The first seed; drawn from the time if not given."`
-	Hosts    int           `help:"Hosts of each run; drawn from the seed, 4 to 9, if not given."`
-	Callers  int           `default:"3" help:"Callers on each host."`
-	Length   time.Duration `default:"20s" help:"How long faults are injected in each run."`
-	Programs string        `help:"Directory of the built commands; they are built if not given."`
-	Older    string        `help:"Directory of the commands of an earlier version, which all nodes begin with; each restart upgrades one."`
-	Keep     string        `default:"out/soak" help:"Directory for settings, logs and histories of runs that fail."`
-	Schedule bool          `help:"Print the schedules of the seeds and play none."`
+	Seeds       int           `default:"1" help:"How many seeds to play, one after the other."`
+	Seed        uint64        `help:"The first seed; drawn from the time if not given."`
+	Hosts       int           `help:"Hosts of each run; drawn from the seed, 4 to 9, if not given."`
+	Callers     int           `default:"3" help:"Callers on each host."`
+	Length      time.Duration `default:"20s" help:"How long faults are injected in each run."`
+	Programs    string        `help:"Directory of the built commands; they are built if not given."`
+	Older       string        `help:"Directory of the commands of an earlier version, which all nodes begin with; each restart upgrades one."`
+	Keep        string        `default:"out/soak" help:"Directory for settings, logs and histories of runs that fail."`
+	Regressions bool          `help:"Play every run that ever failed in place of seeds."`
+	Schedule    bool          `help:"Print the schedules of the seeds and play none."`
 }
 
 // Exit codes besides 0.
@@ -68,6 +69,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if args.Regressions {
+		return playRegressions(ctx, args, programs)
+	}
 	played := 0
 	for i := 0; i < args.Seeds; i++ {
 		report, err := play(ctx, args, programs, args.Seed+uint64(i))
@@ -86,6 +90,22 @@
 	return broken, nil
 }
 
+// playRegressions plays every run that ever failed.
+func playRegressions(ctx context.Context, args arguments, programs string) (broken int, err error) {
+	for _, r := range soak.Regressions() {
+		fmt.Printf("seed %d: %s\n", r.Seed, r.Cause)
+		args.Hosts, args.Length = r.Hosts, r.Length
+		report, err := play(ctx, args, programs, r.Seed)
+		if err != nil {
+			return broken, err
+		}
+		if len(report.Violations) > 0 {
+			broken++
+		}
+	}
+	return broken, nil
+}
+
 // programsOf returns the directory of the commands, built now if need be.
 func programsOf(args arguments) (string, error) {
 	if args.Programs != "" {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -22,20 +22,23 @@
 	return b
 }
 
-// Short runs of real processes, one of planned work only and one of everything.
+// Short runs of real processes, one of planned work only and one of everything, and
+// every run that ever failed.
 func TestShortRuns(t *testing.T) {
 	programs := t.TempDir()
 	if err := process.Build(programs); err != nil {
 		t.Fatal(err)
 	}
-	for _, seed := range []uint64{11, 18} {
+	runs := append([]Regression{{Seed: 11, Hosts: 4, Length: 6 * time.Second}, {Seed: 18, Hosts: 4, Length: 6 * time.Second}}, Regressions()...)
+	for _, run := range runs {
+		seed := run.Seed
 		report, err := Run(context.Background(), Options{
 			Programs: programs,
 			Dir:      t.TempDir(),
 			Seed:     seed,
-			Hosts:    4,
+			Hosts:    run.Hosts,
 			Callers:  2,
-			Length:   6 * time.Second,
+			Length:   run.Length,
 			Bounds:   patientBounds(),
 		})
 		if err != nil {
