entry, node: a stopping node takes only what it can answer

Cause: whoever reads a request owes it its end, but a stopping node that stayed busy (callers of its zone had nowhere else, calls of its host's server came on) took requests from kept connections until stop_ms less its margin and broke off what it had taken last.

Ruled out: callers that wait longer than the route allows (each run broken off had begun less than a second before); the readiness answer (503 from the signal on).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -67,6 +67,9 @@
 	Hedges, HedgesWon atomic.Int64
 	// CallerGone counts requests whose caller closed its connection.
 	CallerGone atomic.Int64
+	// TurnedAway counts requests that came too late for a stopping node; they
+	// are among NotRun.
+	TurnedAway atomic.Int64
 }
 
 // Entry sends callers' requests to gates.
@@ -77,6 +80,8 @@
 	dialer   *peer.Dialer
 	// gaveUp is when a request last failed for good, in Unix nanoseconds.
 	gaveUp atomic.Int64
+	// stopping is nil while the entry goes on.
+	stopping atomic.Pointer[stop]
 
 	mu       sync.RWMutex
 	services map[string]*service
--- a/entry/handle.go
+++ b/entry/handle.go
@@ -30,6 +30,10 @@
 		e.refuseBad(ctx, fasthttp.StatusBadRequest, fault)
 		return
 	}
+	if !e.takes(r.began, r) {
+		e.refuseStopping(ctx)
+		return
+	}
 	most := e.maxBody()
 	if int64(ctx.Request.Header.ContentLength()) > most {
 		e.refuseBad(ctx, fasthttp.StatusRequestEntityTooLarge, "the request's body is larger than limits.body_bytes")
--- a/entry/traits.go
+++ b/entry/traits.go
@@ -3,6 +3,7 @@
 package entry
 
 import (
+	"math"
 	"sort"
 	"sync"
 	"time"
@@ -104,6 +105,24 @@
 	return t.delay.After()
 }
 
+// longestQuantile is the percentile that longest goes by, once longestLeast answers
+// tell of it.
+const (
+	longestQuantile = 99
+	longestLeast    = 20
+)
+
+// longest is what all but a few answers of the route took, or as long as it takes
+// while too little is known.
+func (t *traits) longest() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.latency == nil || t.latency.TotalCount() < longestLeast {
+		return math.MaxInt64
+	}
+	return time.Duration(t.latency.ValueAtQuantile(longestQuantile)) * histogramUnit
+}
+
 // traitsOf returns what is known of a route's requests.
 func (e *Entry) traitsOf(route *table.Route) *traits {
 	key := route.Host + route.Prefix
--- a/node/stop.go
+++ b/node/stop.go
@@ -47,6 +47,7 @@
 	if n.settings.Sidecar.Control != "" {
 		return n.stopSidecar(began, bound)
 	}
+	n.entry.Stop(began.Add(acceptGrace), bound)
 	n.drainGates(began)
 	time.Sleep(min(acceptGrace, time.Until(bound)))
 	n.callers.Close()
@@ -99,6 +100,7 @@
 // answered. The node is not said to be gone: it may start again here while
 // nobody else remembers where it was.
 func (n *Node) stopSidecar(began, bound time.Time) error {
+	n.entry.Stop(began.Add(turnAway), bound.Add(-killMargin))
 	quietSince := time.Now()
 	for {
 		time.Sleep(stopPoll)
