balance: a run keeps the speed at which it begins

Cause: entries expected the slow part of a run to end with the server's slow spell. So a slow server looked better than it is, most of all for long work.

Ruled out: the knee (the loads were 2 to 4 of 14) and queueing (waited 0).

--- a/balance/demand.go
+++ b/balance/demand.go
@@ -135,21 +135,10 @@
 	return took + s.Distance
 }
 
-// stretch is what work takes at a server that is slow now and will not stay so
-// for long.
+// stretch is what work takes at a server that is slow when it begins. Servers do
+// not speed up what they have begun (docs/OVERLOAD.md).
 func (p *Pool) stretch(work time.Duration, slowness float64) time.Duration {
-	if slowness <= 1 {
-		return work
-	}
-	spell := p.spell
-	if spell == 0 {
-		spell = spellTime
-	}
-	done := time.Duration(float64(spell) / slowness)
-	if work <= done {
-		return time.Duration(float64(work) * slowness)
-	}
-	return spell + work - done
+	return time.Duration(float64(work) * max(slowness, 1))
 }
 
 // learnSpell takes the end of a slow spell of a server.
