gate, entry, balance, wire: a gate asks its server's speed before a request begins

The gate is a millisecond away from its server.

Change: an entry tells by which slowness it goes where a spell would make the request miss its aim.

Ruled out: measuring all servers more often (a call for each 40 ms a server would cost more than checks, and still miss half of the spells).

--- a/balance/demand.go
+++ b/balance/demand.go
@@ -36,6 +36,9 @@
 	spellShare = 0.05
 	// slowFactor is by how much slower than usual a spell counts as slow.
 	slowFactor = 1.5
+	// defaultSlowTimes stands for how many times slower a spell is while none was
+	// seen.
+	defaultSlowTimes = 3
 )
 
 // PickFor is Pick for a request of which more is known. Servers that tell how
@@ -81,6 +84,28 @@
 	return best
 }
 
+// checkGain is by how much likelier a miss of the aim must be at a slow server for
+// its speed to be asked for before the request begins, in late requests: a run begins
+// in a spell that nobody has seen in about one of twenty, and a check costs about a
+// hundredth of a request.
+const checkGain = 0.3
+
+// SpeedToCheck returns the slowness by which a request goes to a server, in percent,
+// for its gate to check before the request begins; 0 if a spell would not matter to
+// it or the server does not tell.
+func (p *Pool) SpeedToCheck(now time.Time, s *Server, demand Demand) int {
+	if !demand.Known() || s.report.Slowness == 0 {
+		return 0
+	}
+	percent := s.slowness(now, p.usualSlowness())
+	usual := p.stretch(demand.Work, percent/100)
+	slow := time.Duration(p.slowTimes() * float64(usual))
+	if lateness(slow, demand.Aim)-lateness(usual, demand.Aim) < checkGain {
+		return 0
+	}
+	return int(percent)
+}
+
 // expectedLoss is the expected loss by sending a request to a server, in late
 // requests.
 func (p *Pool) expectedLoss(now time.Time, s *Server, usual float64, demand Demand) float64 {
@@ -141,6 +166,14 @@
 	return time.Duration(float64(work) * max(slowness, 1))
 }
 
+// slowTimes is how many times slower than usual a server is in a spell.
+func (p *Pool) slowTimes() float64 {
+	if p.spellTimes == 0 {
+		return defaultSlowTimes
+	}
+	return p.spellTimes
+}
+
 // learnSpell takes the end of a slow spell of a server.
 func (p *Pool) learnSpell(now time.Time, s *Server, percent int) {
 	slow := float64(percent) > slowFactor*100
@@ -157,6 +190,18 @@
 	}
 }
 
+// learnSpellTimes takes a server's slowness before and after news of it.
+func (p *Pool) learnSpellTimes(before, after int) {
+	if before <= 0 || float64(after) < slowFactor*float64(before) {
+		return
+	}
+	times := float64(after) / float64(before)
+	if p.spellTimes == 0 {
+		p.spellTimes = times
+	}
+	p.spellTimes += spellShare * (times - p.spellTimes)
+}
+
 // choices is how many servers are drawn, unless the options say.
 func (p *Pool) choices(usual int) int {
 	if p.options.Choices > 0 {
--- a/balance/demand_test.go
+++ b/balance/demand_test.go
@@ -119,3 +119,27 @@
 		t.Errorf("300 ms of work at usual speed takes %v", got)
 	}
 }
+
+// A server's speed is to be checked where a spell that nobody has seen yet would make
+// the request miss its aim, and only there.
+func TestSpeedToCheck(t *testing.T) {
+	now := start.Add(time.Second)
+	for _, test := range []struct {
+		name     string
+		slowness int
+		demand   Demand
+		want     int
+	}{
+		{"tight aim", 100, demand, 100},
+		{"an aim that a spell does not endanger", 100, Demand{Work: 10 * time.Millisecond, Aim: time.Second}, 0},
+		{"late in any case", 100, Demand{Work: time.Second, Aim: 100 * time.Millisecond}, 0},
+		{"nothing known of the request", 100, Demand{}, 0},
+		{"a server that does not tell", 0, demand, 0},
+		{"taken as slow already", 200, Demand{Work: 60 * time.Millisecond, Aim: 250 * time.Millisecond}, 200},
+	} {
+		p := slowPool(now, test.slowness)
+		if got := p.SpeedToCheck(now, p.servers[0], test.demand); got != test.want {
+			t.Errorf("%s: %d, want %d", test.name, got, test.want)
+		}
+	}
+}
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -75,6 +75,9 @@
 	started bool
 	// spell is how long a server stays slow, as a mean.
 	spell time.Duration
+	// spellTimes is how many times slower than before its spells a server is, as a
+	// mean; 0 while none was seen.
+	spellTimes float64
 }
 
 // NewPool returns an empty pool.
@@ -195,6 +198,7 @@
 func (p *Pool) LearnSlowness(now time.Time, node string, percent int) {
 	for _, s := range p.servers {
 		if s.Node == node && percent > 0 {
+			p.learnSpellTimes(s.report.Slowness, percent)
 			s.report.Slowness = percent
 			s.heardAt = now
 			p.learnSpell(now, s, percent)
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -23,7 +23,10 @@
 	call *peer.Call
 	// patient says that no other server could take the request.
 	patient bool
-	began   time.Time
+	// slowness is what the server's is taken to be, for its gate to check; 0 if
+	// that does not matter.
+	slowness int
+	began    time.Time
 	// place is the attempt's in the request's trail.
 	place int
 	// dropped says that its outcome was not waited for.
@@ -71,9 +74,17 @@
 	if server == nil {
 		return nil
 	}
-	return r.begin(now, server)
+	a := r.begin(now, server)
+	if r.checks < mostChecks {
+		a.slowness = s.pool.SpeedToCheck(now, server, demand)
+	}
+	return a
 }
 
+// mostChecks bounds how often a request may be refused since its server had become
+// slow; then it takes what it gets.
+const mostChecks = 3
+
 // begin counts an attempt at a server. It is called with the service's lock
 // held.
 func (r *request) begin(now time.Time, server *balance.Server) *attempt {
@@ -117,6 +128,7 @@
 	m.Server = a.name
 	m.BudgetMicros = left.Microseconds()
 	m.Patient = a.patient
+	m.Slowness = a.slowness
 	if !r.refuseBy.IsZero() {
 		m.Patient = r.waiting
 		m.WaitMicros = max(r.mayWait(time.Now()), time.Millisecond).Microseconds()
@@ -161,6 +173,10 @@
 		if a.reason == wire.ReasonOverload || a.reason == wire.ReasonShed {
 			a.outcome = retry.Overloaded
 		}
+		if a.reason == wire.ReasonSlow {
+			r.checks++
+			r.forget(a.server) // It may still be the best.
+		}
 		if a.reason == wire.ReasonOverload && !r.waiting {
 			r.full = append(r.full, a.server)
 		}
--- a/entry/request.go
+++ b/entry/request.go
@@ -42,6 +42,8 @@
 	refuseBy time.Time
 	// full are the servers that refused the request for want of room.
 	full []*balance.Server
+	// checks counts the servers that had become slow before the request began there.
+	checks int
 	// waiting says that all servers were full and one of them is to queue it.
 	waiting bool
 	body    *body
@@ -93,6 +95,16 @@
 	return rest
 }
 
+// forget takes a server out of those that were tried.
+func (r *request) forget(s *balance.Server) {
+	for i, other := range r.tried {
+		if other == s {
+			r.tried = append(r.tried[:i], r.tried[i+1:]...)
+			return
+		}
+	}
+}
+
 // note remembers whether an attempt that ended may have run the request.
 func (r *request) note(a *attempt) {
 	r.mayHaveRun = r.mayHaveRun || a.outcome.MayHaveRun()
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -61,6 +61,9 @@
 	// WrongServer is called when another server than the row's answers at its
 	// address; it must not wait and may be nil.
 	WrongServer func(name string)
+	// ChecksPerSecond bounds the calls that ask the server for its speed before a
+	// request is handed over; 0 allows none.
+	ChecksPerSecond float64
 	// MeasureAfter is how long after the last answer the server is measured,
 	// while there is demand; 0 measures whenever the budget allows it.
 	MeasureAfter time.Duration
@@ -77,13 +80,15 @@
 	// Received counts requests; each ends in one of the next three.
 	Received, Answered, Refused, Reset atomic.Int64
 	// RefusedBy counts refusals by wire.Reason.
-	RefusedBy [8]atomic.Int64
+	RefusedBy [wire.Reasons]atomic.Int64
 	// Evicted counts queued requests that made room for more urgent ones.
 	Evicted atomic.Int64
 	// Dispatched counts requests handed to the server.
 	Dispatched atomic.Int64
 	// Measured counts measuring calls, MeasureFailed those without an answer.
 	Measured, MeasureFailed atomic.Int64
+	// Checked counts those that were made before a request was handed over.
+	Checked atomic.Int64
 }
 
 // Gate is the way to one backend server.
@@ -114,6 +119,7 @@
 	coldUntil time.Time
 	// asked is when the last request came.
 	asked time.Time
+	check check
 }
 
 // New returns a gate for a row.
@@ -127,7 +133,8 @@
 			IdleLimit: settings.IdleLimit,
 			DialLimit: settings.DialLimit,
 		},
-		jobs: map[*peer.Stream]*job{},
+		jobs:  map[*peer.Stream]*job{},
+		check: newCheck(settings.ChecksPerSecond),
 		// The high bits let a restarted gate's reports count as newer.
 		seq: uint64(time.Now().Add(settings.ClockStep).UnixMicro()),
 	}
--- a/gate/job.go
+++ b/gate/job.go
@@ -47,6 +47,10 @@
 
 // run takes a dispatched job to its end.
 func (j *job) run() {
+	if j.gate.slowerThan(j.stream.Request.Slowness) {
+		j.finishRefused(wire.ReasonSlow)
+		return
+	}
 	j.began = time.Now()
 	request := fasthttp.AcquireRequest()
 	j.fill(request)
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -81,9 +81,10 @@
 		n.sumGates("gate_reset", "requests", "requests handed over without a whole answer", func(c *counters) *atomic.Int64 { return &c.Reset }),
 		n.sumGates("gate_evicted", "requests", "queued requests that made room for more urgent ones", func(c *counters) *atomic.Int64 { return &c.Evicted }),
 		n.sumGates("gate_measured", "calls", "measuring calls to the backend server", func(c *counters) *atomic.Int64 { return &c.Measured }),
+		n.sumGates("gate_checked", "calls", "calls that asked the backend server for its speed before a request was handed over", func(c *counters) *atomic.Int64 { return &c.Checked }),
 		n.sumGates("gate_measure_failed", "calls", "measuring calls without an answer", func(c *counters) *atomic.Int64 { return &c.MeasureFailed }),
 	}
-	for reason := wire.ReasonOverload; reason <= wire.ReasonConnect; reason++ {
+	for reason := wire.ReasonOverload; reason < wire.Reasons; reason++ {
 		name := "gate_refused_" + reason.String()
 		s = append(s, n.sumGates(name, "requests", "requests refused for "+reason.String(),
 			func(c *counters) *atomic.Int64 { return &c.RefusedBy[reason] }))
--- a/node/parts.go
+++ b/node/parts.go
@@ -45,10 +45,15 @@
 		Recorder:        n.recorder,
 		WrongServer:     func(name string) { go n.lostServer(name) },
 		MeasureAfter:    n.settings.Sidecar.MeasureAfter,
+		ChecksPerSecond: checkShare * n.settings.Sidecar.ProbesPerSecond,
 		ClockStep:       n.settings.Experiment.ClockStep,
 	}
 }
 
+// checkShare is the part of what is agreed for measuring that checks before requests
+// may use; the rest is left to measuring servers that are silent.
+const checkShare = 0.6
+
 func spreadSettings(s settings.Settings) spread.Settings {
 	return spread.Settings{
 		Seeds:               s.Peers.Seeds,
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -80,6 +80,7 @@
 	{"sidecar.slot_share", "share of the server's slots that are filled", false, number(func(s *Settings) *float64 { return &s.Sidecar.SlotShare }, 0.01, 1)},
 	{"sidecar.call_slot_share", "share of them that calls of running requests may fill; below slot_share it stands for that", false, number(func(s *Settings) *float64 { return &s.Sidecar.CallSlotShare }, 0.01, 1)},
 	{"sidecar.measure_after_ms", "how long after its last answer the server is measured; 0 by the row's rate alone", false, millis(func(s *Settings) *time.Duration { return &s.Sidecar.MeasureAfter }, 0, 60_000)},
+	{"sidecar.probes_per_s", "most measuring calls a second that the server may get; 0 allows none before requests", false, number(func(s *Settings) *float64 { return &s.Sidecar.ProbesPerSecond }, 0, 1000)},
 	{"retries.share", "share of a service's requests that may reach a second server, over all nodes", false, number(func(s *Settings) *float64 { return &s.Retries.Share }, 0, 10)},
 	{"retries.extra", "how many more may in each window", false, integer(func(s *Settings) *int { return &s.Retries.Extra }, 0, 1_000_000)},
 	{"retries.window_ms", "the window of the two; 0 leaves retries to the table", false, millis(func(s *Settings) *time.Duration { return &s.Retries.Window }, 0, 3_600_000)},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -54,6 +54,9 @@
 	CallSlotShare float64
 	// MeasureAfter is how long after its last answer a server is measured.
 	MeasureAfter time.Duration
+	// ProbesPerSecond is the most measuring calls that a server may get, as agreed
+	// with those who run it; 0 allows none before requests.
+	ProbesPerSecond float64
 }
 
 // Retries are bounds on what reaches a second server, over all nodes. The zero
--- a/wire/message.go
+++ b/wire/message.go
@@ -137,6 +137,10 @@
 	WaitMicros int64
 	// Packed stands for Header and some fields above on the way; see Encoder.
 	Packed []byte
+	// Slowness is what the entry takes the server's to be, in percent of usual. A
+	// gate whose server turns out to be clearly slower refuses the request, so that
+	// its entry can choose again; 0 means that it does not matter.
+	Slowness int
 }
 
 // Data carries a part of a body in either direction.
@@ -225,8 +229,13 @@
 	ReasonNoServer Reason = 5
 	ReasonShed     Reason = 6
 	ReasonConnect  Reason = 7
+	// ReasonSlow: the server is slower now than the entry took it to be.
+	ReasonSlow Reason = 8
 )
 
+// Reasons is above every Reason, for arrays by reason.
+const Reasons = 9
+
 var reasonNames = map[Reason]string{
 	ReasonOverload: "overload",
 	ReasonDraining: "draining",
@@ -235,6 +244,7 @@
 	ReasonNoServer: "no-server",
 	ReasonShed:     "shed",
 	ReasonConnect:  "connect",
+	ReasonSlow:     "slow",
 }
 
 // String returns the reason's name in headers and counters.
