entry, gate, retry: a route's work is learned at usual speed

An entry begins without any idea of a route's work: its first answer stood for it, moved by a fortieth an answer, and an answer of a cold server in a spell is ten times too long; each entry sees a few a second. Until then servers are chosen as if nothing were known.

Change: a gate tells with its answer at what slowness the request began, and the entry learns the time at usual speed. Its first steps are large. Before any answer, a third of the aim stands for the work: the users' tables have aims of 2.6 to 4 times the work.

Ruled out: sharing what was learned between nodes (all of them are new).

--- a/entry/await_test.go
+++ b/entry/await_test.go
@@ -24,7 +24,7 @@
 func awaiting(s *service, now time.Time, limit time.Duration) *request {
 	t := &traits{}
 	for range 100 {
-		t.observe(100*time.Millisecond, 100)
+		t.observe(100*time.Millisecond, 0, 100)
 	}
 	return &request{service: s, traits: t, gone: make(chan struct{}), began: now, aim: now.Add(300 * time.Millisecond), deadline: now.Add(limit)}
 }
--- a/entry/race.go
+++ b/entry/race.go
@@ -234,7 +234,7 @@
 // observe learns from an answer of a server.
 func (r *request) observe(latency time.Duration, answer *wire.Response) {
 	if r.traits != nil {
-		r.traits.observe(latency, r.size()+frameSize(answer.Header, int(max(answer.Length, int64(len(answer.Body))))))
+		r.traits.observe(latency, answer.Slowness, r.size()+frameSize(answer.Header, int(max(answer.Length, int64(len(answer.Body))))))
 		return
 	}
 	r.service.mu.Lock()
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -12,7 +12,7 @@
 	began := time.Now()
 	known, unknown := &traits{}, &traits{}
 	for range longestLeast {
-		known.observe(200*time.Millisecond, 100)
+		known.observe(200*time.Millisecond, 0, 100)
 	}
 	for _, test := range []struct {
 		name   string
--- a/entry/traits.go
+++ b/entry/traits.go
@@ -20,6 +20,10 @@
 type traits struct {
 	mu    sync.Mutex
 	delay retry.Delay
+	// work is what such requests take from sending to answer at a server of usual
+	// speed, and prior what stands for it while no answer was seen.
+	work  retry.Delay
+	prior time.Duration
 	bytes float64
 	// latency holds the time of whole answers in histogramUnit; nil until there
 	// is one.
@@ -75,11 +79,22 @@
 // bytesShare weighs one request in the mean of bytes.
 const bytesShare = 0.05
 
-// observe takes an answer: its latency and the bytes of request and answer.
-func (t *traits) observe(latency time.Duration, bytes int) {
+// atUsualSpeed is what would have taken a time at a server of usual speed; slowness
+// is what the server's was, in percent, 0 if not known.
+func atUsualSpeed(took time.Duration, slowness int) time.Duration {
+	if slowness <= 0 {
+		return took
+	}
+	return time.Duration(float64(took) * 100 / float64(slowness))
+}
+
+// observe takes an answer: its latency, the slowness of its server when it began, in
+// percent, and the bytes of request and answer.
+func (t *traits) observe(latency time.Duration, slowness, bytes int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.delay.Observe(latency)
+	t.work.Observe(atUsualSpeed(latency, slowness))
 	if t.latency == nil {
 		t.latency = hdrhistogram.New(1, histogramMost, histogramDigits)
 	}
@@ -94,7 +109,10 @@
 func (t *traits) demand(now, aim time.Time) balance.Demand {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	usual, _ := t.delay.Median()
+	usual, _ := t.work.Median()
+	if usual == 0 {
+		usual = t.prior
+	}
 	return balance.Demand{Work: usual, Aim: max(aim.Sub(now), time.Millisecond), Bytes: t.bytes}
 }
 
@@ -123,6 +141,10 @@
 	return time.Duration(t.latency.ValueAtQuantile(longestQuantile)) * histogramUnit
 }
 
+// priorShare is how many times a request's usual work its aim is taken to be while
+// no answer was seen: operators' tables have aims of 2.6 to 4 times the work.
+const priorShare = 3
+
 // traitsOf returns what is known of a route's requests.
 func (e *Entry) traitsOf(route *table.Route) *traits {
 	key := route.Host + route.Prefix
@@ -130,7 +152,7 @@
 	defer e.traitsMu.Unlock()
 	t := e.traits[key]
 	if t == nil {
-		t = &traits{}
+		t = &traits{prior: route.Aim / priorShare}
 		e.traits[key] = t
 	}
 	return t
--- a/gate/job.go
+++ b/gate/job.go
@@ -30,6 +30,8 @@
 	exchange   *backend.Exchange
 
 	began time.Time
+	// slowness is the server's when the job began, in percent; 0 if not known.
+	slowness int
 }
 
 // cancel is called with the gate's lock held once the job is dispatched.
@@ -52,6 +54,7 @@
 		return
 	}
 	j.began = time.Now()
+	j.slowness = j.gate.slownessAt(j.began)
 	request := fasthttp.AcquireRequest()
 	j.fill(request)
 	exchange, reason, err := j.send(request)
@@ -286,10 +289,11 @@
 func (j *job) head(r *fasthttp.Response) *wire.Response {
 	status := r.StatusCode()
 	m := &wire.Response{
-		Status: status,
-		Header: j.gate.settings.Dialect.FromResponse(&r.Header),
-		Length: int64(r.Header.ContentLength()),
-		Load:   j.gate.Load(),
+		Status:   status,
+		Header:   j.gate.settings.Dialect.FromResponse(&r.Header),
+		Length:   int64(r.Header.ContentLength()),
+		Load:     j.gate.Load(),
+		Slowness: j.slowness,
 	}
 	if m.Length < 0 {
 		m.Length = wire.LengthUnknown
--- a/gate/slowness.go
+++ b/gate/slowness.go
@@ -24,6 +24,14 @@
 	return g.slowness
 }
 
+// slownessAt is the server's slowness at a time, for the record of a request that
+// begins then.
+func (g *Gate) slownessAt(now time.Time) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.slownessNow(now)
+}
+
 // SetCold says until when the server is slow after its start.
 func (g *Gate) SetCold(until time.Time) {
 	g.mu.Lock()
--- a/retry/hedge.go
+++ b/retry/hedge.go
@@ -24,8 +24,11 @@
 	hedgeMedians = 1.5
 	// learnFirst is how many answers must have been seen.
 	learnFirst = 20
-	// learnStep is the share by which one answer moves the estimate.
-	learnStep = 0.025
+	// learnStep is the share by which one answer moves the estimate, and
+	// firstSteps divided by the number of answers the same while they are few: a
+	// first answer that took five times as long must not be believed for long.
+	learnStep  = 0.025
+	firstSteps = 0.5
 )
 
 // Observe takes the latency of an answer. It follows the median by stochastic
@@ -33,13 +36,14 @@
 // where half of the values lie below.
 func (d *Delay) Observe(latency time.Duration) {
 	d.seen++
+	step := max(learnStep, firstSteps/float64(d.seen))
 	switch v := float64(latency); {
 	case d.median == 0:
 		d.median = v
 	case v > d.median:
-		d.median *= 1 + learnStep
+		d.median = min(d.median*(1+step), v)
 	default:
-		d.median *= 1 - learnStep
+		d.median = max(d.median*(1-step), v)
 	}
 }
 
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -88,3 +88,15 @@
 		t.Errorf("delay is %v, the usual latency is 8 to 12 ms", after)
 	}
 }
+
+// A first answer that took five times as long is not believed for long.
+func TestDelayForgetsAnUnusualFirstAnswer(t *testing.T) {
+	var d Delay
+	d.Observe(500 * time.Millisecond)
+	for range learnFirst {
+		d.Observe(100 * time.Millisecond)
+	}
+	if got, _ := d.Median(); got > 130*time.Millisecond {
+		t.Errorf("after %d answers of 100 ms the usual time is %v", learnFirst, got)
+	}
+}
--- a/wire/message.go
+++ b/wire/message.go
@@ -215,6 +215,9 @@
 	Last    bool
 	// Packed stands for Header on the way; see Encoder.
 	Packed []byte
+	// Slowness is how long work took at the server when the request began there, in
+	// percent of usual; 0 if that was not known.
+	Slowness int
 }
 
 // Reason says why a gate refused a request.
