explain, cmd/ryehaven: where the requests of a run lost their worth

ryehaven losses reads the logs of many nodes and sums up, by route and span of time, which requests were not answered within their aim and for which of 16 typed reasons, with an example's number each; text, JSON or an HTML page. Until now one request could be explained, and what binds a run was found by throwaway scripts.

Tests: a table of every reason, and a summary with unreadable lines.

--- a/cmd/ryehaven/main.go
+++ b/cmd/ryehaven/main.go
@@ -45,6 +45,7 @@
 	Settings settingsCommand `cmd:"" help:"List the keys of a node's settings file as a table in Markdown."`
 	Metrics  metricsCommand  `cmd:"" help:"List what nodes count, with units, as a table in Markdown."`
 	Explain  explainCommand  `cmd:"" help:"Tell the story of one request from the logs of nodes."`
+	Losses   lossesCommand   `cmd:"" help:"Sum up from the logs of nodes which requests lost their worth, when and why."`
 	Demo     demoCommand     `cmd:"" help:"Run a whole small site in this process, with stand-ins."`
 }
 
--- a/cmd/ryehaven/table.go
+++ b/cmd/ryehaven/table.go
@@ -166,11 +166,11 @@
 			return eris.Wrapf(err, "accepted as generation %d, but its number could not be written into the file", result.Generation)
 		}
 	}
-	return report(result, c.JSON)
+	return printFindings(result, c.JSON)
 }
 
-// report prints how a change ended and returns its exit code.
-func report(result command.Result, asJSON bool) error {
+// printFindings prints how a change ended and returns its exit code.
+func printFindings(result command.Result, asJSON bool) error {
 	if asJSON {
 		if err := printJSON(result); err != nil {
 			return err
@@ -223,5 +223,5 @@
 	if err != nil {
 		return err
 	}
-	return report(result, c.JSON)
+	return printFindings(result, c.JSON)
 }
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: MIT
 
 // Package explain tells the story of one request from the logs of several
-// nodes.
+// nodes, and sums up where the requests of a run lost their worth.
 //
 // Nodes' clocks differ, so lines are not ordered by their times alone: a gate's
 // line belongs under the attempt of the entry that names its server, and what a
@@ -75,7 +75,8 @@
 	Skipped int
 }
 
-// NewLog returns an empty log for a request's number.
+// NewLog returns an empty log for a request's number; a blank one takes every
+// request, for Summarize.
 func NewLog(id string) *Log { return &Log{id: id, hostOf: map[string]string{}} }
 
 // Read takes the lines of one file. What stands before a line's object, as some
@@ -103,7 +104,7 @@
 	line := Line{Fields: fields}
 	line.Host, line.Kind = line.text("host"), line.text("msg")
 	line.Time, _ = time.Parse(time.RFC3339Nano, line.text("ts"))
-	mine := line.text("id") == l.id
+	mine := l.id == "" || line.text("id") == l.id
 	switch {
 	case line.Kind == kindRequest && mine:
 		l.requests = append(l.requests, line)
--- /dev/null
+++ b/explain/loss.go
@@ -0,0 +1,128 @@
+// SPDX-License-Identifier: MIT
+
+package explain
+
+import "strings"
+
+// Loss is why a request was not answered within its aim.
+type Loss string
+
+// The losses. A request has the first that fits, in this order.
+const (
+	// LossNone: answered within its aim.
+	LossNone Loss = ""
+	// LossGone: its caller left.
+	LossGone Loss = "caller left"
+	// RefusedNoServer and the next say why it was refused as not run.
+	RefusedNoServer Loss = "refused: no server"
+	RefusedFull     Loss = "refused: servers full"
+	RefusedSlow     Loss = "refused: servers slow"
+	RefusedTime     Loss = "refused: time was up"
+	RefusedStopping Loss = "refused: node stops"
+	RefusedOther    Loss = "refused: other"
+	// FailedTimeout and the next say how it failed.
+	FailedTimeout Loss = "failed: time-out at the server"
+	FailedServer  Loss = "failed: error of the server"
+	FailedLost    Loss = "failed: answer lost"
+	// LateCall and the next say what made an answer late.
+	LateCall   Loss = "late: a call within it"
+	LateSlow   Loss = "late: began at a slow server"
+	LateCold   Loss = "late: began at a cold server"
+	LateQueued Loss = "late: in a gate's queue"
+	LateSent   Loss = "late: before it was sent"
+	LateWork   Loss = "late: its own work"
+)
+
+// What a part of a request's time must be of it to be its cause, and from which
+// slowness on a server is slow or cold, in percent of usual.
+const (
+	causeShare  = 0.25
+	slowPercent = 300
+	coldPercent = 150
+)
+
+// finished is a request with what its gates and the calls within it tell.
+type finished struct {
+	Line
+	// job is the gate's line of the attempt that decided; nil if none was read.
+	job *Line
+	// calls is the time of the calls within it, in milliseconds.
+	calls float64
+}
+
+// loss says why the request lost its worth.
+func (f *finished) loss() Loss {
+	switch f.text("outcome") {
+	case "caller-gone":
+		return LossGone
+	case "not-run":
+		return f.refusal()
+	case "unknown":
+		if f.number("status") == statusTimeout {
+			return FailedTimeout
+		}
+		return FailedLost
+	}
+	switch status := f.number("status"); {
+	case status == statusTimeout:
+		return FailedTimeout
+	case status >= statusError:
+		return FailedServer
+	}
+	aim := f.number("aim_ms")
+	if aim == 0 || f.number("took_ms") <= aim {
+		return LossNone
+	}
+	return f.lateness()
+}
+
+// The statuses that matter here.
+const (
+	statusError   = 500
+	statusTimeout = 504
+)
+
+func (f *finished) refusal() Loss {
+	attempts := objects(f.Fields["attempts"])
+	if len(attempts) == 0 {
+		if strings.Contains(f.text("detail"), "stops") {
+			return RefusedStopping
+		}
+		return RefusedNoServer
+	}
+	last := Line{Fields: attempts[len(attempts)-1]}
+	switch last.text("reason") {
+	case "overload", "shed":
+		return RefusedFull
+	case "slow":
+		return RefusedSlow
+	case "deadline":
+		return RefusedTime
+	}
+	return RefusedOther
+}
+
+func (f *finished) lateness() Loss {
+	took := f.number("took_ms")
+	slowness, queued := 0.0, 0.0
+	if f.job != nil {
+		slowness, queued = f.job.number("began_slowness"), f.job.number("waited_ms")
+	}
+	sent := 0.0
+	if attempts := objects(f.Fields["attempts"]); len(attempts) > 0 {
+		sent = Line{Fields: attempts[len(attempts)-1]}.number("began_ms")
+	}
+	switch {
+	case slowness >= slowPercent:
+		return LateSlow
+	case f.calls >= 2*causeShare*took:
+		return LateCall
+	case slowness >= coldPercent:
+		return LateCold
+	case queued >= causeShare*took:
+		return LateQueued
+	case sent >= causeShare*took:
+		return LateSent
+	}
+	return LateWork
+}
--- /dev/null
+++ b/explain/summary_test.go
@@ -0,0 +1,88 @@
+// SPDX-License-Identifier: MIT
+
+package explain
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+// entryLine is a request's line with what makes it lose its worth.
+func entryLine(id, rest string) string {
+	return fmt.Sprintf(`{"ts":"2026-01-01T00:00:10Z","msg":"request","host":"h","id":%q,"route":"h/a/","aim_ms":100,%s}`+"\n", id, rest)
+}
+
+func gateLineOf(id, rest string) string {
+	return fmt.Sprintf(`{"ts":"2026-01-01T00:00:10Z","msg":"job","host":"g","id":%q,%s}`+"\n", id, rest)
+}
+
+func TestLossOfARequest(t *testing.T) {
+	answered := `"outcome":"answered","status":200,"took_ms":%d,"attempts":[{"began_ms":%d,"outcome":"answered"}]`
+	late := fmt.Sprintf(answered, 400, 0)
+	refused := `"outcome":"not-run","status":503,"took_ms":5,"attempts":[{"reason":%q}]`
+	for _, test := range []struct {
+		want Loss
+		log  string
+	}{
+		{LossNone, entryLine("1", fmt.Sprintf(answered, 100, 0))},
+		{LossGone, entryLine("1", `"outcome":"caller-gone","took_ms":50`)},
+		{RefusedNoServer, entryLine("1", `"outcome":"not-run","status":503,"took_ms":5`)},
+		{RefusedStopping, entryLine("1", `"outcome":"not-run","status":503,"detail":"this node stops and could not wait for the answer"`)},
+		{RefusedFull, entryLine("1", fmt.Sprintf(refused, "overload"))},
+		{RefusedSlow, entryLine("1", fmt.Sprintf(refused, "slow"))},
+		{RefusedTime, entryLine("1", fmt.Sprintf(refused, "deadline"))},
+		{RefusedOther, entryLine("1", fmt.Sprintf(refused, "connect"))},
+		{FailedTimeout, entryLine("1", `"outcome":"answered","status":504,"took_ms":400`)},
+		{FailedTimeout, entryLine("1", `"outcome":"unknown","status":504,"took_ms":400`)},
+		{FailedServer, entryLine("1", `"outcome":"answered","status":500,"took_ms":40`)},
+		{FailedLost, entryLine("1", `"outcome":"unknown","status":502,"took_ms":40`)},
+		{LateSlow, entryLine("1", late) + gateLineOf("1", `"took_ms":390,"began_slowness":500`)},
+		{LateCold, entryLine("1", late) + gateLineOf("1", `"took_ms":390,"began_slowness":200`)},
+		{LateQueued, entryLine("1", late) + gateLineOf("1", `"took_ms":290,"waited_ms":110,"began_slowness":100`)},
+		{LateSent, entryLine("1", fmt.Sprintf(answered, 400, 150)) + gateLineOf("1", `"took_ms":250,"began_slowness":100`)},
+		{LateCall, entryLine("1", late) + entryLine("1.9", fmt.Sprintf(answered, 250, 0)) + gateLineOf("1", `"took_ms":390,"began_slowness":100`)},
+		{LateWork, entryLine("1", late) + gateLineOf("1", `"took_ms":390,"began_slowness":100`)},
+		{LateWork, entryLine("1", late)},
+	} {
+		log := NewLog("")
+		if err := log.Read(strings.NewReader(test.log)); err != nil {
+			t.Fatal(err)
+		}
+		if got := log.finished()[0].loss(); got != test.want {
+			t.Errorf("%q, want %q\n%s", got, test.want, test.log)
+		}
+	}
+}
+
+func TestSummary(t *testing.T) {
+	log := NewLog("")
+	text := ""
+	for i := range 10 {
+		text += entryLine(fmt.Sprint("good", i), `"outcome":"answered","status":200,"took_ms":50`)
+	}
+	text += entryLine("bad1", `"outcome":"answered","status":500,"took_ms":50`)
+	text += entryLine("bad2", `"outcome":"answered","status":500,"took_ms":5000`)
+	text += "not a line of ours {\n"
+	if err := log.Read(strings.NewReader(text)); err != nil {
+		t.Fatal(err)
+	}
+	s := log.Summarize(2 * time.Second)
+	if len(s.Spans) != 2 || s.Spans[0].Requests != 1 || s.Spans[1].Good != 10 || log.Skipped != 1 {
+		t.Errorf("spans %+v, %d lines skipped", s.Spans, log.Skipped)
+	}
+	all := s.ByRoute()
+	if len(all) != 1 || all[0].Count != 2 || all[0].Loss != FailedServer || all[0].Example != "bad2" {
+		t.Errorf("losses %+v", all)
+	}
+	var out strings.Builder
+	if err := WriteSummary(&out, s); err != nil {
+		t.Fatal(err)
+	}
+	for _, part := range []string{"16.7%", "bad2", "failed: error of the server (1)"} {
+		if !strings.Contains(out.String(), part) {
+			t.Errorf("%q is not in\n%s", part, out.String())
+		}
+	}
+}
