balance: a decision at 300 servers takes 73 in place of 384 us

busyShare asked for each server's load, and each asked for the mean over all servers: quadratic. The mean is taken once now; the figures are the same to the bit. Found by writing the benchmark; ruled out by it: the draw (unchanged).

--- a/balance/expect.go
+++ b/balance/expect.go
@@ -132,11 +132,15 @@
 // fades into the mean over all servers, so that a server heard of just now and
 // one heard of long ago are compared fairly.
 func (p *Pool) load(now time.Time, s *Server, service time.Duration) float64 {
+	return p.loadBeside(now, s, service, p.meanOthers())
+}
+
+// loadBeside is load for whoever asks for many servers and has the mean over all.
+func (p *Pool) loadBeside(now time.Time, s *Server, service time.Duration, mean float64) float64 {
 	own := float64(s.outstanding)
 	if p.options.NoReports || s.reportAt.IsZero() {
 		return own
 	}
-	mean := p.meanOthers()
 	news := decay(now.Sub(s.reportAt), reportDecayServices*service)
 	return own + mean + (s.others()-mean)*news
 }
--- a/balance/spell.go
+++ b/balance/spell.go
@@ -123,11 +123,12 @@
 // to 1. While all is, whoever waits for a quick slot takes it from another.
 func (p *Pool) busyShare(now time.Time, demand Demand) float64 {
 	load, limit := 0.0, 0.0
+	mean := p.meanOthers()
 	for _, s := range p.servers {
 		if s.Spare || p.troubleOf(now, s) > fullTrouble {
 			continue
 		}
-		load += min(p.load(now, s, demand.Work), p.limit(s))
+		load += min(p.loadBeside(now, s, demand.Work, mean), p.limit(s))
 		limit += p.limit(s)
 	}
 	if limit == 0 {
