entry: a silent node is left only where another can be asked

Cause: a node that is silent for 80 ms while it has work is suspected, and a repeatable request there was given up at once, although every other server was suspected or draining or the retry budget was used up; then nothing was left to do but to fail. On a busy host all nodes can stand still for that long.

Change: the request stays while it could not be sent elsewhere, and looks again every 20 ms; a node that speaks again is as before.

--- a/entry/handle.go
+++ b/entry/handle.go
@@ -155,17 +155,7 @@
 	s := r.service
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	allowed := r.mayReach(a) && retry.Again(retry.Attempt{
-		Outcome:    a.outcome,
-		Repeatable: r.message.Repeatable,
-		NoRetry:    a.response != nil && a.response.NoRetry,
-		Replayable: r.body.replayable(),
-		Attempts:   r.attempts,
-		Most:       s.terms.MostSends,
-		Others:     s.pool.Others(now, r.tried),
-		Left:       r.deadline.Sub(now),
-	})
-	if !allowed {
+	if !r.mayReach(a) || !retry.Again(r.asEnded(now, a, a.outcome)) {
 		return false
 	}
 	if !s.budget.Take(now, a.cost(&s.terms)) {
@@ -177,6 +167,34 @@
 	return true
 }
 
+// asEnded describes an attempt that ends in an outcome, for the rules. It is called
+// with the service's lock held.
+func (r *request) asEnded(now time.Time, a *attempt, outcome retry.Outcome) retry.Attempt {
+	return retry.Attempt{
+		Outcome:    outcome,
+		Repeatable: r.message.Repeatable,
+		NoRetry:    a.response != nil && a.response.NoRetry,
+		Replayable: r.body.replayable(),
+		Attempts:   r.attempts,
+		Most:       r.service.terms.MostSends,
+		Others:     r.service.pool.Others(now, r.tried),
+		Left:       r.deadline.Sub(now),
+	}
+}
+
+// couldLeave reports whether a request whose node is silent could be sent to another
+// one. If not, the silent node is the only one that may still answer.
+func (e *Entry) couldLeave(r *request, a *attempt) bool {
+	if e.settings.NoRetries || (r.most > 0 && r.reached+1 >= r.most) {
+		return false
+	}
+	now := time.Now()
+	s := r.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return retry.Again(r.asEnded(now, a, retry.Silent)) && s.budget.Pays(now, retry.Silent.Cost())
+}
+
 // mayReach counts the servers that the request has reached, after an attempt,
 // and reports whether it may reach one more.
 func (r *request) mayReach(a *attempt) bool {
--- a/entry/race.go
+++ b/entry/race.go
@@ -20,6 +20,9 @@
 	hedge *attempt
 	// suspected is closed when the first attempt's node becomes suspected.
 	suspected <-chan struct{}
+	// lookAgain is when a request at a suspected node looks for another one again;
+	// nil while there is no such.
+	lookAgain <-chan time.Time
 }
 
 // run waits until an attempt decides, and returns it.
@@ -49,6 +52,8 @@
 			}
 		case <-w.suspected:
 			decided = w.firstSuspected()
+		case <-w.lookAgain:
+			decided = w.firstSuspected()
 		case <-w.request.gone:
 			decided = w.callerGone()
 		case <-deadline.C:
@@ -80,7 +85,7 @@
 		return first
 	}
 	w.request.note(first)
-	w.first, w.hedge, w.suspected = w.hedge, nil, nil
+	w.first, w.hedge, w.suspected, w.lookAgain = w.hedge, nil, nil, nil
 	return nil
 }
 
@@ -99,12 +104,24 @@
 	return hedge
 }
 
-// firstSuspected gives up a repeatable attempt at a silent node.
+// suspectedLook is how often a request at a suspected node looks for another one.
+const suspectedLook = 20 * time.Millisecond
+
+// firstSuspected gives up a repeatable attempt at a silent node, if another one can
+// be asked: on a busy host all may be silent for a moment.
 func (w *race) firstSuspected() *attempt {
-	w.suspected = nil
+	w.suspected, w.lookAgain = nil, nil
 	if !w.request.message.Repeatable || w.hedge != nil {
 		return nil
 	}
+	if conn := w.entry.dialer.Peek(w.first.node); conn != nil && !conn.IsSuspected() {
+		w.suspected = conn.Suspected() // It speaks again.
+		return nil
+	}
+	if !w.entry.couldLeave(w.request, w.first) {
+		w.lookAgain = time.After(suspectedLook)
+		return nil
+	}
 	w.entry.endSilent(w.request, w.first)
 	return w.first
 }
--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -153,3 +153,24 @@
 		checkAllAnswered(t, all)
 	}
 }
+
+// Nodes that stand still for a moment, as on a busy host, lose no request: while there
+// is no other server to ask, a silent one is waited for.
+func TestNodesThatStandStillForAMomentLoseNothing(t *testing.T) {
+	s := start(t, 5, nil)
+	w := startWorkload(callers(s.Nodes[3:]), workers)
+	time.Sleep(before)
+	for range 5 {
+		for i := range 3 {
+			signalNode(i, syscall.SIGSTOP)(t, s)
+		}
+		time.Sleep(150 * time.Millisecond)
+		for i := range 3 {
+			signalNode(i, syscall.SIGCONT)(t, s)
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	all := w.end()
+	checkPromises(t, s, all)
+	checkAllAnswered(t, all)
+}
