entry: leaving a silent node is paid for where it is decided

Cause: many requests look at a silent node in the same moment; each saw that the budget would pay, left, and only the first of them could be paid, so that the others failed with nowhere to go.

Change: whoever leaves takes the retry from the budget then, and the attempt that follows is not charged again. The test now plays without a share.

--- a/entry/handle.go
+++ b/entry/handle.go
@@ -158,7 +158,9 @@
 	if !r.mayReach(a) || !retry.Again(r.asEnded(now, a, a.outcome)) {
 		return false
 	}
-	if !s.budget.Take(now, a.cost(&s.terms)) {
+	paid := r.paid
+	r.paid = false
+	if !paid && !s.budget.Take(now, a.cost(&s.terms)) {
 		e.Counters.RetriesDenied.Add(1)
 		r.denied = true
 		return false
@@ -182,9 +184,10 @@
 	}
 }
 
-// couldLeave reports whether a request whose node is silent could be sent to another
-// one. If not, the silent node is the only one that may still answer.
-func (e *Entry) couldLeave(r *request, a *attempt) bool {
+// leave reports whether a request whose node is silent may be sent to another one,
+// and pays for that: many requests look at the same moment. If not, the silent node is
+// the only one that may still answer.
+func (e *Entry) leave(r *request, a *attempt) bool {
 	if e.settings.NoRetries || (r.most > 0 && r.reached+1 >= r.most) {
 		return false
 	}
@@ -192,7 +195,11 @@
 	s := r.service
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return retry.Again(r.asEnded(now, a, retry.Silent)) && s.budget.Pays(now, retry.Silent.Cost())
+	if !retry.Again(r.asEnded(now, a, retry.Silent)) {
+		return false
+	}
+	r.paid = s.budget.Take(now, retry.Silent.Cost())
+	return r.paid
 }
 
 // mayReach counts the servers that the request has reached, after an attempt,
--- a/entry/race.go
+++ b/entry/race.go
@@ -118,7 +118,7 @@
 		w.suspected = conn.Suspected() // It speaks again.
 		return nil
 	}
-	if !w.entry.couldLeave(w.request, w.first) {
+	if !w.entry.leave(w.request, w.first) {
 		w.lookAgain = time.After(suspectedLook)
 		return nil
 	}
--- a/entry/request.go
+++ b/entry/request.go
@@ -31,6 +31,8 @@
 	// for the record.
 	trail      event.Attempts
 	candidates event.Candidates
+	// paid says that the next attempt has been paid for from the budget.
+	paid bool
 	// denied says that the budget did not pay for another attempt.
 	denied bool
 	// traits are what is known of such requests and aim is when the answer is
--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -155,9 +155,9 @@
 }
 
 // Nodes that stand still for a moment, as on a busy host, lose no request: while there
-// is no other server to ask, a silent one is waited for.
+// is no other server to ask, or the retry budget does not pay, a silent one is waited for.
 func TestNodesThatStandStillForAMomentLoseNothing(t *testing.T) {
-	s := start(t, 5, nil)
+	s := start(t, 5, func(c *process.Config) { c.Columns["retry_percent"] = "0" })
 	w := startWorkload(callers(s.Nodes[3:]), workers)
 	time.Sleep(before)
 	for range 5 {
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -178,19 +178,14 @@
 
 // Take pays for one retry and reports whether there was enough.
 func (b *Budget) Take(now time.Time, cost float64) bool {
-	if !b.Pays(now, cost) {
+	b.fill(now)
+	if b.tokens < cost {
 		return false
 	}
 	b.tokens -= cost
 	return true
 }
 
-// Pays reports whether there is enough for one retry, without taking it.
-func (b *Budget) Pays(now time.Time, cost float64) bool {
-	b.fill(now)
-	return b.tokens >= cost
-}
-
 func (b *Budget) fill(now time.Time) {
 	_, perSecond, most := b.rates()
 	if b.filled.IsZero() {
