spread, member: records are compared by marks and cross zones by chance

A digest had 32 buckets for 295 records; a handful of changes made most of them differ, and whole buckets were sent, 64 records at most, so that views did not agree 13 s after the start. Partners were drawn from all zones, four of five exchanges crossed one.

Ruled out: something that changes all the time (at a hundred and fifty idle nodes in one process no record is sent once they agree); records that differ without either being newer (the digest covers what newer compares).

Now: one number, then 64 sums, then marks that say which side is behind; one exchange a round within the zone, two a round and zone with others; own changes are pushed alone; greetings on connections bring one record.

--- a/member/doc.go
+++ b/member/doc.go
@@ -22,10 +22,11 @@
 // one side only. Each node notes for itself whom it could not reach and asks
 // them less; whoever sends requests finds a dead node by its own connection.
 //
-// # Digests
+// # Comparing
 //
-// Records are spread over [Buckets] by their host's hash. Two nodes compare
-// one number per bucket and send only records of buckets that differ.
+// Records are spread over [Buckets] by their host's hash. Two nodes compare one
+// number for all, then one per bucket, then the [Mark] of each record in buckets
+// that differ, and send the records that the other lacks.
 //
 // The package imports no network and reads no clock.
 package member
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -38,8 +38,8 @@
 		if first.Digest() != second.Digest() {
 			t.Fatalf("views differ:\n%v\n%v", first.All(), second.All())
 		}
-		if d := first.Differing(second.Digest(), 0, 100); len(d) != 0 {
-			t.Fatalf("equal views differ by %v", d)
+		if parts := first.Digest().Apart(second.Digest().Sums()); parts != 0 {
+			t.Fatalf("equal views differ in the buckets %b", parts)
 		}
 		for _, r := range first.All() {
 			for _, other := range records {
@@ -51,39 +51,141 @@
 	})
 }
 
-func TestDifferingBucketsBringViewsTogether(t *testing.T) {
-	a, b := NewView(record(0)), NewView(record(1))
-	for n := range 40 {
-		if n%3 == 0 {
-			a.Merge(start, []Record{record(n + 2)})
-		} else {
-			b.Merge(start, []Record{record(n + 2)})
+// reconcile is one exchange between two views, begun by a, and returns the number
+// of records that were sent.
+func reconcile(a, b *View, from, most int) int {
+	parts := a.Digest().Apart(b.Digest().Sums())
+	c := b.Compare(parts, a.Marks(parts), from, most)
+	wanted := a.Wanted(c.Wanted)
+	a.Merge(start, c.Records)
+	b.Merge(start, wanted)
+	return len(c.Records) + len(wanted)
+}
+
+// An exchange sends the records that one side lacks and no others, in the
+// direction in which they are lacked.
+func TestExchangeSendsWhatIsLackedOnly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := NewView(record(0)), NewView(record(1))
+		lacked := 2 // Each other's own.
+		for n := range 100 {
+			r := record(n + 2)
+			old := r
+			r.Version = 1
+			switch rapid.IntRange(0, 4).Draw(t, "who has it") {
+			case 0:
+				a.Merge(start, []Record{r})
+			case 1:
+				b.Merge(start, []Record{r})
+			case 2:
+				a.Merge(start, []Record{r})
+				b.Merge(start, []Record{old})
+			case 3:
+				b.Merge(start, []Record{r})
+				a.Merge(start, []Record{old})
+			case 4:
+				a.Merge(start, []Record{r})
+				b.Merge(start, []Record{r})
+				lacked--
+			}
+			lacked++
 		}
+		from := rapid.IntRange(0, 1000).Draw(t, "from")
+		if sent := reconcile(a, b, from, 200); sent != lacked {
+			t.Errorf("%d records were sent, %d were lacked", sent, lacked)
+		}
+		if a.Digest() != b.Digest() || a.Len() != 102 {
+			t.Errorf("views differ, with %d and %d nodes", a.Len(), b.Len())
+		}
+	})
+}
+
+// What one exchange brings over is bounded, and no more of them than needed bring
+// all, whichever side has it.
+func TestExchangesAreBounded(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		turn func(full, empty *View) (a, b *View)
+	}{
+		{"the asker lacks it", func(full, empty *View) (*View, *View) { return empty, full }},
+		{"the answerer lacks it", func(full, empty *View) (*View, *View) { return full, empty }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			full, empty := NewView(record(0)), NewView(record(0))
+			for n := range 300 {
+				full.Merge(start, []Record{record(n + 1)})
+			}
+			exchanges := 0
+			for ; full.Digest() != empty.Digest(); exchanges++ {
+				a, b := test.turn(full, empty)
+				if sent := reconcile(a, b, 7*exchanges, 20); sent > 20 || exchanges > 15 {
+					t.Fatalf("%d records in exchange %d", sent, exchanges)
+				}
+			}
+			if exchanges != 15 {
+				t.Errorf("300 records came in %d exchanges of 20", exchanges)
+			}
+		})
+	}
+}
+
+// A node that has vanished is not asked of others who have not forgotten it yet,
+// unless they know more of it.
+func TestForgottenNodesAreNotWanted(t *testing.T) {
+	v, other := NewView(record(0)), NewView(record(1))
+	v.Merge(start, []Record{record(1), record(2)})
+	other.Merge(start, []Record{record(0), record(2)})
+	v.Failed(start, "h2")
+	v.Tidy(start.Add(forgetLost))
+	all := ^Parts(0)
+	if c := v.Compare(all, other.Marks(all), 0, 10); len(c.Wanted) != 0 {
+		t.Errorf("wants %d records, forgot one", len(c.Wanted))
 	}
-	toB, toA := a.Differing(b.Digest(), 0, 100), b.Differing(a.Digest(), 5, 100)
-	a.Merge(start, toA)
-	b.Merge(start, toB)
-	if a.Digest() != b.Digest() || a.Len() != 42 {
-		t.Errorf("views have %d and %d nodes", a.Len(), b.Len())
+	newer := record(2)
+	newer.Version++
+	other.Merge(start, []Record{newer})
+	if c := v.Compare(all, other.Marks(all), 0, 10); len(c.Wanted) != 1 {
+		t.Errorf("wants %d records, one says something new", len(c.Wanted))
 	}
 }
 
-// What one exchange brings over is bounded, and a few of them bring all.
-func TestDifferingIsBounded(t *testing.T) {
-	a, b := NewView(record(0)), NewView(record(0))
-	for n := range 300 {
-		a.Merge(start, []Record{record(n + 1)})
-	}
-	exchanges := 0
-	for ; a.Digest() != b.Digest(); exchanges++ {
-		records := a.Differing(b.Digest(), 7*exchanges, 20)
-		if len(records) > 60 || exchanges > 50 {
-			t.Fatalf("%d records in exchange %d", len(records), exchanges)
+// Sums of another number of buckets, as another version may send, differ in all.
+func TestSumsOfAnotherLengthDiffer(t *testing.T) {
+	v := NewView(record(0))
+	for _, sums := range []Sums{nil, make(Sums, Buckets-1), make(Sums, Buckets+1)} {
+		if parts := v.Digest().Apart(sums); parts != ^Parts(0) {
+			t.Errorf("%d sums: buckets %b differ", len(sums), parts)
 		}
-		b.Merge(start, records)
 	}
-	if exchanges < 5 {
-		t.Errorf("300 records came in %d exchanges of about 20", exchanges)
+}
+
+func TestOneNodeOfEachOtherZone(t *testing.T) {
+	v := NewView(record(0))
+	zones := []string{"z0", "z1", "z2", "z3"}
+	for n := 1; n < 40; n++ {
+		r := record(n)
+		r.Zone = zones[n%4]
+		v.Merge(start, []Record{r})
+	}
+	for _, r := range v.Sample(start, rand.New(rand.NewPCG(1, 1)), 100, Anywhere) {
+		if r.Zone == "z3" {
+			v.Failed(start, r.Host)
+		}
+	}
+	rng := rand.New(rand.NewPCG(1, 2))
+	met := map[string]bool{}
+	for range 300 {
+		found := v.OneOfEachZone(start, rng)
+		if len(found) != 2 || found[0].Zone == found[1].Zone {
+			t.Fatalf("one of each other zone that can be asked: %v", found)
+		}
+		met[found[0].Host], met[found[1].Host] = true, true
+	}
+	if len(met) != 20 {
+		t.Errorf("%d of 20 nodes were met in 300 draws", len(met))
+	}
+	if n := v.NearCount(start); n != 10 {
+		t.Errorf("%d nodes in the own zone, want 10", n)
 	}
 }
 
@@ -190,14 +292,14 @@
 	v.Failed(start, "h1")
 	rng := rand.New(rand.NewPCG(1, 1))
 	for range 20 {
-		if s := v.Sample(start, rng, 5, ""); len(s) != 1 || s[0].Host != "h2" {
+		if s := v.Sample(start, rng, 5, Anywhere); len(s) != 1 || s[0].Host != "h2" {
 			t.Fatalf("sample is %v", s)
 		}
 	}
-	if s := v.Sample(start.Add(leaveAlone), rng, 5, ""); len(s) != 2 {
+	if s := v.Sample(start.Add(leaveAlone), rng, 5, Anywhere); len(s) != 2 {
 		t.Errorf("after the pause the sample is %v", s)
 	}
-	if s := v.Sample(start.Add(leaveAlone), rng, 5, "z0"); len(s) != 1 || s[0].Host != "h2" {
+	if s := v.Sample(start.Add(leaveAlone), rng, 5, Near); len(s) != 1 || s[0].Host != "h2" {
 		t.Errorf("sample of zone z0 is %v", s)
 	}
 }
--- a/member/record.go
+++ b/member/record.go
@@ -71,8 +71,10 @@
 	return r.State > old.State
 }
 
-// Buckets is the number of parts that a digest compares.
-const Buckets = 32
+// Buckets is the number of parts that a digest compares: some five records each at
+// 300 nodes, so that one that changed brings few marks of others with it. At most
+// the bits of Parts.
+const Buckets = 64
 
 // Digest has one number for each bucket of records.
 type Digest [Buckets]uint64
@@ -86,8 +88,9 @@
 	return root
 }
 
-func bucketOf(host string) int {
-	return int(xxhash.Sum64String(host) % Buckets)
+// bucketOf returns the bucket of a host by its hash.
+func bucketOf(hash uint64) int {
+	return int(hash % Buckets)
 }
 
 // hash covers what newer compares.
--- /dev/null
+++ b/member/sample.go
@@ -0,0 +1,119 @@
+// SPDX-License-Identifier: MIT
+
+package member
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Area says where the nodes of a sample stand.
+type Area uint8
+
+// The areas, as seen from the node whose view it is.
+const (
+	Anywhere Area = iota
+	// Near is the node's own availability zone, and Far all others.
+	Near
+	Far
+)
+
+func (a Area) covers(own, zone string) bool {
+	switch a {
+	case Near:
+		return zone == own
+	case Far:
+		return zone != own
+	}
+	return true
+}
+
+// able reports whether a node may be asked now.
+func (v *View) able(now time.Time, e *entry) bool {
+	return e.Host != v.self && e.State != Gone && !now.Before(e.aloneUntil)
+}
+
+// askLostShare is the share of samples in which nodes that did not answer last time
+// are drawn like others. They ask others themselves once they are back, so that
+// asking them is only for those who cannot know that they were missed.
+const askLostShare = 0.1
+
+// Sample returns up to n other nodes of an area at random that may be asked now.
+// Those that did not answer last time are drawn seldom, or where there are too few
+// others.
+func (v *View) Sample(now time.Time, rng *rand.Rand, n int, area Area) []Record {
+	own := v.entries[v.self].Zone
+	lostToo := rng.Float64() < askLostShare
+	var answering, lost reservoir
+	for _, host := range v.hosts {
+		e := v.entries[host]
+		switch {
+		case !v.able(now, e) || !area.covers(own, e.Zone):
+		case lostToo || e.lostSince.IsZero():
+			answering.add(rng, n, e)
+		default:
+			lost.add(rng, n, e)
+		}
+	}
+	chosen := append(answering.kept, lost.kept...)
+	records := make([]Record, min(n, len(chosen)))
+	for i := range records {
+		records[i] = chosen[i].Record
+	}
+	return records
+}
+
+// reservoir keeps some of the entries that are added to it, each as likely as any
+// other (Vitter 1985).
+type reservoir struct {
+	kept []*entry
+	seen int
+}
+
+func (r *reservoir) add(rng *rand.Rand, most int, e *entry) {
+	r.seen++
+	if len(r.kept) < most {
+		r.kept = append(r.kept, e)
+		return
+	}
+	if at := rng.IntN(r.seen); at < most {
+		r.kept[at] = e
+	}
+}
+
+// OneOfEachZone returns one node at random of each other zone that may be asked.
+func (v *View) OneOfEachZone(now time.Time, rng *rand.Rand) []Record {
+	own := v.entries[v.self].Zone
+	at := map[string]int{}
+	seen := map[string]int{}
+	var records []Record
+	for _, host := range v.hosts {
+		e := v.entries[host]
+		if !v.able(now, e) || e.Zone == own {
+			continue
+		}
+		seen[e.Zone]++
+		i, known := at[e.Zone]
+		switch {
+		case !known:
+			at[e.Zone] = len(records)
+			records = append(records, e.Record)
+		case rng.IntN(seen[e.Zone]) == 0:
+			records[i] = e.Record
+		}
+	}
+	return records
+}
+
+// NearCount returns how many nodes of the own zone answer as far as this one knows,
+// itself included.
+func (v *View) NearCount(now time.Time) int {
+	own := v.entries[v.self].Zone
+	n := 1
+	for _, e := range v.entries {
+		if v.able(now, e) && e.Zone == own && e.lostSince.IsZero() {
+			n++
+		}
+	}
+	return n
+}
--- a/member/view.go
+++ b/member/view.go
@@ -3,7 +3,6 @@
 package member
 
 import (
-	"math/rand/v2"
 	"sort"
 	"time"
 
@@ -104,10 +103,10 @@
 		copy(v.hosts[at+1:], v.hosts[at:])
 		v.hosts[at] = r.Host
 	} else {
-		v.digest[bucketOf(r.Host)] ^= e.hash()
+		v.digest[bucketOf(hostHash(r.Host))] ^= e.hash()
 	}
 	e.Record = r
-	v.digest[bucketOf(r.Host)] ^= r.hash()
+	v.digest[bucketOf(hostHash(r.Host))] ^= r.hash()
 	return e
 }
 
@@ -222,24 +221,6 @@
 // Digest returns the digest of all records.
 func (v *View) Digest() Digest { return v.digest }
 
-// Differing returns records of buckets in which d differs, bucket by bucket
-// from a number on, until at least most are found. Exchanges that begin at
-// different buckets bring over everything, and none costs more than its share
-// when all nodes restart at once.
-func (v *View) Differing(d Digest, from, most int) []Record {
-	byBucket := map[int][]Record{}
-	for _, host := range v.hosts {
-		if b := bucketOf(host); d[b] != v.digest[b] {
-			byBucket[b] = append(byBucket[b], v.entries[host].Record)
-		}
-	}
-	var records []Record
-	for i := 0; i < Buckets && len(records) < most; i++ {
-		records = append(records, byBucket[(from+i)%Buckets]...)
-	}
-	return records
-}
-
 // Supersede takes note that a host was met at an address, and marks whoever was
 // thought to be there as gone. It reports whether that was news.
 func (v *View) Supersede(now time.Time, host, address string) bool {
@@ -289,22 +270,6 @@
 	return hosts
 }
 
-// Sample returns up to n other nodes at random that may be asked now. With a
-// zone it returns nodes of that zone only.
-func (v *View) Sample(now time.Time, rng *rand.Rand, n int, zone string) []Record {
-	var able []Record
-	for _, host := range v.hosts {
-		e := v.entries[host]
-		wrongZone := zone != "" && e.Zone != zone
-		if host == v.self || e.State == Gone || wrongZone || now.Before(e.aloneUntil) {
-			continue
-		}
-		able = append(able, e.Record)
-	}
-	rng.Shuffle(len(able), func(i, j int) { able[i], able[j] = able[j], able[i] })
-	return able[:min(n, len(able))]
-}
-
 // Tidy forgets nodes that have gone or vanished long ago.
 func (v *View) Tidy(now time.Time) {
 	for host, e := range v.entries {
@@ -317,7 +282,7 @@
 
 // drop takes a node out of the view.
 func (v *View) drop(host string) {
-	v.digest[bucketOf(host)] ^= v.entries[host].hash()
+	v.digest[bucketOf(hostHash(host))] ^= v.entries[host].hash()
 	delete(v.entries, host)
 	at := sort.SearchStrings(v.hosts, host)
 	v.hosts = append(v.hosts[:at], v.hosts[at+1:]...)
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -124,6 +124,8 @@
 		metric.Count("spread_exchanges", "exchanges", "digests sent to other nodes", &c.Exchanges),
 		metric.Count("spread_exchange_failures", "exchanges", "digests that were not answered", &c.ExchangeFailures),
 		metric.Count("spread_records", "records", "member records received", &c.RecordsReceived),
+		metric.Count("spread_near_bytes", "bytes", "questions and replies about records sent within the availability zone", &c.NearBytes),
+		metric.Count("spread_far_bytes", "bytes", "questions and replies about records sent to other zones", &c.FarBytes),
 		metric.Count("platform_reads", "calls", "reads and watches at the platform", &c.PlatformReads),
 		metric.Count("platform_errors", "calls", "reads and watches that failed", &c.PlatformErrors),
 		{Name: "table_generation", Unit: "generation", Meaning: "generation in force", Value: func() int64 {
--- a/spread/doc.go
+++ b/spread/doc.go
@@ -10,11 +10,12 @@
 //
 // # Between nodes
 //
-// Each second a node exchanges digests with one node of its own zone and one
-// of any: the generation it holds, one hash per bucket of member records, and
-// how long ago anyone it knows confirmed the generation with the platform. The
-// side that is behind asks for what it lacks. On news a node tells a few
-// others at once, so that a table crosses the fleet in a few round trips.
+// Each second a node exchanges digests with one node of its own zone, and by
+// chance with one of another: the generation it holds, one number for all member
+// records, and how long ago anyone it knows confirmed the generation with the
+// platform. Where they differ, the two find out which records each lacks. On news
+// a node tells a few others at once, so that a table crosses the fleet in a few
+// round trips. What crosses zones grows with the zones, not with their nodes.
 //
 // # To the platform
 //
--- a/spread/message.go
+++ b/spread/message.go
@@ -19,6 +19,10 @@
 const (
 	// TopicDigest carries a digest and is answered with a digestReply.
 	TopicDigest wire.Topic = "digest"
+	// TopicMarks carries a marksMessage and is answered with one.
+	TopicMarks wire.Topic = "marks"
+	// TopicCompare carries a marksMessage and is answered with a recordsMessage.
+	TopicCompare wire.Topic = "compare"
 	// TopicRecords carries a recordsMessage and is answered with one.
 	TopicRecords wire.Topic = "records"
 	// TopicTable has no content and is answered with a tableReply.
@@ -37,24 +41,43 @@
 	Root uint64
 	// Host names the sender.
 	Host string
+	// Greeting says that the sender met the receiver's new life on a connection.
+	// It wants its record, and compares records only with a node that knows
+	// nobody else.
+	Greeting bool
 }
 
 // hashStart is how much of a table's hash a digest holds, in characters.
 const hashStart = 16
 
-// digestReply is the answerer's own digest, with its members' if the roots
-// differ.
+// digestReply is the answerer's own digest.
 type digestReply struct {
-	Digest  digest
-	Members []uint64
+	Digest digest
+	// Sums are those of the answerer's records if the roots differ, and Known
+	// is how many it has.
+	Sums  member.Sums
+	Known int
+	// Records are what the asker must hear in any case.
+	Records []member.Record
 }
 
-// recordsMessage carries the member records that the other side lacks.
+// marksMessage carries the marks of the sender's records in some buckets; a
+// question for marks carries none.
+type marksMessage struct {
+	// Host names the sender.
+	Host  string
+	Parts member.Parts
+	Marks []member.Mark
+}
+
+// recordsMessage carries member records that the other side lacks, and hashes of
+// hosts whose records the sender wants.
 type recordsMessage struct {
-	Records []member.Record
-	// Digest and Members are what the sender has.
+	// Digest is the sender's: a node to which it was unknown can fetch its table
+	// only now.
 	Digest  digest
-	Members []uint64
+	Records []member.Record
+	Wanted  []uint64
 }
 
 // tableReply carries a table, its text compressed by DEFLATE.
--- a/spread/met.go
+++ b/spread/met.go
@@ -17,13 +17,13 @@
 	s.mu.Unlock()
 	if superseded {
 		s.onView()
-		s.Announce()
+		s.hasNews()
 	}
 	record, known := s.recordOf(who.Host)
 	if known && record.Incarnation == who.Incarnation && record.Address == address {
 		return
 	}
-	s.exchange(member.Record{Host: who.Host, Address: address})
+	s.greet(member.Record{Host: who.Host, Address: address})
 }
 
 // Heard takes note of a node that opened a connection to this one.
@@ -32,7 +32,14 @@
 	if !known || record.Incarnation == who.Incarnation {
 		return // A new node tells its address in its own digest.
 	}
-	s.exchange(record)
+	s.greet(record)
+}
+
+// greet asks a node's new life for its record and tells it what it must know of
+// its last one. Many nodes meet it at once, so that they compare all records with
+// it only if it, or this node, knows nobody else.
+func (s *Spread) greet(target member.Record) {
+	s.exchange(target, !s.isolated(time.Now()))
 }
 
 func (s *Spread) recordOf(host string) (member.Record, bool) {
--- a/spread/round.go
+++ b/spread/round.go
@@ -7,15 +7,20 @@
 	"sync"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/ryehaven/ryehaven/member"
-	"github.com/ryehaven/ryehaven/peer"
 )
 
 const (
-	// announceTo is how many nodes are told of news at once.
+	// announceTo is how many nodes of the own zone are told of news at once.
 	announceTo = 4
+	// farPerRound is how many exchanges with other zones the nodes of one zone
+	// begin in a round, all together: each begins one with a chance of its part
+	// of this. Nobody is chosen for it, so that nobody's loss is felt, and what
+	// crosses the zones does not grow with their nodes.
+	farPerRound = 2
+	// stirredRounds is how many times sooner the next round comes while records
+	// are news, and after a round in which nobody answered.
+	stirredRounds = 4
 	// hurry is the time between rounds while the node has no table.
 	hurry = 100 * time.Millisecond
 	// seedEvery is how many rounds pass between questions to a seed, so that
@@ -44,7 +49,11 @@
 		case <-ctx.Done():
 			return
 		case <-s.news:
-			s.exchangeAll(s.sample(announceTo, ""))
+			s.exchangeAll(s.targets(announceTo))
+		case <-s.ownNews:
+			s.tellAll(s.tellTargets())
+			s.stir()
+			timer.Reset(s.untilNext())
 		case <-timer.C:
 			s.round(number)
 			timer.Reset(s.untilNext())
@@ -52,16 +61,35 @@
 	}
 }
 
-// untilNext is the interval with a jitter of a fifth, so that nodes that
-// started together do not stay in step.
+// untilNext is the time to the next round with a jitter of a fifth, so that nodes
+// that started together do not stay in step.
 func (s *Spread) untilNext() time.Duration {
 	interval := s.settings.Interval
+	if s.takeStirred() {
+		interval /= stirredRounds
+	}
 	if s.holder.Current() == nil {
 		interval = min(interval, hurry)
 	}
 	return s.jitter(interval)
 }
 
+// stir has the next round come sooner.
+func (s *Spread) stir() {
+	s.mu.Lock()
+	s.stirred = true
+	s.mu.Unlock()
+}
+
+// takeStirred reports whether the next round should come sooner, once.
+func (s *Spread) takeStirred() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	stirred := s.stirred
+	s.stirred = false
+	return stirred
+}
+
 func (s *Spread) jitter(d time.Duration) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -69,22 +97,37 @@
 }
 
 func (s *Spread) round(number int) {
-	zone := ""
-	s.View(func(v *member.View) {
-		v.Tidy(time.Now())
-		zone = v.Self().Zone
-	})
-	targets := append(s.sample(1, zone), s.sample(1, "")...)
+	s.View(func(v *member.View) { v.Tidy(time.Now()) })
+	targets := s.targets(1)
 	if len(targets) == 0 || number%seedEvery == 0 {
 		targets = append(targets, s.seeds(len(targets) == 0)...)
 	}
-	s.exchangeAll(targets)
+	if s.exchangeAll(targets) == 0 {
+		s.stir()
+	}
+}
+
+// targets returns up to near nodes of the own zone, and at times one of another
+// zone; always one if none of the own zone can be asked.
+func (s *Spread) targets(near int) []member.Record {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	targets := s.view.Sample(now, s.rng, near, member.Near)
+	if s.rng.Float64()*float64(s.view.NearCount(now)) < farPerRound {
+		targets = append(targets, s.view.Sample(now, s.rng, 1, member.Far)...)
+	}
+	return targets
 }
 
-func (s *Spread) sample(n int, zone string) []member.Record {
+// tellTargets returns the nodes that are told of this node's own record at once:
+// some of its own zone, and one of each other.
+func (s *Spread) tellTargets() []member.Record {
+	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.view.Sample(time.Now(), s.rng, n, zone)
+	targets := s.view.Sample(now, s.rng, announceTo, member.Near)
+	return append(targets, s.view.OneOfEachZone(now, s.rng)...)
 }
 
 // seeds returns all seeds or one at random, as records without a host.
@@ -105,108 +148,3 @@
 	}
 	return records
 }
-
-func (s *Spread) exchangeAll(targets []member.Record) {
-	var wait sync.WaitGroup
-	for _, target := range targets {
-		wait.Go(func() { s.exchange(target) })
-	}
-	wait.Wait()
-}
-
-// exchange compares digests with one node and fetches what it lacks.
-func (s *Spread) exchange(target member.Record) {
-	s.Counters.Exchanges.Add(1)
-	conn, reply, err := s.askDigest(target.Address)
-	now := time.Now()
-	if err != nil {
-		s.Counters.ExchangeFailures.Add(1)
-		s.View(func(v *member.View) { v.Failed(now, target.Host) })
-		return
-	}
-	s.noteExchange(now)
-	s.View(func(v *member.View) { v.Reached(target.Host) })
-	s.learn(now, reply.Digest)
-	if len(reply.Members) > 0 {
-		s.exchangeRecords(conn, reply)
-	}
-	if s.holder.Judge(reply.Digest.Generation, reply.Digest.Hash) == Taken && reply.Digest.Generation > 0 {
-		s.pull(conn)
-	}
-}
-
-// exchangeRecords sends a node the records that it lacks and takes those that
-// this one lacks.
-func (s *Spread) exchangeRecords(conn *peer.Conn, reply digestReply) {
-	now := time.Now()
-	m := recordsMessage{
-		Records: s.lackedBy(reply.Digest.Host, reply.Members),
-		Digest:  s.digest(now),
-		Members: s.members(),
-	}
-	payload, err := conn.Ask(TopicRecords, encode(&m), s.settings.AskLimit)
-	if err != nil {
-		return // The next round asks another.
-	}
-	var lacked recordsMessage
-	if decode(payload, &lacked) == nil {
-		s.merge(time.Now(), lacked.Records)
-	}
-}
-
-func (s *Spread) askDigest(address string) (*peer.Conn, digestReply, error) {
-	var reply digestReply
-	conn, err := s.dialer.Get(address, s.settings.AskLimit)
-	if err != nil {
-		return nil, reply, err
-	}
-	d := s.digest(time.Now())
-	payload, err := conn.Ask(TopicDigest, encode(&d), s.settings.AskLimit)
-	if err != nil {
-		return nil, reply, err
-	}
-	return conn, reply, decode(payload, &reply)
-}
-
-// runPulls fetches tables from nodes that said they have a newer one.
-func (s *Spread) runPulls(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case address := <-s.pulls:
-			if conn, err := s.dialer.Get(address, s.settings.AskLimit); err == nil {
-				s.pull(conn)
-			}
-		}
-	}
-}
-
-// pull fetches the table of another node.
-func (s *Spread) pull(conn *peer.Conn) {
-	payload, err := conn.Ask(TopicTable, nil, s.settings.AskLimit)
-	if err != nil {
-		return // It was busy or went away; the next round asks another.
-	}
-	var reply tableReply
-	if err := decode(payload, &reply); err != nil {
-		s.badTable(conn.Peer.Host, err)
-		return
-	}
-	if s.holder.Judge(reply.Generation, reply.Hash) != Taken {
-		return
-	}
-	snapshot, err := reply.snapshot()
-	if err != nil {
-		s.badTable(conn.Peer.Host, err)
-		return
-	}
-	s.Counters.TablesPulled.Add(1)
-	s.offer(snapshot, "node "+conn.Peer.Host)
-}
-
-func (s *Spread) badTable(source string, err error) {
-	if s.Counters.BadTables.Add(1) == 1 {
-		s.log.Warn("table refused", zap.String("source", source), zap.Error(err))
-	}
-}
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
@@ -16,7 +15,6 @@
 	"github.com/ryehaven/ryehaven/peer"
 	"github.com/ryehaven/ryehaven/store"
 	"github.com/ryehaven/ryehaven/table"
-	"github.com/ryehaven/ryehaven/wire"
 )
 
 // Settings of a Spread.
@@ -54,6 +52,10 @@
 	BadTables atomic.Int64
 	// RecordsReceived counts member records.
 	RecordsReceived atomic.Int64
+	// NearBytes and FarBytes count the bytes of questions and replies sent to
+	// nodes of the own availability zone and of others; those of nodes that are
+	// not known yet count as far.
+	NearBytes, FarBytes atomic.Int64
 	// PlatformReads counts reads and watches, PlatformErrors those that
 	// failed.
 	PlatformReads, PlatformErrors atomic.Int64
@@ -66,13 +68,15 @@
 	settings Settings
 	log      *zap.Logger
 	holder   *Holder
-	dialer   *peer.Dialer
 	platform store.Client
 	// onView is called, without locks held, when the view changed.
 	onView func()
 	served *rate.Limiter
-	news   chan struct{}
-	pulls  chan string
+	// connect returns a connection to the node at an address.
+	connect func(address string, limit time.Duration) (link, error)
+	// news and ownNews wake the rounds.
+	news, ownNews chan struct{}
+	pulls         chan string
 	// registered is closed once the node is known in the store.
 	registered chan struct{}
 	// reached tells when the store is lost and regained.
@@ -87,7 +91,11 @@
 	ownConfirmed, othersConfirmed time.Time
 	// exchanged is when digests were last exchanged with any node.
 	exchanged time.Time
-	deflated  tableReply
+	// greeted is when a greeting node was last accepted to compare all records.
+	greeted time.Time
+	// stirred says that the next round should come sooner.
+	stirred  bool
+	deflated tableReply
 }
 
 // tableBurst is how many seconds' worth of tables may be served at once.
@@ -103,11 +111,12 @@
 		settings:   settings,
 		log:        log,
 		holder:     holder,
-		dialer:     dialer,
+		connect:    dialTo(dialer),
 		platform:   client,
 		onView:     onView,
 		served:     rate.NewLimiter(rate.Limit(perSecond), perSecond*tableBurst),
 		news:       make(chan struct{}, 1),
+		ownNews:    make(chan struct{}, 1),
 		pulls:      make(chan string, 1),
 		registered: make(chan struct{}),
 		view:       view,
@@ -131,18 +140,23 @@
 	return now.Sub(s.confirmed), !s.confirmed.IsZero()
 }
 
-// Announce tells a few nodes at once that there is news.
-func (s *Spread) Announce() {
+// Announce tells a few nodes at once what has changed in this node's own record.
+func (s *Spread) Announce() { wake(s.ownNews) }
+
+// hasNews has a few nodes compared with at once.
+func (s *Spread) hasNews() { wake(s.news) }
+
+func wake(c chan<- struct{}) {
 	select {
-	case s.news <- struct{}{}:
-	default:
+	case c <- struct{}{}:
+	default: // It is woken already.
 	}
 }
 
 // offer takes a table and tells others if it is news.
 func (s *Spread) offer(snapshot *table.Snapshot, source string) {
 	if s.holder.Offer(snapshot, source) == Taken {
-		s.Announce()
+		s.hasNews()
 	}
 }
 
@@ -205,125 +219,9 @@
 	s.Counters.RecordsReceived.Add(int64(len(records)))
 	s.mu.Lock()
 	news := s.view.Merge(now, records)
+	s.stirred = s.stirred || news
 	s.mu.Unlock()
 	if news {
 		s.onView()
 	}
 }
-
-// Ask answers other nodes' questions; ok is false for other topics.
-func (s *Spread) Ask(topic wire.Topic, payload []byte) (reply []byte, ok bool, err error) {
-	switch topic {
-	case TopicDigest:
-		reply, err = s.answerDigest(payload)
-	case TopicRecords:
-		reply, err = s.answerRecords(payload)
-	case TopicTable:
-		reply, err = s.answerTable()
-	default:
-		return nil, false, nil
-	}
-	return reply, true, err
-}
-
-func (s *Spread) answerDigest(payload []byte) ([]byte, error) {
-	var d digest
-	if err := decode(payload, &d); err != nil {
-		return nil, err
-	}
-	now := time.Now()
-	s.noteExchange(now)
-	s.learn(now, d)
-	s.pullFrom(d)
-	reply := digestReply{Digest: s.digest(now)}
-	if reply.Digest.Root != d.Root {
-		reply.Members = s.members()
-	}
-	return encode(&reply), nil
-}
-
-// pullFrom has the table of a digest's sender fetched if it is newer. The
-// address of a new node comes with its record.
-func (s *Spread) pullFrom(d digest) {
-	record, known := s.recordOf(d.Host)
-	if !known || d.Generation == 0 || s.holder.Judge(d.Generation, d.Hash) != Taken {
-		return
-	}
-	select {
-	case s.pulls <- record.Address:
-	default: // A pull is waiting already; the next round asks again.
-	}
-}
-
-// members returns the digest of all member records.
-func (s *Spread) members() []uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	d := s.view.Digest()
-	return d[:]
-}
-
-// answerRecords takes records and answers with those that the sender lacks.
-func (s *Spread) answerRecords(payload []byte) ([]byte, error) {
-	var m recordsMessage
-	if err := decode(payload, &m); err != nil {
-		return nil, err
-	}
-	now := time.Now()
-	s.merge(now, m.Records)
-	s.learn(now, m.Digest)
-	s.pullFrom(m.Digest)
-	return encode(&recordsMessage{Records: s.lackedBy(m.Digest.Host, m.Members)}), nil
-}
-
-// lackedBy returns the records that a node lacks by its digest of members, with
-// what it must hear of its own past.
-func (s *Spread) lackedBy(host string, members []uint64) []member.Record {
-	var d member.Digest
-	copy(d[:], members)
-	return append(s.differing(d), s.pastOf(host)...)
-}
-
-// recordsAtOnce bounds the member records of one message, at about 60 bytes.
-const recordsAtOnce = 64
-
-// differing returns records that the sender of a digest lacks, or has newer.
-func (s *Spread) differing(d member.Digest) []member.Record {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.view.Differing(d, s.rng.IntN(member.Buckets), recordsAtOnce)
-}
-
-// pastOf returns what a node must hear of its own earlier life.
-func (s *Spread) pastOf(host string) []member.Record {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if past, ok := s.view.PastOf(host); ok {
-		return []member.Record{past}
-	}
-	return nil
-}
-
-// errBusy defers a table that the byte budget does not allow now.
-var errBusy = eris.New("busy: ask another node or later")
-
-func (s *Spread) answerTable() ([]byte, error) {
-	current := s.holder.Current()
-	if current == nil {
-		return nil, eris.New("this node has no table")
-	}
-	s.mu.Lock()
-	if s.deflated.Generation != current.Generation {
-		s.deflated = tableReply{Generation: current.Generation, Hash: current.Hash, Deflated: deflate(current.Text)}
-	}
-	reply := s.deflated
-	s.mu.Unlock()
-	// A table larger than the whole burst may go when the burst is unspent.
-	cost := min(len(reply.Deflated), s.served.Burst())
-	if !s.served.AllowN(time.Now(), cost) {
-		s.Counters.TablesDeferred.Add(1)
-		return nil, errBusy
-	}
-	s.Counters.TablesServed.Add(1)
-	return encode(&reply), nil
-}
--- a/spread/spread_test.go
+++ b/spread/spread_test.go
@@ -170,7 +170,7 @@
 	if !s.isolated(now.Add(2 * time.Second)) {
 		t.Error("not isolated although no round reached anybody")
 	}
-	if _, err := s.answerDigest(encode(&digest{Host: "other"})); err != nil {
+	if _, _, err := s.Ask(TopicDigest, encode(&digest{Host: "other"})); err != nil {
 		t.Fatal(err)
 	}
 	if s.isolated(time.Now()) {
--- a/spread/watch.go
+++ b/spread/watch.go
@@ -308,7 +308,7 @@
 	s.View(func(v *member.View) { news = v.List(time.Now(), listed) })
 	if news {
 		s.onView()
-		s.Announce()
+		s.hasNews()
 	}
 	s.removeVanished(ctx, listed)
 	return nil
