entry: a silent node is kept until the next one has had time to refuse

The other server is now asked beside the first, as a hedge is. If it refuses, the first goes on alone and looks for another again; if it has not refused within 20 ms, the silent one is given up, since it would run the request too once it is back.

--- a/entry/race.go
+++ b/entry/race.go
@@ -23,6 +23,12 @@
 	// lookAgain is when a request at a suspected node looks for another one again;
 	// nil while there is no such.
 	lookAgain <-chan time.Time
+	// left says that the hedge was sent because the first attempt's node was silent,
+	// and hedgeSuspected is closed when the hedge's own becomes suspected.
+	left           bool
+	hedgeSuspected <-chan struct{}
+	// settle is when the silent node is given up for the hedge that took its place.
+	settle <-chan time.Time
 }
 
 // run waits until an attempt decides, and returns it.
@@ -45,15 +51,13 @@
 		case head := <-w.hedgeHead():
 			decided = w.hedgeEnded(head)
 		case <-hedgeAt:
-			if w.hedge = w.entry.hedge(w.request, w.first, plan); w.hedge != nil || plan.every == 0 {
-				hedgeAt = nil
-			} else {
-				timer.Reset(plan.every)
-			}
+			hedgeAt = w.hedgeDue(timer, plan)
 		case <-w.suspected:
 			decided = w.firstSuspected()
 		case <-w.lookAgain:
 			decided = w.firstSuspected()
+		case <-w.settle:
+			w.giveUpSilent()
 		case <-w.request.gone:
 			decided = w.callerGone()
 		case <-deadline.C:
@@ -65,6 +69,19 @@
 	}
 }
 
+// hedgeDue sends a hedge, if there is none, and returns when to think of one again;
+// nil for not any more.
+func (w *race) hedgeDue(timer *time.Timer, plan hedgePlan) <-chan time.Time {
+	if w.hedge == nil {
+		w.hedge = w.entry.hedge(w.request, w.first, plan)
+	}
+	if w.hedge != nil || plan.every == 0 {
+		return nil
+	}
+	timer.Reset(plan.every)
+	return timer.C
+}
+
 func (w *race) hedgeHead() <-chan peer.Head {
 	if w.hedge == nil {
 		return nil
@@ -85,10 +102,30 @@
 		return first
 	}
 	w.request.note(first)
-	w.first, w.hedge, w.suspected, w.lookAgain = w.hedge, nil, nil, nil
+	w.promote()
 	return nil
 }
 
+// promote has the hedge go on in place of the first attempt.
+func (w *race) promote() {
+	w.first, w.hedge = w.hedge, nil
+	w.suspected, w.hedgeSuspected = w.hedgeSuspected, nil
+	w.left, w.lookAgain, w.settle = false, nil, nil
+}
+
+// giveUpSilent gives up the first attempt, whose node was silent, for the hedge:
+// a gate that has not refused by now has taken the request, and once the silent node
+// is back it would run it too.
+func (w *race) giveUpSilent() {
+	w.settle = nil
+	if w.hedge == nil || !w.left {
+		return
+	}
+	w.entry.endSilent(w.request, w.first)
+	w.request.note(w.first)
+	w.promote()
+}
+
 // hedgeEnded takes the end of the hedge. Unless it was answered, the first
 // attempt goes on alone.
 func (w *race) hedgeEnded(head peer.Head) *attempt {
@@ -96,19 +133,33 @@
 	w.entry.endHead(w.request, hedge, head)
 	if hedge.outcome != retry.Answered {
 		w.request.note(hedge)
-		w.hedge = nil
+		if w.left && !hedge.reached() {
+			w.request.reached--
+		}
+		w.hedge, w.left, w.hedgeSuspected, w.settle = nil, false, nil, nil
+		w.lookAgain = time.After(suspectedLook)
 		return nil
 	}
+	if w.left {
+		w.entry.endSilent(w.request, w.first)
+		return hedge
+	}
 	w.entry.Counters.HedgesWon.Add(1)
 	w.entry.dropLoser(w.request, w.first)
 	return hedge
 }
 
-// suspectedLook is how often a request at a suspected node looks for another one.
-const suspectedLook = 20 * time.Millisecond
+const (
+	// suspectedLook is how often a request at a suspected node looks for another one.
+	suspectedLook = 20 * time.Millisecond
+	// settleAfter is how long a request that was sent to another server stays at the
+	// silent one too: a gate without room says so within a round trip.
+	settleAfter = 20 * time.Millisecond
+)
 
-// firstSuspected gives up a repeatable attempt at a silent node, if another one can
-// be asked: on a busy host all may be silent for a moment.
+// firstSuspected sends a repeatable request whose node is silent to another server
+// too, if one can be asked: on a busy host all may be silent for a moment. The silent
+// node may still answer, and is the only one to do so if the other refuses.
 func (w *race) firstSuspected() *attempt {
 	w.suspected, w.lookAgain = nil, nil
 	if !w.request.message.Repeatable || w.hedge != nil {
@@ -122,8 +173,36 @@
 		w.lookAgain = time.After(suspectedLook)
 		return nil
 	}
-	w.entry.endSilent(w.request, w.first)
-	return w.first
+	if !w.request.message.Last {
+		// A body that is still on its way goes to one server at a time.
+		w.entry.endSilent(w.request, w.first)
+		return w.first
+	}
+	w.hedge, w.hedgeSuspected = w.entry.beside(w.request)
+	w.left = w.hedge != nil
+	if w.left {
+		w.settle = time.After(settleAfter)
+	} else {
+		w.lookAgain = time.After(suspectedLook)
+	}
+	return nil
+}
+
+// beside sends a request that was paid for to another server while the first keeps
+// it. The attempt is nil when that could not be sent.
+func (e *Entry) beside(r *request) (*attempt, <-chan struct{}) {
+	r.paid = false
+	a := r.pick(time.Now())
+	if a == nil {
+		return nil, nil
+	}
+	r.reached++
+	suspected := e.send(r, a)
+	if a.call == nil {
+		r.note(a)
+		return nil, nil
+	}
+	return a, suspected
 }
 
 func (w *race) callerGone() *attempt {
--- /dev/null
+++ b/entry/silent_test.go
@@ -0,0 +1,147 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/ryehaven/ryehaven/balance"
+	"github.com/ryehaven/ryehaven/header"
+	"github.com/ryehaven/ryehaven/internal/faultproxy"
+	"github.com/ryehaven/ryehaven/peer"
+	"github.com/ryehaven/ryehaven/table"
+	"github.com/ryehaven/ryehaven/wire"
+)
+
+// gateStub is a gate that does with requests what a test says.
+type gateStub struct {
+	request func(s *peer.Stream)
+}
+
+func (g gateStub) Request(s *peer.Stream)    { g.request(s) }
+func (gateStub) Canceled(*peer.Stream, bool) {}
+func (gateStub) Ask(peer.Identity, wire.Topic, []byte) ([]byte, error) {
+	return nil, nil
+}
+
+var silentKey = []byte("a key for gates of one test only")
+
+// startGate starts a gate and returns its address.
+func startGate(t *testing.T, request func(s *peer.Stream)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &peer.Server{
+		Self:           peer.Identity{Host: "gate", Incarnation: 1, Key: silentKey},
+		Counters:       new(peer.Counters),
+		Handler:        gateStub{request},
+		HandshakeLimit: time.Second,
+		MaxConns:       10,
+	}
+	go server.Serve(listener)
+	t.Cleanup(func() {
+		listener.Close()
+		server.Close()
+	})
+	return listener.Addr().String()
+}
+
+// startEntry starts an entry with two servers, of which the first is nearer, and
+// returns the address at which it takes requests.
+func startEntry(t *testing.T, near, far string) string {
+	t.Helper()
+	text := "service,server,host,zone,address,state,retry_percent\ns,*,,,,,100\ns,near,h1,z,127.0.0.1:1,,\ns,far,h2,z,127.0.0.1:2,,\n"
+	snapshot, err := table.NewSnapshot(1, "t", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	dialer := &peer.Dialer{
+		Self:      peer.Identity{Host: "entry", Incarnation: 2, Key: silentKey},
+		Counters:  new(peer.Counters),
+		Limit:     time.Second,
+		IdleLimit: time.Minute,
+	}
+	dialect := header.Own()
+	dialect.Prepare()
+	e := New(Settings{
+		Balance: balance.Options{}, ConnectLimit: time.Second, WordLimit: 20 * time.Millisecond,
+		BodyIdleLimit: time.Second, MaxBody: 1 << 20, MaxDeadline: time.Minute, Dialect: dialect,
+	}, dialer)
+	places := map[string]Place{"h1": {Node: near}, "h2": {Node: far, Distance: time.Second}}
+	e.Update(time.Now(), snapshot.Table, Sources{Place: func(s *table.Server) (Place, bool) {
+		place, ok := places[s.Host]
+		return place, ok
+	}, Nodes: 1})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &fasthttp.Server{Handler: e.Handle, StreamRequestBody: true}
+	go server.Serve(listener)
+	ticker := time.NewTicker(5 * time.Millisecond)
+	done := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-done:
+				return
+			case now := <-ticker.C:
+				dialer.Check(now)
+				e.Tick(now)
+			}
+		}
+	}()
+	t.Cleanup(func() {
+		close(done)
+		ticker.Stop()
+		listener.Close()
+		dialer.Close()
+	})
+	return listener.Addr().String()
+}
+
+// A repeatable request whose node falls silent goes to another server too. If that
+// one has no room, the silent one's answer still counts once it speaks again.
+func TestSilentNodeIsWaitedForIfTheOtherRefuses(t *testing.T) {
+	proxy, err := faultproxy.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(proxy.Close)
+	refused := make(chan struct{}, 100)
+	near := startGate(t, func(s *peer.Stream) {
+		proxy.Set(faultproxy.Fault{HoldBackward: true})
+		go func() {
+			<-refused
+			time.Sleep(50 * time.Millisecond) // Beyond what would be a late refusal.
+			_ = s.Respond(&wire.Response{Status: 200, Last: true})
+			proxy.Set(faultproxy.Fault{})
+		}()
+	})
+	far := startGate(t, func(s *peer.Stream) {
+		s.Refuse(wire.ReasonOverload, time.Second, wire.Load{})
+		refused <- struct{}{}
+	})
+	proxy.SetTarget(near)
+	address := startEntry(t, proxy.Address(), far)
+
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + address + "/x")
+	request.Header.SetHost("s")
+	request.UseHostHeader = true
+	request.Header.Set(header.Deadline, "5000")
+	if err := (&fasthttp.Client{Dial: func(string) (net.Conn, error) { return net.Dial("tcp", address) }}).Do(request, response); err != nil {
+		t.Fatal(err)
+	}
+	if response.StatusCode() != 200 {
+		t.Errorf("answered %d: %s", response.StatusCode(), response.Body())
+	}
+}
