internal/process: a node that was stopped stands still on return

Ruled out: a client that returns before its connection is closed (it closes it in the same goroutine).

Signal now waits until all threads of the process are stopped. It checks as much as before, and all other tests that freeze processes begin frozen.

--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -403,7 +403,16 @@
 	return p, strings.TrimPrefix(line, listening), err
 }
 
-func (p *process) signal(signal syscall.Signal) error { return p.cmd.Process.Signal(signal) }
+// signal sends a signal. After SIGSTOP the process stands still on return.
+func (p *process) signal(signal syscall.Signal) error {
+	if err := p.cmd.Process.Signal(signal); err != nil {
+		return err
+	}
+	if signal == syscall.SIGSTOP {
+		return waitStopped(p.cmd.Process.Pid)
+	}
+	return nil
+}
 
 func (p *process) wait() int {
 	<-p.done
