node, event: many changed members get one line

Cause: a node wrote a line for each other node that it heard of, 295 at a start, so that the bound on lines was used up and 194 others were dropped in the first seconds (counters of single nodes, full size). More than eight changes at once are added up in one line now; the nodes concerned write their own starts and servers.

--- a/event/event.go
+++ b/event/event.go
@@ -294,6 +294,39 @@
 	return nil
 }
 
+// Members sums up changes of what a node knows of many others at once, as after a
+// start, which would otherwise take the place of all other lines.
+type Members struct {
+	// Changed is how many records changed, and Known how many there are now.
+	Changed, Known int
+	// New of the changed were unknown before, Restarted are new lives of known
+	// nodes, and Leaving do not take work any more.
+	New, Restarted, Leaving int
+	// Servers of the changed have another backend server than before, or one that
+	// they had not.
+	Servers int
+}
+
+// Message implements Event.
+func (*Members) Message() string { return "members" }
+
+// Key implements Event.
+func (*Members) Key() string { return "" }
+
+// Unusual implements Event.
+func (*Members) Unusual() bool { return true }
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (m *Members) MarshalLogObject(e zapcore.ObjectEncoder) error {
+	e.AddInt("changed", m.Changed)
+	e.AddInt("known", m.Known)
+	e.AddInt("new", m.New)
+	e.AddInt("restarted", m.Restarted)
+	e.AddInt("leaving", m.Leaving)
+	e.AddInt("servers", m.Servers)
+	return nil
+}
+
 func millis(d time.Duration) float64 {
 	return float64(d.Microseconds()) / 1000
 }
--- a/node/apply.go
+++ b/node/apply.go
@@ -10,7 +10,6 @@
 
 	"github.com/ryehaven/ryehaven/balance"
 	"github.com/ryehaven/ryehaven/entry"
-	"github.com/ryehaven/ryehaven/event"
 	"github.com/ryehaven/ryehaven/gate"
 	"github.com/ryehaven/ryehaven/member"
 	"github.com/ryehaven/ryehaven/peer"
@@ -72,31 +71,6 @@
 	n.refreshGates(now, leaving)
 }
 
-// recordMembers writes what has changed in what is known of other nodes. It is
-// called with the lock held.
-func (n *Node) recordMembers(records map[string]member.Record) {
-	for host, r := range records {
-		if before, known := n.members[host]; (known && sameForLog(before, r)) || host == n.settings.Host {
-			continue
-		}
-		n.recorder.Record(&event.Member{
-			Host:        host,
-			Address:     r.Address,
-			Incarnation: r.Incarnation,
-			State:       r.State.String(),
-			Server:      r.Server.ID,
-			ServerState: r.Server.State.String(),
-		})
-	}
-	n.members = records
-}
-
-// sameForLog reports whether nothing changed between two records that a line
-// would tell.
-func sameForLog(a, b member.Record) bool {
-	return a.Address == b.Address && a.Incarnation == b.Incarnation && a.State == b.State && a.Server == b.Server
-}
-
 func (n *Node) distance(self, other member.Record) time.Duration {
 	switch {
 	case self.Region != other.Region:
--- /dev/null
+++ b/node/members.go
@@ -0,0 +1,71 @@
+// SPDX-License-Identifier: MIT
+
+package node
+
+import (
+	"github.com/ryehaven/ryehaven/event"
+	"github.com/ryehaven/ryehaven/member"
+)
+
+// memberLines is how many changed members get a line each; of more, one line tells
+// how many. A node that starts among 300 others would write a second's worth of lines
+// about them, and none about requests.
+const memberLines = 8
+
+// recordMembers writes what has changed in what is known of other nodes. It is
+// called with the lock held.
+func (n *Node) recordMembers(records map[string]member.Record) {
+	var changed []member.Record
+	for host, r := range records {
+		before, known := n.members[host]
+		if host != n.settings.Host && (!known || !sameForLog(before, r)) {
+			changed = append(changed, r)
+		}
+	}
+	if len(changed) > memberLines {
+		n.recorder.Record(sumUp(n.members, changed, len(records)))
+	} else {
+		for _, r := range changed {
+			n.recorder.Record(memberOf(r))
+		}
+	}
+	n.members = records
+}
+
+func memberOf(r member.Record) *event.Member {
+	return &event.Member{
+		Host:        r.Host,
+		Address:     r.Address,
+		Incarnation: r.Incarnation,
+		State:       r.State.String(),
+		Server:      r.Server.ID,
+		ServerState: r.Server.State.String(),
+	}
+}
+
+// sumUp is the line about many changes at once.
+func sumUp(before map[string]member.Record, changed []member.Record, known int) *event.Members {
+	m := &event.Members{Changed: len(changed), Known: known}
+	for _, r := range changed {
+		old, wasKnown := before[r.Host]
+		switch {
+		case !wasKnown:
+			m.New++
+		case old.Incarnation != 0 && old.Incarnation != r.Incarnation:
+			m.Restarted++
+		}
+		if r.State != member.Live {
+			m.Leaving++
+		}
+		if r.Server.ID != old.Server.ID {
+			m.Servers++
+		}
+	}
+	return m
+}
+
+// sameForLog reports whether nothing changed between two records that a line
+// would tell.
+func sameForLog(a, b member.Record) bool {
+	return a.Address == b.Address && a.Incarnation == b.Incarnation && a.State == b.State && a.Server == b.Server
+}
