member, spread: nodes that have gone make no difference

Cause, read from the code: a node that has gone is kept for ten minutes by those that knew it and is not taken by others, so that the two sides' digests differed all that time: each of their exchanges sent sums, marks and the record again.

Records of nodes that have gone add nothing to a digest, and are sent only to those that hold an older one. The new test fails before. A lone node does not hasten its rounds any more, and one that has gone and knows nobody answers a comparison (it would have drawn from an empty range).

--- a/member/compare.go
+++ b/member/compare.go
@@ -99,6 +99,8 @@
 		m, known := theirs[own.Host]
 		delete(theirs, own.Host)
 		switch {
+		case !known && r.State == Gone:
+			// The other never knew it.
 		case known && m.newer(r):
 			c.want(own.Host, most)
 		case (!known || own != m) && len(c.Records) < most:
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -149,6 +149,35 @@
 	}
 }
 
+// A node that has gone is news to those that knew it, and makes no difference between
+// those that keep its record and those that never had one.
+func TestGoneNodesMakeNoDifference(t *testing.T) {
+	keeps, knew, never := NewView(record(0)), NewView(record(0)), NewView(record(0))
+	gone := record(2)
+	gone.State = Gone
+	for _, v := range []*View{keeps, knew} {
+		v.Merge(start, []Record{record(2)})
+	}
+	keeps.Merge(start, []Record{gone})
+	if keeps.Digest() != never.Digest() {
+		t.Error("a node that keeps the record of one that has gone differs from one that never had it")
+	}
+	if sent := reconcile(keeps, never, 0, 10); sent != 0 {
+		t.Errorf("%d records were sent about a node that has gone", sent)
+	}
+	for _, asker := range []func(){
+		func() { reconcile(keeps, knew, 0, 10) },
+		func() { reconcile(knew, keeps, 0, 10) },
+	} {
+		asker()
+		if r, _ := knew.Record("h2"); r.State != Gone {
+			t.Error("a node that knew it did not hear that it has gone")
+		}
+		knew = NewView(record(0))
+		knew.Merge(start, []Record{record(2)})
+	}
+}
+
 // Sums of another number of buckets, as another version may send, differ in all.
 func TestSumsOfAnotherLengthDiffer(t *testing.T) {
 	v := NewView(record(0))
--- a/member/record.go
+++ b/member/record.go
@@ -93,8 +93,13 @@
 	return int(hash % Buckets)
 }
 
-// hash covers what newer compares.
+// hash is what a record adds to a digest; it covers what newer compares. A node that
+// has gone adds nothing: those that never knew it do not take its record, and must not
+// differ for that from those that keep it for a while.
 func (r Record) hash() uint64 {
+	if r.State == Gone {
+		return 0
+	}
 	var b [17]byte
 	binary.BigEndian.PutUint64(b[:], r.Incarnation)
 	b[8] = byte(r.State)
--- a/spread/answer.go
+++ b/spread/answer.go
@@ -118,7 +118,7 @@
 func (s *Spread) compare(theirs *marksMessage) *recordsMessage {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := s.view.Compare(theirs.Parts, theirs.Marks, s.rng.IntN(s.view.Len()), recordsAtOnce)
+	c := s.view.Compare(theirs.Parts, theirs.Marks, int(s.rng.Uint32()), recordsAtOnce)
 	return &recordsMessage{Records: c.Records, Wanted: c.Wanted}
 }
 
--- a/spread/round.go
+++ b/spread/round.go
@@ -109,7 +109,7 @@
 	if len(targets) == 0 || number%seedEvery == 0 {
 		targets = append(targets, s.seeds(len(targets) == 0)...)
 	}
-	if s.exchangeAll(targets) == 0 {
+	if s.exchangeAll(targets) == 0 && len(targets) > 0 {
 		s.stir()
 	}
 }
--- a/spread/spread_test.go
+++ b/spread/spread_test.go
@@ -177,3 +177,13 @@
 		t.Error("isolated although another node has just asked")
 	}
 }
+
+// A node that has gone and knows nobody still answers whoever compares with it.
+func TestLoneGoneNodeAnswers(t *testing.T) {
+	s := newSpread(t, 1000)
+	s.View(func(v *member.View) { v.SetSelfState(member.Gone) })
+	question := marksMessage{Host: "other", Parts: 1, Marks: []member.Mark{{Host: 64, Incarnation: 1}}}
+	if _, _, err := s.Ask(TopicCompare, encode(&question)); err != nil {
+		t.Fatal(err)
+	}
+}
