--- a/member/compare.go
+++ b/member/compare.go
@@ -14,11 +14,11 @@
 	State       State
 }
 
-// Parts is a set of buckets, a bit for each.
-type Parts uint64
+// BucketSet is a set of buckets, a bit for each.
+type BucketSet uint64
 
 // Has reports whether a bucket is in the set.
-func (p Parts) Has(bucket int) bool { return p&(1<<bucket) != 0 }
+func (p BucketSet) Has(bucket int) bool { return p&(1<<bucket) != 0 }
 
 // Sums are a digest as it is sent: the low half of each bucket's number. Nodes
 // compare them only after their roots, which cover the whole numbers, differ.
@@ -33,19 +33,19 @@
 	return sums
 }
 
-// Apart returns the buckets in which the digest differs from another node's
+// Differing returns the buckets in which the digest differs from another node's
 // sums. Sums of another number of buckets differ in all.
-func (d Digest) Apart(sums Sums) Parts {
+func (d Digest) Differing(sums Sums) BucketSet {
 	if len(sums) != Buckets {
-		return ^Parts(0)
+		return ^BucketSet(0)
 	}
-	parts := Parts(0)
+	buckets := BucketSet(0)
 	for i, bucket := range d {
 		if uint32(bucket) != sums[i] {
-			parts |= 1 << i
+			buckets |= 1 << i
 		}
 	}
-	return parts
+	return buckets
 }
 
 func hostHash(host string) uint64 { return xxhash.Sum64String(host) }
@@ -62,10 +62,10 @@
 }
 
 // Marks returns the marks of all records in some buckets.
-func (v *View) Marks(parts Parts) []Mark {
+func (v *View) Marks(buckets BucketSet) []Mark {
 	var marks []Mark
 	for _, host := range v.hosts {
-		if m := v.entries[host].mark(); parts.Has(bucketOf(m.Host)) {
+		if m := v.entries[host].mark(); buckets.Has(bucketOf(m.Host)) {
 			marks = append(marks, m)
 		}
 	}
@@ -84,7 +84,7 @@
 // the same buckets. It returns at most most of each kind, counted from a place
 // on, so that exchanges from different places soon bring over everything even
 // when all nodes start at once.
-func (v *View) Compare(parts Parts, marks []Mark, from, most int) Comparison {
+func (v *View) Compare(buckets BucketSet, marks []Mark, from, most int) Comparison {
 	theirs := make(map[uint64]Mark, len(marks))
 	for _, m := range marks {
 		theirs[m.Host] = m
@@ -93,7 +93,7 @@
 	for i := range v.hosts {
 		r := v.entries[v.hosts[(from+i)%len(v.hosts)]].Record
 		own := r.mark()
-		if !parts.Has(bucketOf(own.Host)) {
+		if !buckets.Has(bucketOf(own.Host)) {
 			continue
 		}
 		m, known := theirs[own.Host]
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -38,8 +38,8 @@
 		if first.Digest() != second.Digest() {
 			t.Fatalf("views differ:\n%v\n%v", first.All(), second.All())
 		}
-		if parts := first.Digest().Apart(second.Digest().Sums()); parts != 0 {
-			t.Fatalf("equal views differ in the buckets %b", parts)
+		if buckets := first.Digest().Differing(second.Digest().Sums()); buckets != 0 {
+			t.Fatalf("equal views differ in the buckets %b", buckets)
 		}
 		for _, r := range first.All() {
 			for _, other := range records {
@@ -54,8 +54,8 @@
 // reconcile is one exchange between two views, begun by a, and returns the number
 // of records that were sent.
 func reconcile(a, b *View, from, most int) int {
-	parts := a.Digest().Apart(b.Digest().Sums())
-	c := b.Compare(parts, a.Marks(parts), from, most)
+	buckets := a.Digest().Differing(b.Digest().Sums())
+	c := b.Compare(buckets, a.Marks(buckets), from, most)
 	wanted := a.Wanted(c.Wanted)
 	a.Merge(start, c.Records)
 	b.Merge(start, wanted)
@@ -137,7 +137,7 @@
 	other.Merge(start, []Record{record(0), record(2)})
 	v.Failed(start, "h2")
 	v.Tidy(start.Add(forgetLost))
-	all := ^Parts(0)
+	all := ^BucketSet(0)
 	if c := v.Compare(all, other.Marks(all), 0, 10); len(c.Wanted) != 0 {
 		t.Errorf("wants %d records, forgot one", len(c.Wanted))
 	}
@@ -182,8 +182,8 @@
 func TestSumsOfAnotherLengthDiffer(t *testing.T) {
 	v := NewView(record(0))
 	for _, sums := range []Sums{nil, make(Sums, Buckets-1), make(Sums, Buckets+1)} {
-		if parts := v.Digest().Apart(sums); parts != ^Parts(0) {
-			t.Errorf("%d sums: buckets %b differ", len(sums), parts)
+		if buckets := v.Digest().Differing(sums); buckets != ^BucketSet(0) {
+			t.Errorf("%d sums: buckets %b differ", len(sums), buckets)
 		}
 	}
 }
--- a/member/record.go
+++ b/member/record.go
@@ -71,9 +71,9 @@
 	return r.State > old.State
 }
 
-// Buckets is the number of parts that a digest compares: some five records each at
+// Buckets is how many buckets a digest compares: some five records each at
 // 300 nodes, so that one that changed brings few marks of others with it. At most
-// the bits of Parts.
+// the bits of a BucketSet.
 const Buckets = 64
 
 // Digest has one number for each bucket of records.
--- a/spread/answer.go
+++ b/spread/answer.go
@@ -93,14 +93,14 @@
 	if err := decode(payload, &m); err != nil {
 		return "", nil, err
 	}
-	return m.Host, encode(s.marks(m.Parts)), nil
+	return m.Host, encode(s.marks(m.Buckets)), nil
 }
 
 // marks returns this node's marks of some buckets.
-func (s *Spread) marks(parts member.Parts) *marksMessage {
+func (s *Spread) marks(buckets member.BucketSet) *marksMessage {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return &marksMessage{Host: s.view.Self().Host, Parts: parts, Marks: s.view.Marks(parts)}
+	return &marksMessage{Host: s.view.Self().Host, Buckets: buckets, Marks: s.view.Marks(buckets)}
 }
 
 func (s *Spread) answerCompare(payload []byte) (from string, reply []byte, err error) {
@@ -118,7 +118,7 @@
 func (s *Spread) compare(theirs *marksMessage) *recordsMessage {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := s.view.Compare(theirs.Parts, theirs.Marks, int(s.rng.Uint32()), recordsAtOnce)
+	c := s.view.Compare(theirs.Buckets, theirs.Marks, int(s.rng.Uint32()), recordsAtOnce)
 	return &recordsMessage{Records: c.Records, Wanted: c.Wanted}
 }
 
--- a/spread/exchange.go
+++ b/spread/exchange.go
@@ -106,18 +106,18 @@
 func (s *Spread) reconcile(l link, reply digestReply) error {
 	host := reply.Digest.Host
 	past := s.pastOf(host)
-	parts := member.Parts(0)
+	buckets := member.BucketSet(0)
 	if len(reply.Sums) > 0 {
-		s.View(func(v *member.View) { parts = v.Digest().Apart(reply.Sums) })
+		s.View(func(v *member.View) { buckets = v.Digest().Differing(reply.Sums) })
 	}
-	if parts == 0 {
+	if buckets == 0 {
 		return s.send(l, host, recordsMessage{Records: past})
 	}
 	if _, known := s.sums(); known > muchLess*reply.Known {
-		return s.give(l, host, parts, past)
+		return s.give(l, host, buckets, past)
 	}
 	var lacked recordsMessage
-	if err := s.ask(l, host, TopicCompare, s.marks(parts), &lacked); err != nil {
+	if err := s.ask(l, host, TopicCompare, s.marks(buckets), &lacked); err != nil {
 		return err
 	}
 	s.merge(time.Now(), lacked.Records)
@@ -125,9 +125,9 @@
 }
 
 // give reconciles with a node that has much less.
-func (s *Spread) give(l link, host string, parts member.Parts, past []member.Record) error {
+func (s *Spread) give(l link, host string, buckets member.BucketSet, past []member.Record) error {
 	var theirs marksMessage
-	question := marksMessage{Host: s.self().Host, Parts: parts}
+	question := marksMessage{Host: s.self().Host, Buckets: buckets}
 	if err := s.ask(l, host, TopicMarks, &question, &theirs); err != nil {
 		return err
 	}
--- a/spread/message.go
+++ b/spread/message.go
@@ -65,9 +65,9 @@
 // question for marks carries none.
 type marksMessage struct {
 	// Host names the sender.
-	Host  string
-	Parts member.Parts
-	Marks []member.Mark
+	Host    string
+	Buckets member.BucketSet
+	Marks   []member.Mark
 }
 
 // recordsMessage carries member records that the other side lacks, and hashes of
--- a/spread/model_test.go
+++ b/spread/model_test.go
@@ -81,8 +81,8 @@
 // exchange is what two nodes tell each other. It is symmetrical, as the rounds are.
 func (m *model) exchange(from, to int, lost, late bool) {
 	a, b := m.nodes[from], m.nodes[to]
-	parts := a.view.Digest().Apart(b.view.Digest().Sums())
-	records := a.view.Compare(parts, b.view.Marks(parts), 0, 100).Records
+	buckets := a.view.Digest().Differing(b.view.Digest().Sums())
+	records := a.view.Compare(buckets, b.view.Marks(buckets), 0, 100).Records
 	if past, ok := a.view.PastOf(b.name); ok {
 		records = append(records, past)
 	}
--- a/spread/round.go
+++ b/spread/round.go
@@ -18,9 +18,9 @@
 	// of this. Nobody is chosen for it, so that nobody's loss is felt, and what
 	// crosses the zones does not grow with their nodes.
 	farPerRound = 2
-	// stirredRounds is how many times sooner the next round comes while records
+	// hastenFactor is how many times sooner the next round comes while records
 	// are news, and after a round in which nobody answered.
-	stirredRounds = 4
+	hastenFactor = 4
 	// hurry is the time between rounds while the node lacks a table.
 	hurry = 100 * time.Millisecond
 	// seedEvery is how many rounds pass between questions to a seed, so that
@@ -52,7 +52,7 @@
 			s.exchangeAll(s.targets(announceTo))
 		case <-s.ownNews:
 			s.tellAll(s.tellTargets())
-			s.stir()
+			s.hasten()
 			timer.Reset(s.untilNext())
 		case <-timer.C:
 			s.round(number)
@@ -65,8 +65,8 @@
 // that started together do not stay in step.
 func (s *Spread) untilNext() time.Duration {
 	interval := s.settings.Interval
-	if s.takeStirred() {
-		interval /= stirredRounds
+	if s.takeHastened() {
+		interval /= hastenFactor
 	}
 	if s.lacksTable() {
 		interval = min(interval, hurry)
@@ -81,20 +81,20 @@
 	return s.holder.Current() == nil && !confirmed
 }
 
-// stir has the next round come sooner.
-func (s *Spread) stir() {
+// hasten has the next round come sooner.
+func (s *Spread) hasten() {
 	s.mu.Lock()
-	s.stirred = true
+	s.hastened = true
 	s.mu.Unlock()
 }
 
-// takeStirred reports whether the next round should come sooner, once.
-func (s *Spread) takeStirred() bool {
+// takeHastened reports whether the next round should come sooner, once.
+func (s *Spread) takeHastened() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	stirred := s.stirred
-	s.stirred = false
-	return stirred
+	hastened := s.hastened
+	s.hastened = false
+	return hastened
 }
 
 func (s *Spread) jitter(d time.Duration) time.Duration {
@@ -110,7 +110,7 @@
 		targets = append(targets, s.seeds(len(targets) == 0)...)
 	}
 	if s.exchangeAll(targets) == 0 && len(targets) > 0 {
-		s.stir()
+		s.hasten()
 	}
 }
 
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -93,8 +93,8 @@
 	exchanged time.Time
 	// greeted is when a greeting node was last accepted to compare all records.
 	greeted time.Time
-	// stirred says that the next round should come sooner.
-	stirred  bool
+	// hastened says that the next round should come sooner.
+	hastened bool
 	deflated tableReply
 }
 
@@ -219,7 +219,7 @@
 	s.Counters.RecordsReceived.Add(int64(len(records)))
 	s.mu.Lock()
 	news := s.view.Merge(now, records)
-	s.stirred = s.stirred || news
+	s.hastened = s.hastened || news
 	s.mu.Unlock()
 	if news {
 		s.onView()
--- a/spread/spread_test.go
+++ b/spread/spread_test.go
@@ -182,7 +182,7 @@
 func TestLoneGoneNodeAnswers(t *testing.T) {
 	s := newSpread(t, 1000)
 	s.View(func(v *member.View) { v.SetSelfState(member.Gone) })
-	question := marksMessage{Host: "other", Parts: 1, Marks: []member.Mark{{Host: 64, Incarnation: 1}}}
+	question := marksMessage{Host: "other", Buckets: 1, Marks: []member.Mark{{Host: 64, Incarnation: 1}}}
 	if _, _, err := s.Ask(TopicCompare, encode(&question)); err != nil {
 		t.Fatal(err)
 	}
