--- a/peer/dialer.go
+++ b/peer/dialer.go
@@ -169,38 +169,6 @@
 	}
 }
 
-// watchList are the connections that the watch over silent peers has to look at, few
-// of those that are open. The zero value is empty.
-type watchList struct {
-	mu    sync.Mutex
-	conns map[*Conn]struct{}
-}
-
-func (l *watchList) add(c *Conn) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.conns == nil {
-		l.conns = map[*Conn]struct{}{}
-	}
-	l.conns[c] = struct{}{}
-}
-
-// all returns the listed connections, and drops those that need no watch any more.
-func (l *watchList) all() []*Conn {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	conns := make([]*Conn, 0, len(l.conns))
-	for c := range l.conns {
-		// One that gets work in this moment lists itself again.
-		if !c.watched.Load() {
-			delete(l.conns, c)
-			continue
-		}
-		conns = append(conns, c)
-	}
-	return conns
-}
-
 // sweep forgets connections that have ended and closes those that have carried
 // nothing for long. It is called with the lock held.
 func (d *Dialer) sweep(now time.Time) {
--- /dev/null
+++ b/peer/watch.go
@@ -0,0 +1,116 @@
+// SPDX-License-Identifier: MIT
+
+package peer
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ryehaven/ryehaven/wire"
+)
+
+// Times of the watch over silent peers.
+const (
+	// PingAfter is how long a peer with outstanding work may be silent before
+	// it is pinged.
+	PingAfter = 20 * time.Millisecond
+	// SuspectAfter is how long a ping may stay unanswered.
+	SuspectAfter = 60 * time.Millisecond
+)
+
+// suspicion is closed when the peer is suspected and replaced when it speaks.
+type suspicion struct {
+	raised chan struct{}
+	is     atomic.Bool
+}
+
+func newSuspicion() *suspicion { return &suspicion{raised: make(chan struct{})} }
+
+// Suspected returns a channel that is closed when the peer is suspected.
+func (c *Conn) Suspected() <-chan struct{} { return c.suspicion.Load().raised }
+
+// IsSuspected reports whether the peer is silent while it has work.
+func (c *Conn) IsSuspected() bool { return c.suspicion.Load().is.Load() }
+
+// Check pings or suspects a peer that has outstanding work and is silent.
+func (c *Conn) Check(now time.Time) { c.check(now, PingAfter, SuspectAfter) }
+
+func (c *Conn) check(now time.Time, pingAfter, suspectAfter time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.err != nil || (len(c.calls) == 0 && !c.IsSuspected()) {
+		c.pingSent = time.Time{}
+		c.watched.Store(false)
+		return
+	}
+	heard := c.opened.Add(time.Duration(c.lastReceived.Load()))
+	if !c.pingSent.IsZero() && heard.Before(c.pingSent) {
+		if now.Sub(c.pingSent) >= suspectAfter {
+			c.suspect()
+		}
+		return
+	}
+	c.pingSent = time.Time{}
+	if now.Sub(heard) >= pingAfter && now.Sub(c.busySince) >= pingAfter {
+		c.pingSent = now
+		c.pings++
+		_ = c.w.send(&wire.Ping{Seq: c.pings})
+	}
+}
+
+// Excuse forgets a ping that is under way, after a jump of this node's clock.
+func (c *Conn) Excuse() {
+	c.mu.Lock()
+	c.pingSent = time.Time{}
+	c.mu.Unlock()
+}
+
+func (c *Conn) suspect() {
+	s := c.suspicion.Load()
+	if s.is.CompareAndSwap(false, true) {
+		c.counters.Suspicions.Add(1)
+		close(s.raised)
+		c.hooks.changed()
+	}
+}
+
+func (c *Conn) heard() {
+	c.lastReceived.Store(int64(time.Since(c.opened)))
+	if c.IsSuspected() {
+		c.suspicion.Store(newSuspicion())
+		c.hooks.changed()
+	}
+}
+
+// watchList are the connections that the watch over silent peers has to look at, few
+// of those that are open. The zero value is empty.
+type watchList struct {
+	mu    sync.Mutex
+	conns map[*Conn]struct{}
+}
+
+func (l *watchList) add(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conns == nil {
+		l.conns = map[*Conn]struct{}{}
+	}
+	l.conns[c] = struct{}{}
+}
+
+// all returns the listed connections, and drops those that need no watch any more.
+func (l *watchList) all() []*Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	conns := make([]*Conn, 0, len(l.conns))
+	for c := range l.conns {
+		// One that gets work in this moment lists itself again.
+		if !c.watched.Load() {
+			delete(l.conns, c)
+			continue
+		}
+		conns = append(conns, c)
+	}
+	return conns
+}
--- a/spread/directory.go
+++ b/spread/directory.go
@@ -18,9 +18,9 @@
 	// meetLimit is how long a node that starts tries to reach one of its neighbors
 	// in the store's list before it reads the whole list: they may all be away.
 	meetLimit = time.Second
-	// backoffRegister bounds it for a node that nobody may know yet, and
-	// registerLimit each of its calls, so that it is listed within two seconds
-	// of the store's return.
+	// backoffRegister bounds the wait after a failed call of a node that nobody may
+	// know yet, and registerLimit each of its calls, so that it is listed within two
+	// seconds of the store's return.
 	backoffRegister = time.Second
 	registerLimit   = 600 * time.Millisecond
 )
