event, spread: what stood twice stands once

Belief, Member and Members each had the same two methods that say that a line is about no request and always wanted; five tests of the fleet began with the same six lines. An embedded type and startFleet hold them now. Ruled out: the other six pairs, which are imports, tables of constants or the test servers of two packages that may not use each other's tests.

Behaviour is as before: the tests of event, explain, spread and of the line that adds members up pass unchanged but for those first lines.

--- a/event/event.go
+++ b/event/event.go
@@ -224,6 +224,16 @@
 	return nil
 }
 
+// standalone is part of events that are about no single request: they are always
+// written, as far as the rate allows.
+type standalone struct{}
+
+// Key implements Event.
+func (standalone) Key() string { return "" }
+
+// Unusual implements Event.
+func (standalone) Unusual() bool { return true }
+
 // What a server may be taken for.
 const (
 	Ejected   = "ejected"
@@ -233,6 +243,8 @@
 
 // Belief is a change of what a node believes of a server.
 type Belief struct {
+	standalone
+
 	Service string
 	Server  string
 	Node    string
@@ -245,12 +257,6 @@
 // Message implements Event.
 func (*Belief) Message() string { return "belief" }
 
-// Key implements Event.
-func (*Belief) Key() string { return "" }
-
-// Unusual implements Event.
-func (*Belief) Unusual() bool { return true }
-
 // MarshalLogObject implements zapcore.ObjectMarshaler.
 func (b *Belief) MarshalLogObject(e zapcore.ObjectEncoder) error {
 	e.AddString("service", b.Service)
@@ -263,6 +269,8 @@
 
 // Member is a change of what a node knows of another.
 type Member struct {
+	standalone
+
 	Host        string
 	Address     string
 	Incarnation uint64
@@ -275,12 +283,6 @@
 // Message implements Event.
 func (*Member) Message() string { return "member" }
 
-// Key implements Event.
-func (*Member) Key() string { return "" }
-
-// Unusual implements Event.
-func (*Member) Unusual() bool { return true }
-
 // MarshalLogObject implements zapcore.ObjectMarshaler.
 func (m *Member) MarshalLogObject(e zapcore.ObjectEncoder) error {
 	e.AddString("member", m.Host)
@@ -297,6 +299,8 @@
 // Members sums up changes of what a node knows of many others at once, as after a
 // start, which would otherwise take the place of all other lines.
 type Members struct {
+	standalone
+
 	// Changed is how many records changed, and Known how many there are now.
 	Changed, Known int
 	// New of the changed were unknown before, Restarted are new lives of known
@@ -310,12 +314,6 @@
 // Message implements Event.
 func (*Members) Message() string { return "members" }
 
-// Key implements Event.
-func (*Members) Key() string { return "" }
-
-// Unusual implements Event.
-func (*Members) Unusual() bool { return true }
-
 // MarshalLogObject implements zapcore.ObjectMarshaler.
 func (m *Members) MarshalLogObject(e zapcore.ObjectEncoder) error {
 	e.AddInt("changed", m.Changed)
--- a/spread/fleet_test.go
+++ b/spread/fleet_test.go
@@ -168,16 +168,24 @@
 	fleetZones = 5
 )
 
+// startFleet returns a fleet whose nodes hold a table and exchange; stop ends it.
+func startFleet(t *testing.T) (f *fleet, wait *sync.WaitGroup) {
+	t.Helper()
+	f, wait = newFleet(fleetNodes, fleetZones), new(sync.WaitGroup)
+	for _, n := range f.nodes {
+		n.spread.holder.Offer(snapshot(t, 1, "x"), "test")
+		n.run(wait)
+	}
+	return f, wait
+}
+
 // A whole fleet that starts at once, servers announcing themselves over the first
 // second and a half, agrees within seconds, and what crosses the zones is bounded:
 // each record must reach four other zones once, about 100 bytes each time.
 func TestFleetAgreesSoonAndCheaply(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(fleetNodes, fleetZones)
-		var wait sync.WaitGroup
+		f, wait := startFleet(t)
 		for _, n := range f.nodes {
-			n.spread.holder.Offer(snapshot(t, 1, "x"), "test")
-			n.run(&wait)
 			wait.Go(func() {
 				time.Sleep(time.Duration(rand.Int64N(int64(1500 * time.Millisecond))))
 				n.announceServer("i-" + n.record.Host)
@@ -198,7 +206,7 @@
 		if most := int64(10 * fleetZones * 4 * farPerRound * 100); calm > most {
 			t.Errorf("%d bytes crossed while nothing changed, more than %d", calm, most)
 		}
-		f.stop(&wait)
+		f.stop(wait)
 	})
 }
 
@@ -206,12 +214,7 @@
 // reaches all that live: no node is needed for it.
 func TestNewsCrossesZonesWhoeverDies(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(fleetNodes, fleetZones)
-		var wait sync.WaitGroup
-		for _, n := range f.nodes {
-			n.spread.holder.Offer(snapshot(t, 1, "x"), "test")
-			n.run(&wait)
-		}
+		f, wait := startFleet(t)
 		f.agree(t, 8*time.Second)
 		f.mu.Lock()
 		for i, n := range f.nodes {
@@ -222,19 +225,14 @@
 		f.mu.Unlock()
 		f.nodes[0].announceServer("i-after")
 		t.Logf("agreed after %v", f.agree(t, 30*time.Second))
-		f.stop(&wait)
+		f.stop(wait)
 	})
 }
 
 // Two zones are cut off from the others, both sides change, and the cut ends.
 func TestZonesMeetAgainAfterACut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(fleetNodes, fleetZones)
-		var wait sync.WaitGroup
-		for _, n := range f.nodes {
-			n.spread.holder.Offer(snapshot(t, 1, "x"), "test")
-			n.run(&wait)
-		}
+		f, wait := startFleet(t)
 		f.agree(t, 8*time.Second)
 		side := func(zone string) bool { return zone == "zone-0" || zone == "zone-1" }
 		f.mu.Lock()
@@ -251,7 +249,7 @@
 		f.cut = nil
 		f.mu.Unlock()
 		t.Logf("agreed %v after the cut", f.agree(t, 12*time.Second))
-		f.stop(&wait)
+		f.stop(wait)
 	})
 }
 
@@ -260,11 +258,8 @@
 // not take everything from each.
 func TestNodeMetByManyLearnsOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(fleetNodes, fleetZones)
-		var wait sync.WaitGroup
+		f, wait := startFleet(t)
 		for _, n := range f.nodes {
-			n.spread.holder.Offer(snapshot(t, 1, "x"), "test")
-			n.run(&wait)
 			n.announceServer("i-" + n.record.Host)
 		}
 		f.agree(t, 8*time.Second)
@@ -272,7 +267,7 @@
 		old.cancel()
 		f.nodes = append(f.nodes[:7], f.nodes[8:]...)
 		fresh := f.add(7, 200, fleetZones)
-		fresh.run(&wait)
+		fresh.run(wait)
 		before := f.farBytes()
 		who := peer.Identity{Host: fresh.record.Host, Incarnation: 200}
 		for _, n := range f.nodes[:len(f.nodes)-1] {
@@ -298,7 +293,7 @@
 		if received > 4*fleetNodes {
 			t.Errorf("the new node received %d records of %d nodes", received, fleetNodes)
 		}
-		f.stop(&wait)
+		f.stop(wait)
 	})
 }
 
@@ -306,12 +301,7 @@
 // node alone hears of it.
 func TestTableCrossesZonesSoon(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(fleetNodes, fleetZones)
-		var wait sync.WaitGroup
-		for _, n := range f.nodes {
-			n.spread.holder.Offer(snapshot(t, 1, "x"), "test")
-			n.run(&wait)
-		}
+		f, wait := startFleet(t)
 		f.agree(t, 8*time.Second)
 		began := time.Now()
 		f.nodes[3].spread.offer(snapshot(t, 2, "y"), "test")
@@ -327,6 +317,6 @@
 		if time.Since(began) > 3*time.Second {
 			t.Errorf("in force everywhere only after %v", time.Since(began))
 		}
-		f.stop(&wait)
+		f.stop(wait)
 	})
 }
