--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -238,5 +238,5 @@
 	if r.Window == 0 {
 		return retry.Terms{}
 	}
-	return retry.Terms{Share: r.Share, Extra: float64(r.Extra), Window: r.Window, MostSends: mostSends}
+	return retry.Terms{Share: r.Share, Extra: r.Extra, Window: r.Window, MostSends: mostSends}
 }
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -82,7 +82,7 @@
 	{"sidecar.measure_after_ms", "how long after its last answer the server is measured; 0 by the row's rate alone", false, millis(func(s *Settings) *time.Duration { return &s.Sidecar.MeasureAfter }, 0, 60_000)},
 	{"sidecar.probes_per_s", "most measuring calls a second that the server may get; 0 allows none before requests", false, number(func(s *Settings) *float64 { return &s.Sidecar.ProbesPerSecond }, 0, 1000)},
 	{"retries.share", "share of a service's requests that may reach a second server, over all nodes", false, number(func(s *Settings) *float64 { return &s.Retries.Share }, 0, 10)},
-	{"retries.extra", "how many more may in each window", false, integer(func(s *Settings) *int { return &s.Retries.Extra }, 0, 1_000_000)},
+	{"retries.extra", "how many more may in each window", false, number(func(s *Settings) *float64 { return &s.Retries.Extra }, 0, 1e6)},
 	{"retries.window_ms", "the window of the two; 0 leaves retries to the table", false, millis(func(s *Settings) *time.Duration { return &s.Retries.Window }, 0, 3_600_000)},
 	{"log.level", "debug, info, warn or error", false, oneOf(func(s *Settings) *string { return &s.Log.Level }, "debug", "info", "warn", "error")},
 	{"log.requests", "of how many requests that went well one is written; 0 of none", false, integer(func(s *Settings) *int { return &s.Log.Requests }, 0, 1_000_000)},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -64,7 +64,7 @@
 type Retries struct {
 	// Share of the fresh requests of a service within Window, beside Extra.
 	Share  float64
-	Extra  int
+	Extra  float64
 	Window time.Duration
 }
 
