store, spread, node, command: availability zones can be evacuated

The state has a version and lies in the store. Two nodes of each zone watch it; it rides on the digests that nodes exchange anyway, so that the calls do not grow with the nodes. Entries leave out the servers of such zones, and the gates beside them refuse as not run. At the end a server counts as cold until it has said otherwise. 'ryehaven evacuate', status.

--- a/cmd/ryehaven/main.go
+++ b/cmd/ryehaven/main.go
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: MIT
 
 // Command ryehaven is the operators' tool: it checks, shows, compares and
-// applies the table, drains servers, and reads nodes.
+// applies the table, drains servers, evacuates availability zones, and reads nodes.
 //
 // Exit codes: 0 done, 1 failed or the table has faults, 2 wrong command line,
 // 3 another operator changed the table first, 4 the platform stayed away and
@@ -40,6 +40,7 @@
 	Diff     diffCommand     `cmd:"" help:"Compare a table with the one in the platform's service."`
 	Apply    applyCommand    `cmd:"" help:"Put a table into the platform's service."`
 	Drain    drainCommand    `cmd:"" help:"Mark a backend server as leaving, or take that back."`
+	Evacuate evacuateCommand `cmd:"" help:"Ask that the backend servers of an availability zone get nothing, or take that back."`
 	Status   statusCommand   `cmd:"" help:"Print what nodes say of themselves."`
 	Burn     burnCommand     `cmd:"" help:"Print the service-level burn of all nodes."`
 	Settings settingsCommand `cmd:"" help:"List the keys of a node's settings file as a table in Markdown."`
--- a/cmd/ryehaven/read.go
+++ b/cmd/ryehaven/read.go
@@ -50,10 +50,10 @@
 
 func printStatus(all []query.Status) {
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "HOST\tZONE\tSTATE\tGENERATION\tCONFIRMED\tNODES\tUNREACHABLE")
+	fmt.Fprintln(w, "HOST\tZONE\tSTATE\tGENERATION\tCONFIRMED\tNODES\tUNREACHABLE\tEVACUATED ZONES")
 	for _, s := range all {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%d\t%s\n", s.Host, s.Zone, s.State, s.Generation,
-			confirmed(s.ConfirmedMillis), s.Nodes, strings.Join(s.Unreachable, ","))
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%d\t%s\t%s\n", s.Host, s.Zone, s.State, s.Generation,
+			confirmed(s.ConfirmedMillis), s.Nodes, strings.Join(s.Unreachable, ","), strings.Join(s.Evacuated, ","))
 	}
 	fmt.Fprintln(w, "\nHOST\tSERVER\tIN FLIGHT\tQUEUED\tLIMIT\tSERVICE TIME\tDRAINING")
 	for _, s := range all {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -32,6 +32,8 @@
 	DrainServer
 	// DrainHost: the platform lists the host as leaving.
 	DrainHost
+	// DrainZone: the host's availability zone is evacuated.
+	DrainZone
 )
 
 // Settings of a gate that do not come from its row.
@@ -196,6 +198,9 @@
 	if before == 0 && g.drain != 0 {
 		g.drainSince = now
 	}
+	if before != 0 && g.drain == 0 {
+		g.doubt(now) // It may have turned cold while it had nothing to do.
+	}
 	g.queue.SetDraining(g.drain != 0)
 }
 
--- a/node/admin.go
+++ b/node/admin.go
@@ -100,6 +100,7 @@
 			s.Members = append(s.Members, memberStatus(r))
 		}
 	})
+	s.Evacuated = n.spread.Evacuations().Names()
 	s.Gates = n.gateStatus()
 	return s
 }
--- a/node/apply.go
+++ b/node/apply.go
@@ -55,20 +55,21 @@
 		}
 	})
 	n.recordMembers(records)
+	evacuated := n.spread.Evacuations()
 	n.entry.Update(now, n.applied.Table, entry.Sources{
 		Place: func(s *table.Server) (entry.Place, bool) {
 			r, ok := records[s.Host]
 			return entry.Place{
 				Node:     r.Address,
 				Distance: n.distance(self, r),
-				Leaving:  r.State != member.Live,
+				Leaving:  r.State != member.Live || evacuated.Has(r.Zone),
 			}, ok
 		},
-		Announced: func(service string) []balance.Spec { return n.announced(self, records, service) },
+		Announced: func(service string) []balance.Spec { return n.announced(self, records, evacuated, service) },
 		Nodes:     working,
 		Terms:     n.terms(),
 	})
-	n.refreshGates(now, leaving)
+	n.refreshGates(now, leaving, evacuated.Has(self.Zone))
 }
 
 func (n *Node) distance(self, other member.Record) time.Duration {
@@ -81,7 +82,7 @@
 	return 0
 }
 
-func (n *Node) refreshGates(now time.Time, hostLeaving bool) {
+func (n *Node) refreshGates(now time.Time, hostLeaving, zoneEvacuated bool) {
 	rows := map[gateKey]table.Server{}
 	for _, row := range n.applied.Table.OnHost(n.settings.Host) {
 		rows[gateKey{row.Service, row.Name}] = *row
@@ -108,6 +109,7 @@
 		g.Announced(n.registry.ColdUntil())
 		g.SetCallSlots(n.callSlots(key))
 		g.SetDrain(gate.DrainHost, hostLeaving, now)
+		g.SetDrain(gate.DrainZone, zoneEvacuated, now)
 		g.SetDrain(gate.DrainNode, n.draining.Load(), now)
 	}
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -128,6 +128,8 @@
 		metric.Count("spread_near_bytes", "bytes", "questions and replies about records sent within the availability zone", &c.NearBytes),
 		metric.Count("spread_far_bytes", "bytes", "questions and replies about records sent to other zones", &c.FarBytes),
 		metric.Count("platform_reads", "calls", "reads and watches at the platform", &c.PlatformReads),
+		metric.Count("evacuations_taken", "changes", "changes of the evacuated availability zones", &c.EvacuationsTaken),
+		metric.Count("evacuations_bad", "states", "states of evacuations that did not pass their checks", &c.BadEvacuations),
 		metric.Count("platform_errors", "calls", "reads and watches that failed", &c.PlatformErrors),
 		{Name: "table_generation", Unit: "generation", Meaning: "generation in force", Value: func() int64 {
 			generation, _ := n.holder.Generation()
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -13,6 +13,7 @@
 	"github.com/ryehaven/ryehaven/gate"
 	"github.com/ryehaven/ryehaven/member"
 	"github.com/ryehaven/ryehaven/retry"
+	"github.com/ryehaven/ryehaven/store"
 	"github.com/ryehaven/ryehaven/table"
 )
 
@@ -148,7 +149,7 @@
 func (n *Node) Ready() bool { return n.entry.Ready() && !n.stopping.Load() }
 
 // announced returns the servers of a service that the nodes tell of.
-func (n *Node) announced(self member.Record, records map[string]member.Record, service string) []balance.Spec {
+func (n *Node) announced(self member.Record, records map[string]member.Record, evacuated store.Evacuations, service string) []balance.Spec {
 	var specs []balance.Spec
 	for _, r := range records {
 		if r.Server.ID == "" || r.Server.Service != service {
@@ -160,7 +161,7 @@
 			Weight:   1,
 			Slots:    n.usedSlots(r.Server.Slots),
 			Distance: n.distance(self, r),
-			Leaving:  r.State != member.Live || r.Server.State != member.Live,
+			Leaving:  r.State != member.Live || r.Server.State != member.Live || evacuated.Has(r.Zone),
 		}
 		if r.Zone != self.Zone {
 			spec.Factor = n.settings.Distance.Factor
--- a/query/query.go
+++ b/query/query.go
@@ -41,7 +41,9 @@
 	ConfirmedMillis int64    `json:"confirmed_ms"`
 	Nodes           int      `json:"nodes"`
 	Unreachable     []string `json:"unreachable,omitempty"`
-	Gates           []Gate   `json:"gates"`
+	// Evacuated are the availability zones whose servers are to get nothing.
+	Evacuated []string `json:"evacuated,omitempty"`
+	Gates     []Gate   `json:"gates"`
 	// Members are the nodes that this one knows, with the servers that announced
 	// themselves to them.
 	Members []Member `json:"members"`
--- /dev/null
+++ b/spread/evacuate.go
@@ -0,0 +1,108 @@
+// SPDX-License-Identifier: MIT
+
+package spread
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ryehaven/ryehaven/store"
+)
+
+// Evacuations returns the evacuations in force at this node.
+func (s *Spread) Evacuations() store.Evacuations {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.evacuations
+}
+
+// runEvacuations keeps the evacuations in step with the platform. A few nodes of each
+// zone watch them; all others hear of them with the digests, within some rounds, so
+// that the calls do not grow with the nodes. Whoever hears from nobody looks itself.
+func (s *Spread) runEvacuations(ctx context.Context) {
+	sleep(ctx, decideLimit) // By then the node knows whether it is one of the few.
+	tag := ""
+	backoff := time.Duration(0)
+	for ctx.Err() == nil {
+		if s.rank() >= watchers && !s.isolated(time.Now()) {
+			tag = "" // What it missed meanwhile may be out of the history.
+			sleep(ctx, s.jitter(checkEvery))
+			continue
+		}
+		next, err := s.readEvacuations(ctx, tag)
+		if err != nil {
+			backoff = min(max(2*backoff, backoffFirst), backoffWatcher)
+			sleep(ctx, s.jitter(backoff))
+			continue
+		}
+		tag, backoff = next, 0
+	}
+}
+
+// readEvacuations reads the evacuations at once if tag is blank, and else waits for
+// another version. It returns the tag to go on from.
+func (s *Spread) readEvacuations(ctx context.Context, tag string) (string, error) {
+	wait := s.settings.WatchWait
+	if tag == "" {
+		wait = 0
+	}
+	s.Counters.PlatformReads.Add(1)
+	o, changed, err := s.platform.Watch(ctx, store.EvacuationsKey, tag, wait)
+	s.noteStore(ctx, err)
+	if errors.Is(err, store.ErrNotFound) {
+		sleep(ctx, s.jitter(s.settings.WatchWait)) // Nobody has ever evacuated a zone.
+		return "", nil
+	}
+	if err != nil {
+		s.Counters.PlatformErrors.Add(1)
+		return tag, err
+	}
+	if changed {
+		e, err := store.DecodeEvacuations(o.Body)
+		if err != nil {
+			s.badEvacuations("platform", err)
+			return tag, err
+		}
+		s.offerEvacuations(e, "platform")
+	}
+	return o.Tag, nil
+}
+
+// offerEvacuations takes a state that is newer than the one held, and tells others.
+func (s *Spread) offerEvacuations(e store.Evacuations, source string) {
+	s.mu.Lock()
+	held := s.evacuations
+	newer := e.Version > held.Version
+	if newer {
+		s.evacuations = e
+	}
+	s.mu.Unlock()
+	if !newer || e.Same(held) {
+		return // What was read again only shows older states to be older.
+	}
+	s.hasNews()
+	s.Counters.EvacuationsTaken.Add(1)
+	s.log.Info("evacuations in force",
+		zap.Strings("zones", e.Names()),
+		zap.Uint64("version", e.Version),
+		zap.String("source", source))
+	s.onView()
+}
+
+// learnEvacuations takes what another node holds.
+func (s *Spread) learnEvacuations(d digest) {
+	if err := d.Evacuations.Check(); err != nil {
+		s.badEvacuations("node "+d.Host, err)
+		return
+	}
+	s.offerEvacuations(d.Evacuations, "node "+d.Host)
+}
+
+func (s *Spread) badEvacuations(source string, err error) {
+	if s.Counters.BadEvacuations.Add(1) == 1 {
+		s.log.Warn("evacuations refused, those before stay in force", zap.String("source", source), zap.Error(err))
+	}
+}
--- a/spread/message.go
+++ b/spread/message.go
@@ -11,6 +11,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/ryehaven/ryehaven/member"
+	"github.com/ryehaven/ryehaven/store"
 	"github.com/ryehaven/ryehaven/table"
 	"github.com/ryehaven/ryehaven/wire"
 )
@@ -45,6 +46,9 @@
 	// It wants its record, and compares records only with a node that knows
 	// nobody else.
 	Greeting bool
+	// Evacuations are those in force at the sender: a few bytes, so that they need no
+	// question of their own.
+	Evacuations store.Evacuations
 }
 
 // hashStart is how much of a table's hash a digest holds, in characters.
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -50,6 +50,9 @@
 	TablesPulled, TablesServed, TablesDeferred atomic.Int64
 	// BadTables counts tables that did not pass their checks.
 	BadTables atomic.Int64
+	// EvacuationsTaken counts changes of the evacuations in force, BadEvacuations
+	// states that did not pass their checks.
+	EvacuationsTaken, BadEvacuations atomic.Int64
 	// RecordsReceived counts member records.
 	RecordsReceived atomic.Int64
 	// NearBytes and FarBytes count the bytes of questions and replies sent to
@@ -82,10 +85,12 @@
 	// reached tells when the store is lost and regained.
 	reached dependency
 
-	mu        sync.Mutex
-	view      *member.View
-	rng       *rand.Rand
-	confirmed time.Time
+	mu   sync.Mutex
+	view *member.View
+	rng  *rand.Rand
+	// evacuations are those in force.
+	evacuations store.Evacuations
+	confirmed   time.Time
 	// ownConfirmed is when this node confirmed it, and othersConfirmed when
 	// another one did.
 	ownConfirmed, othersConfirmed time.Time
@@ -170,6 +175,7 @@
 		ConfirmedMillis: -1,
 		Root:            s.view.Digest().Root(),
 		Host:            s.view.Self().Host,
+		Evacuations:     s.evacuations,
 	}
 	if !s.confirmed.IsZero() {
 		d.ConfirmedMillis = now.Sub(s.confirmed).Milliseconds()
@@ -179,6 +185,7 @@
 
 // learn takes what a digest says about the sender and the confirmation.
 func (s *Spread) learn(now time.Time, d digest) {
+	s.learnEvacuations(d)
 	generation, _ := s.holder.Generation()
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/store/store.go
+++ b/store/store.go
@@ -79,6 +79,8 @@
 const (
 	// TableKey holds an Envelope.
 	TableKey = "ryehaven/table"
+	// EvacuationsKey holds Evacuations.
+	EvacuationsKey = "ryehaven/evacuations"
 	// HostsKey holds the platform's list of hosts, a JSON array of Host.
 	HostsKey = "hosts"
 )
