peer, sock, announce, node: silent connections, late announcements, accepts that fail

After a second of silence another connection is tried; if the node answers there it takes the place, and what was under way on the old one ends. A node that stands still keeps its connection (its kernel answers, it does not). Connections to the store and to servers, and both ends between nodes, are given up by keep-alive and a bound on unacknowledged bytes after 3 s: a watch of 25 s on a silent connection would have heard of nothing. - The announcement of a crashed server that arrives after another has registered there took its place where the node had started anew in between, and the other one, having been replaced, could never come back. An ID that was never heard of is now checked by asking who stands at the address. If nobody answers, it is taken the second time. - A node that ran out of descriptors for a moment ended: the HTTP server gives up at an error of accept. Such errors are counted, logged and waited out.

Ruled out: closing a connection as soon as its peer is suspected (a frozen node's answers would be lost), taking the higher number of announcements (a new server starts at 1). The proxy for tests can silence what is open.

--- a/announce/doc.go
+++ b/announce/doc.go
@@ -15,6 +15,10 @@
 // Announcements of one ID carry a number that rises with each; an older one
 // changes nothing. The state only rises: ready, draining, gone.
 //
+// An ID that was never heard of may be older than the current one all the same, where
+// the node has started anew in between. [Registry.Disputes] names such announcements;
+// who answers at the address decides.
+//
 // # A node that starts anew
 //
 // A Registry starts empty. [Registry.Remember] takes what other nodes remember
--- a/announce/registry.go
+++ b/announce/registry.go
@@ -85,6 +85,23 @@
 	return r.current != before, nil
 }
 
+// Disputes reports whether an announcement is of a server that this registry has not
+// heard of, while another is current and has not said that it leaves. Either the
+// current one has crashed and this one stands in its place, or this one has crashed
+// before the current one came and its announcement is late.
+func (r *Registry) Disputes(a Announcement) bool {
+	return r.current.ID != "" && r.current.State == member.Live && a.ID != r.current.ID &&
+		!r.ended[a.ID] && a.ID != r.lost && (r.Service == "" || a.Service == r.Service)
+}
+
+// Deny takes the word of the server at the address that it is the current one, so that
+// a server which disputed that has ended.
+func (r *Registry) Deny(id string) {
+	if id != r.current.ID {
+		r.end(id)
+	}
+}
+
 // Blank reports whether no server was ever known in this life of the node.
 func (r *Registry) Blank() bool {
 	return r.current.ID == "" && r.lost == "" && len(r.ended) == 0
--- a/announce/registry_test.go
+++ b/announce/registry_test.go
@@ -180,3 +180,36 @@
 		t.Errorf("after others remembered its leaving: %+v", told.Current())
 	}
 }
+
+// Only a server that was never heard of, and that stands in place of one that is live,
+// is disputed.
+func TestDisputes(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		before func(r *Registry)
+		id     string
+		want   bool
+	}{
+		{"nobody is known", func(*Registry) {}, "b", false},
+		{"itself", func(r *Registry) { mustAnnounce(t, r, ready("b", 1)) }, "b", false},
+		{"another is live", func(r *Registry) { mustAnnounce(t, r, ready("a", 1)) }, "b", true},
+		{"another was found", func(r *Registry) { r.Found(member.Server{ID: "a"}, time.Time{}) }, "b", true},
+		{"another leaves", func(r *Registry) { mustAnnounce(t, r, draining("a", 1)) }, "b", false},
+		{"another has gone", func(r *Registry) { mustAnnounce(t, r, ready("a", 1)); r.Leave("a") }, "b", false},
+		{"it was replaced", func(r *Registry) { mustAnnounce(t, r, ready("b", 1)); mustAnnounce(t, r, ready("a", 1)) }, "b", false},
+		{"it was denied", func(r *Registry) { mustAnnounce(t, r, ready("a", 1)); r.Deny("b") }, "b", false},
+	} {
+		var r Registry
+		test.before(&r)
+		if got := r.Disputes(ready(test.id, 1)); got != test.want {
+			t.Errorf("%s: %v, want %v", test.name, got, test.want)
+		}
+	}
+	var r Registry
+	mustAnnounce(t, &r, ready("a", 1))
+	r.Deny("b")
+	mustAnnounce(t, &r, ready("b", 9))
+	if r.Current().ID != "a" {
+		t.Errorf("current is %+v after the announcement of one that was denied", r.Current())
+	}
+}
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -139,7 +139,7 @@
 	}
 	p.open++
 	p.mu.Unlock()
-	nc, err := net.DialTimeout("tcp", p.Address, p.DialLimit)
+	nc, err := sock.Dial(p.Address, p.DialLimit)
 	if err != nil {
 		p.mu.Lock()
 		p.open--
--- a/gate/measure.go
+++ b/gate/measure.go
@@ -139,21 +139,43 @@
 // nobody could tell; ok is false unless a server that takes work has answered with
 // its ID and its slots.
 func Find(address, path, service string, dialect *header.Dialect, limit time.Duration) (found Found, ok bool) {
-	if dialect.ServerID == "" {
+	answer, ok := askAddress(address, path, service, dialect, limit)
+	if !ok || answer.StatusCode() != fasthttp.StatusOK {
+		return Found{}, false
+	}
+	load, ok := header.ParseLoad(string(answer.Header.Peek(dialect.Load)))
+	if !ok || load.Slots == 0 {
 		return Found{}, false
 	}
+	found = Found{ID: string(answer.Header.Peek(dialect.ServerID)), Slots: load.Slots}
+	if dialect.Cold != "" {
+		found.Cold, _ = header.ParseCold(string(answer.Header.Peek(dialect.Cold))) // The gate asks again.
+	}
+	return found, found.ID != ""
+}
+
+// Who asks whoever stands at a server's address for its ID, whether it takes work or
+// not; it is blank if nobody answers.
+func Who(address, path, service string, dialect *header.Dialect, limit time.Duration) string {
+	answer, ok := askAddress(address, path, service, dialect, limit)
+	if !ok {
+		return ""
+	}
+	return string(answer.Header.Peek(dialect.ServerID))
+}
+
+// askAddress puts a measuring call over a connection of its own and returns the head
+// of the answer.
+func askAddress(address, path, service string, dialect *header.Dialect, limit time.Duration) (*fasthttp.Response, bool) {
+	if dialect.ServerID == "" {
+		return nil, false
+	}
 	server := &backend.Pool{Address: address, MaxConns: 1, DialLimit: limit}
 	defer server.Close()
 	exchange, err := ask(server, path, service, limit)
 	if err != nil {
-		return Found{}, false
+		return nil, false
 	}
 	defer exchange.Finish(false)
-	answer := &exchange.Response
-	load, told := header.ParseLoad(string(answer.Header.Peek(dialect.Load)))
-	found = Found{ID: string(answer.Header.Peek(dialect.ServerID)), Slots: load.Slots}
-	if cold, ok := header.ParseCold(string(answer.Header.Peek(dialect.Cold))); ok && dialect.Cold != "" {
-		found.Cold = cold
-	}
-	return found, told && answer.StatusCode() == fasthttp.StatusOK && found.ID != "" && found.Slots > 0
+	return &exchange.Response, true
 }
--- a/internal/faultproxy/faultproxy.go
+++ b/internal/faultproxy/faultproxy.go
@@ -1,13 +1,14 @@
 // SPDX-License-Identifier: MIT
 
 // Package faultproxy is a small TCP proxy that injects faults between two
-// processes: cuts, one-way cuts, delay and drip. docs/design/proofs.md says
+// processes: cuts, one-way cuts, delay, drip and connections that go silent for good. docs/design/proofs.md says
 // why it is our own.
 package faultproxy
 
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -38,6 +39,14 @@
 	changed chan struct{}
 	conns   map[net.Conn]struct{}
 	closed  bool
+	// pairs are the connections passed on now.
+	pairs map[*pair]struct{}
+}
+
+// pair is a connection that is passed on.
+type pair struct {
+	// silent says that neither side hears of the other any more, not even its end.
+	silent atomic.Bool
 }
 
 // New listens on a free port of loopback. Connections are refused until
@@ -47,7 +56,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: listener, changed: make(chan struct{}), conns: map[net.Conn]struct{}{}}
+	p := &Proxy{listener: listener, changed: make(chan struct{}), conns: map[net.Conn]struct{}{}, pairs: map[*pair]struct{}{}}
 	go p.accept()
 	return p, nil
 }
@@ -76,6 +85,17 @@
 	}
 }
 
+// Silence makes every connection that is open now silent for good, as a device does
+// that has forgotten it. New ones work. It returns how many there were.
+func (p *Proxy) Silence() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.pairs {
+		c.silent.Store(true)
+	}
+	return len(p.pairs)
+}
+
 // Close ends the proxy and its connections.
 func (p *Proxy) Close() {
 	p.listener.Close()
@@ -116,28 +136,35 @@
 		return
 	}
 	defer accepting.Close()
-	if !p.add(dialing, accepting) {
+	c := new(pair)
+	if !p.add(c, dialing, accepting) {
 		return
 	}
-	defer p.remove(dialing, accepting)
+	defer p.remove(c, dialing, accepting)
 	var both sync.WaitGroup
-	both.Go(func() { p.pass(dialing, accepting, func(f Fault) bool { return f.HoldForward }) })
-	both.Go(func() { p.pass(accepting, dialing, func(f Fault) bool { return f.HoldBackward }) })
+	both.Go(func() {
+		p.pass(dialing, accepting, func(f Fault) bool { return f.HoldForward || c.silent.Load() })
+	})
+	both.Go(func() {
+		p.pass(accepting, dialing, func(f Fault) bool { return f.HoldBackward || c.silent.Load() })
+	})
 	both.Wait()
 }
 
-func (p *Proxy) add(conns ...net.Conn) bool {
+func (p *Proxy) add(both *pair, conns ...net.Conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.pairs[both] = struct{}{}
 	for _, c := range conns {
 		p.conns[c] = struct{}{}
 	}
 	return !p.closed
 }
 
-func (p *Proxy) remove(conns ...net.Conn) {
+func (p *Proxy) remove(both *pair, conns ...net.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	delete(p.pairs, both)
 	for _, c := range conns {
 		delete(p.conns, c)
 	}
--- a/internal/faultproxy/faultproxy_test.go
+++ b/internal/faultproxy/faultproxy_test.go
@@ -89,3 +89,22 @@
 		}
 	})
 }
+
+// Of a connection that went silent neither side hears any more; new ones work.
+func TestSilence(t *testing.T) {
+	p, old := through(t)
+	if n := p.Silence(); n != 1 {
+		t.Errorf("%d connections went silent, want 1", n)
+	}
+	if err := echo(old, 50*time.Millisecond); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("error %v on a silent connection, want none but the time's end", err)
+	}
+	next, err := net.Dial("tcp", p.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer next.Close()
+	if err := echo(next, 5*time.Second); err != nil {
+		t.Errorf("error %v on a new connection", err)
+	}
+}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -41,6 +41,7 @@
 		metric.Count("entry_caller_gone", "requests", "requests whose caller closed its connection", &c.CallerGone),
 		metric.Count("entry_awaited_speed", "requests", "requests that waited for the end of a server's slow spell", &c.AwaitedSpeed),
 		metric.Count("entry_turned_away", "requests", "requests refused as not run because the node stops", &c.TurnedAway),
+		metric.Count("accept_failures", "connections", "connections that could not be accepted, for want of descriptors", &n.acceptFailures),
 		metric.Count("entry_connections", "connections", "callers' open connections", &n.openConns),
 	}
 }
@@ -105,6 +106,7 @@
 		metric.Count("peer_wrong_keys", "connections", "connections without the shared key", &c.WrongKeys),
 		metric.Count("peer_dials", "connections", "connections opened", &c.Dials),
 		metric.Count("peer_dial_failures", "connections", "connections that could not be opened", &c.DialFailures),
+		metric.Count("peer_replaced", "connections", "connections that went silent while their node answered on another", &c.Replaced),
 		metric.Count("peer_suspicions", "events", "nodes that were silent while they had work", &c.Suspicions),
 		metric.Count("peer_notices", "messages", "stalls and their ends told to entries", &n.told),
 		metric.Count("peer_accepted", "connections", "connections that other nodes have open here", &c.Accepted),
--- a/node/node.go
+++ b/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/ryehaven/ryehaven/event"
 	"github.com/ryehaven/ryehaven/gate"
 	"github.com/ryehaven/ryehaven/header"
+	"github.com/ryehaven/ryehaven/internal/sock"
 	"github.com/ryehaven/ryehaven/member"
 	"github.com/ryehaven/ryehaven/metric"
 	"github.com/ryehaven/ryehaven/peer"
@@ -83,6 +84,8 @@
 	wake      chan struct{}
 	aborted   chan struct{}
 	openConns atomic.Int64
+	// acceptFailures counts connections that could not be accepted.
+	acceptFailures atomic.Int64
 
 	dialect  header.Dialect
 	recorder *event.Recorder
@@ -90,6 +93,7 @@
 
 	mu       sync.Mutex
 	registry announce.Registry
+	dispute  dispute
 	applied  *table.Snapshot
 	gates    map[gateKey]*gate.Gate
 	retired  []*gate.Gate
@@ -170,16 +174,24 @@
 		{&n.peers, n.settings.Listen.Peer},
 		{&n.admin, n.settings.Listen.Admin},
 	} {
-		listener, err := net.Listen("tcp", l.address)
+		listener, err := sock.Listen(l.address)
 		if err != nil {
 			return eris.Wrapf(err, "listen on %s", l.address)
 		}
+		listener.OnFailure = n.acceptFailed
 		*l.at = listener
 	}
 	n.listenForFigures()
 	return nil
 }
 
+// acceptFailed takes note of a connection that could not be accepted.
+func (n *Node) acceptFailed(err error) {
+	if n.acceptFailures.Add(1) == 1 {
+		n.log.Warn("a connection could not be accepted, the counter tells how many", zap.Error(err))
+	}
+}
+
 // listenForFigures opens the port for counters. It was chosen beforehand, without
 // a look at the host's other ports, and is not worth a node that does not start.
 func (n *Node) listenForFigures() {
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -47,6 +47,7 @@
 	watched      atomic.Bool
 	lastReceived atomic.Int64
 	suspicion    atomic.Pointer[suspicion]
+	silence      silence
 }
 
 // connHooks are what a connection calls; each may be nil.
@@ -127,6 +128,7 @@
 // Ask sends a question and waits for its reply up to limit.
 func (c *Conn) Ask(topic wire.Topic, payload []byte, limit time.Duration) ([]byte, error) {
 	reply := make(chan *wire.Reply, 1)
+	asked := time.Now()
 	c.mu.Lock()
 	if c.err != nil {
 		c.mu.Unlock()
@@ -153,6 +155,7 @@
 		}
 		return r.Payload, nil
 	case <-timer.C:
+		c.noteUnanswered(asked)
 		return nil, eris.Errorf("peer did not answer %q within %v", topic, limit)
 	}
 }
--- a/peer/counters.go
+++ b/peer/counters.go
@@ -23,6 +23,9 @@
 	Dials, DialFailures atomic.Int64
 	// Suspicions counts peers that were silent while they had work.
 	Suspicions atomic.Int64
+	// Replaced counts connections that went silent while their node answered on
+	// another.
+	Replaced atomic.Int64
 	// Accepted is the number of connections that peers have open here, and
 	// Dialed the number that this node has open.
 	Accepted, Dialed atomic.Int64
--- a/peer/dialer.go
+++ b/peer/dialer.go
@@ -3,13 +3,13 @@
 package peer
 
 import (
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/ryehaven/ryehaven/internal/sock"
 	"github.com/ryehaven/ryehaven/wire"
 )
 
@@ -58,6 +58,8 @@
 	ready chan struct{}
 	conn  *Conn
 	err   error
+	// replaced is when another connection was last tried in place of this one.
+	replaced time.Time
 }
 
 // Get returns the connection to an address and opens it when there is none.
@@ -132,7 +134,7 @@
 func (d *Dialer) open(address string, s *slot) {
 	defer close(s.ready)
 	d.Counters.Dials.Add(1)
-	nc, err := net.DialTimeout("tcp", address, d.Limit)
+	nc, err := sock.Dial(address, d.Limit)
 	if err == nil {
 		s.conn, err = openConn(nc, d.Self, d.Counters, d.Limit, d.hooksOf(address))
 	}
@@ -183,7 +185,9 @@
 		}
 		if idle := conn.idleSince(); !idle.IsZero() && now.Sub(idle) > d.IdleLimit {
 			conn.Close()
+			continue
 		}
+		d.replaceSilent(now, address, s)
 	}
 }
 
--- /dev/null
+++ b/peer/replace_test.go
@@ -0,0 +1,119 @@
+// SPDX-License-Identifier: MIT
+
+package peer
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/ryehaven/ryehaven/internal/faultproxy"
+	"github.com/ryehaven/ryehaven/wire"
+)
+
+// through returns the address of a proxy to an address.
+func through(t *testing.T, address string) *faultproxy.Proxy {
+	t.Helper()
+	p, err := faultproxy.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	p.SetTarget(address)
+	return p
+}
+
+// watched has a dialer look after its connections until the test ends.
+func watched(t *testing.T) *Dialer {
+	t.Helper()
+	d := newDialer(t, testKey)
+	done := make(chan struct{})
+	t.Cleanup(func() { close(done) })
+	go func() {
+		for ticker := time.NewTicker(PingAfter / 4); ; {
+			select {
+			case <-done:
+				ticker.Stop()
+				return
+			case now := <-ticker.C:
+				d.Check(now)
+			}
+		}
+	}()
+	return d
+}
+
+func eventually(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for until := time.Now().Add(20 * time.Second); !done(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatalf("not reached: %s", what)
+		}
+	}
+}
+
+// A connection that went silent for good is replaced: what is under way on it ends, and
+// what comes later goes by another.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		use  func(c *Conn) (ended func() bool)
+	}{
+		{"with a request", func(c *Conn) func() bool {
+			call, err := c.Start(&wire.Request{URI: "/", BudgetMicros: time.Minute.Microseconds(), Last: true})
+			if err != nil {
+				t.Fatal(err)
+			}
+			return func() bool {
+				select {
+				case head := <-call.Head():
+					return head.Response == nil && errors.Is(head.Err, ErrSilent)
+				default:
+					return false
+				}
+			}
+		}},
+		{"with questions alone", func(c *Conn) func() bool {
+			_, err := c.Ask("topic", nil, 50*time.Millisecond)
+			return func() bool { return err != nil }
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			address, _ := start(t, &handler{request: func(s *Stream) { s.Respond(&wire.Response{Status: 200, Last: true}) }})
+			p := through(t, address)
+			d := watched(t)
+			c := connect(t, d, p.Address())
+			p.Silence()
+			ended := test.use(c)
+			eventually(t, "another connection", func() bool { return d.Counters.Replaced.Load() == 1 })
+			eventually(t, "the end of what was under way", ended)
+			next := connect(t, d, p.Address())
+			if head := wait(t, startCall(t, next, "/")); head.Response == nil {
+				t.Errorf("head %+v on the new connection", head)
+			}
+			if d.Counters.Replaced.Load() != 1 {
+				t.Errorf("%d connections were replaced", d.Counters.Replaced.Load())
+			}
+		})
+	}
+}
+
+// A node that stands still keeps its connection, and answers on it once it is back.
+func TestStillNodeKeepsItsConnection(t *testing.T) {
+	address, _ := start(t, &handler{request: func(s *Stream) { s.Respond(&wire.Response{Status: 200, Last: true}) }})
+	p := through(t, address)
+	d := watched(t)
+	d.Limit = 50 * time.Millisecond
+	c := connect(t, d, p.Address())
+	wait(t, startCall(t, c, "/")) // The node has taken the connection.
+	p.Set(faultproxy.Fault{HoldForward: true, HoldBackward: true})
+	call := startCall(t, c, "/")
+	eventually(t, "two tries of another connection", func() bool { return d.Counters.DialFailures.Load() >= 2 })
+	p.Set(faultproxy.Fault{})
+	if head := wait(t, call); head.Response == nil {
+		t.Errorf("head %+v, want the answer", head)
+	}
+	if d.Counters.Replaced.Load() != 0 {
+		t.Error("the connection of a node that stood still was replaced")
+	}
+}
--- a/peer/watch.go
+++ b/peer/watch.go
@@ -47,7 +47,7 @@
 	heard := c.opened.Add(time.Duration(c.lastReceived.Load()))
 	if !c.pingSent.IsZero() && heard.Before(c.pingSent) {
 		if now.Sub(c.pingSent) >= suspectAfter {
-			c.suspect()
+			c.suspect(now)
 		}
 		return
 	}
@@ -66,10 +66,11 @@
 	c.mu.Unlock()
 }
 
-func (c *Conn) suspect() {
+func (c *Conn) suspect(now time.Time) {
 	s := c.suspicion.Load()
 	if s.is.CompareAndSwap(false, true) {
 		c.counters.Suspicions.Add(1)
+		c.silence.since.Store(max(int64(now.Sub(c.opened)), 1))
 		close(s.raised)
 		c.hooks.changed()
 	}
@@ -77,6 +78,7 @@
 
 func (c *Conn) heard() {
 	c.lastReceived.Store(int64(time.Since(c.opened)))
+	c.silence.heard()
 	if c.IsSuspected() {
 		c.suspicion.Store(newSuspicion())
 		c.hooks.changed()
--- a/store/http.go
+++ b/store/http.go
@@ -12,6 +12,8 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
+
+	"github.com/ryehaven/ryehaven/internal/sock"
 )
 
 // PathPrefix begins the path of every object.
@@ -38,7 +40,7 @@
 			},
 			MaxResponseBodySize: 2 * MaxBody,
 			Dial: func(address string) (net.Conn, error) {
-				return net.DialTimeout("tcp", address, limit)
+				return sock.Dial(address, limit)
 			},
 		},
 	}
