--- a/node/parts.go
+++ b/node/parts.go
@@ -62,6 +62,7 @@
 	return spread.Settings{
 		Seeds:               s.Peers.Seeds,
 		Interval:            time.Second,
+		Evacuations:         s.Platform.Evacuations,
 		Register:            s.Sidecar.Control != "",
 		AskLimit:            askLimit,
 		WatchWait:           watchWait(s),
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -115,6 +115,9 @@
 	Address string
 	// Limit bounds each call.
 	Limit time.Duration
+	// Evacuations says that availability zones may be evacuated, which is watched by
+	// calls of its own.
+	Evacuations bool
 }
 
 // Limits bound what callers may ask of a node.
@@ -172,7 +175,7 @@
 func Default() Settings {
 	return Settings{
 		Peers:    Peers{PingAfter: 20 * time.Millisecond, SuspectAfter: 60 * time.Millisecond},
-		Platform: Platform{Limit: 2 * time.Second},
+		Platform: Platform{Limit: 2 * time.Second, Evacuations: true},
 		Limits: Limits{
 			HeaderBytes: 16 << 10,
 			BodyBytes:   128 << 20,
--- a/settings/template_test.go
+++ b/settings/template_test.go
@@ -22,7 +22,7 @@
 }
 
 var (
-	blocks = regexp.MustCompile(`(?s)\{\{#([^}]+)\}\}(.*?)\{\{/[^}]+\}\}`)
+	blocks = regexp.MustCompile(`(?s)\{\{([#^])([^}]+)\}\}(.*?)\{\{/[^}]+\}\}`)
 	gaps   = regexp.MustCompile(`\{\{([^}]+)\}\}`)
 )
 
@@ -32,10 +32,10 @@
 	t.Helper()
 	template = blocks.ReplaceAllStringFunc(template, func(block string) string {
 		parts := blocks.FindStringSubmatch(block)
-		if _, ok := figures[parts[1]]; !ok {
+		if _, ok := figures[parts[2]]; ok != (parts[1] == "#") {
 			return ""
 		}
-		return parts[2]
+		return parts[3]
 	})
 	return gaps.ReplaceAllStringFunc(template, func(gap string) string {
 		figure, ok := figures[strings.Trim(gap, "{}")]
@@ -65,7 +65,7 @@
 	}
 }
 
-// Sheets of sites whose servers have no cold rate lack its figures.
+// Sheets of sites without cold rates and evacuations lack their figures.
 func TestTemplateWithAndWithoutColdRates(t *testing.T) {
 	template, err := os.ReadFile("../deploy/node.toml.tmpl")
 	if err != nil {
@@ -73,15 +73,19 @@
 	}
 	figures := maps.Clone(sheet)
 	figures["bounds.coldOvershoot"], figures["bounds.coldSlack"] = "1.5", "8"
+	figures["bounds.evacMs"] = "5000"
 	with, err := Parse("node.toml", []byte(fill(t, string(template), figures)))
 	if err != nil {
 		t.Fatal(err)
 	}
+	if !with.Platform.Evacuations {
+		t.Error("evacuations are not watched although the sheet has their bound")
+	}
 	if want := (Cold{Overshoot: 1.5, Slack: 8}); with.Cold != want {
 		t.Errorf("cold %+v, want %+v", with.Cold, want)
 	}
 	without, err := Parse("node.toml", []byte(fill(t, string(template), sheet)))
-	if err != nil || without.Cold != Default().Cold {
-		t.Errorf("cold %+v, error %v", without.Cold, err)
+	if err != nil || without.Cold != Default().Cold || without.Platform.Evacuations {
+		t.Errorf("cold %+v, platform %+v, error %v", without.Cold, without.Platform, err)
 	}
 }
--- a/spread/round.go
+++ b/spread/round.go
@@ -37,7 +37,9 @@
 		wait.Go(func() { s.runWatch(ctx) })
 		wait.Go(func() { s.runRegister(ctx) })
 		wait.Go(func() { s.runHosts(ctx) })
-		wait.Go(func() { s.runEvacuations(ctx) })
+		if s.settings.Evacuations {
+			wait.Go(func() { s.runEvacuations(ctx) })
+		}
 	}
 	wait.Wait()
 }
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -32,6 +32,8 @@
 	StaleAfter time.Duration
 	// PollEvery is the time between two polls of a node without a watch.
 	PollEvery time.Duration
+	// Evacuations has the evacuations watched in the store.
+	Evacuations bool
 	// Register makes the node known in the store's list of hosts, which then
 	// holds what nodes say of themselves.
 	Register bool
