soak, explain: cold servers, evacuations, connections that go silent

Cause: the soak drew none of what came with cold rates and evacuations, and its oracle held no promise for them; losses called refusals by cold servers 'other'.

New steps: a server turns cold at any moment, the connections of a host to other nodes and to the store go silent for good, a zone is evacuated. New promises: a cold server gets what it bears, an evacuated zone gets nothing.

--- a/cmd/ryehaven-soak/main.go
+++ b/cmd/ryehaven-soak/main.go
@@ -74,7 +74,7 @@
 	}
 	played := 0
 	for i := 0; i < args.Seeds; i++ {
-		report, err := play(ctx, args, programs, args.Seed+uint64(i))
+		report, err := play(ctx, args, programs, args.Seed+uint64(i), nil)
 		if err != nil {
 			return broken, err
 		}
@@ -95,7 +95,7 @@
 	for _, r := range soak.Regressions() {
 		fmt.Printf("seed %d: %s\n", r.Seed, r.Cause)
 		args.Hosts, args.Length = r.Hosts, r.Length
-		report, err := play(ctx, args, programs, r.Seed)
+		report, err := play(ctx, args, programs, r.Seed, r.Steps)
 		if err != nil {
 			return broken, err
 		}
@@ -138,7 +138,8 @@
 }
 
 // play plays one seed. Its directory stays if a promise was broken.
-func play(ctx context.Context, args arguments, programs string, seed uint64) (soak.Report, error) {
+// steps replace the schedule that the seed draws; nil leaves it.
+func play(ctx context.Context, args arguments, programs string, seed uint64, steps []soak.Step) (soak.Report, error) {
 	dir := filepath.Join(args.Keep, fmt.Sprint("seed-", seed))
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return soak.Report{}, err
@@ -151,6 +152,7 @@
 		Hosts:    hostsOf(args, seed),
 		Callers:  args.Callers,
 		Length:   args.Length,
+		Steps:    steps,
 	})
 	if err != nil {
 		return report, err
--- a/explain/loss.go
+++ b/explain/loss.go
@@ -17,6 +17,8 @@
 	RefusedNoServer Loss = "refused: no server"
 	RefusedFull     Loss = "refused: servers full"
 	RefusedSlow     Loss = "refused: servers slow"
+	RefusedCold     Loss = "refused: servers cold"
+	RefusedLeaving  Loss = "refused: servers leave or their zone is evacuated"
 	RefusedTime     Loss = "refused: time was up"
 	RefusedStopping Loss = "refused: node stops"
 	RefusedOther    Loss = "refused: other"
@@ -96,6 +98,10 @@
 		return RefusedFull
 	case "slow":
 		return RefusedSlow
+	case "cold":
+		return RefusedCold
+	case "draining":
+		return RefusedLeaving
 	case "deadline":
 		return RefusedTime
 	}
--- a/explain/summary_test.go
+++ b/explain/summary_test.go
@@ -32,6 +32,8 @@
 		{RefusedStopping, entryLine("1", `"outcome":"not-run","status":503,"detail":"this node stops and could not wait for the answer"`)},
 		{RefusedFull, entryLine("1", fmt.Sprintf(refused, "overload"))},
 		{RefusedSlow, entryLine("1", fmt.Sprintf(refused, "slow"))},
+		{RefusedCold, entryLine("1", fmt.Sprintf(refused, "cold"))},
+		{RefusedLeaving, entryLine("1", fmt.Sprintf(refused, "draining"))},
 		{RefusedTime, entryLine("1", fmt.Sprintf(refused, "deadline"))},
 		{RefusedOther, entryLine("1", fmt.Sprintf(refused, "connect"))},
 		{FailedTimeout, entryLine("1", `"outcome":"answered","status":504,"took_ms":400`)},
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -46,6 +46,20 @@
 	At     time.Time
 }
 
+// Evacuation is a time in which the servers of a zone were to get nothing.
+type Evacuation struct {
+	Zone string
+	// From is when the store had it and To when it was taken back.
+	From, To time.Time
+}
+
+// Cold is the most requests that came to a backend server in a second while it was
+// cold.
+type Cold struct {
+	Server string
+	Most   int
+}
+
 // Span is a time during which something was done to a host, or to all.
 type Span struct {
 	// Host is a host's number or Everywhere.
@@ -73,8 +87,12 @@
 	Arrivals []Arrival
 	Acks     []Ack
 	Versions []Version
-	Spans    []Span
-	Lives    []Life
+	// Zones are the hosts' zones.
+	Zones       []string
+	Evacuations []Evacuation
+	Cold        []Cold
+	Spans       []Span
+	Lives       []Life
 	// Attempts is how many servers a request of any route may come to.
 	Attempts int
 	// Healed says that all hosts served again in time after the last fault.
@@ -91,6 +109,10 @@
 	RetryShare  float64
 	RetryExtra  int
 	RetryWindow time.Duration
+	// Evacuate is when nothing may come to an evacuated zone any more.
+	Evacuate time.Duration
+	// ColdMost is the most that a cold server may get in a second.
+	ColdMost int
 }
 
 // UsualBounds are those of the users' small deployments.
@@ -104,6 +126,8 @@
 		RetryShare:  0.2,
 		RetryExtra:  58,
 		RetryWindow: 10 * time.Second,
+		Evacuate:    3 * time.Second,
+		ColdMost:    coldPerSecond*coldOvershoot + coldSlack,
 	}
 }
 
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -114,10 +114,14 @@
 
 // experiment is the part of the settings that an earlier version may not know.
 func (h *host) experiment() string {
-	if h.clock == 0 {
-		return ""
+	text := ""
+	if h.site.options.Older == "" || h.upgraded {
+		text = fmt.Sprintf("[cold]\novershoot = %d\nslack = %d\n", coldOvershoot, coldSlack)
+	}
+	if h.clock != 0 {
+		text += fmt.Sprintf("[experiment]\nclock_step_ms = %d\n", h.clock.Milliseconds())
 	}
-	return fmt.Sprintf("[experiment]\nclock_step_ms = %d\n", h.clock.Milliseconds())
+	return text
 }
 
 // programs is the directory of the commands that the host runs now.
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -27,6 +27,8 @@
 	PromiseBack     = "configuration never goes back"
 	PromiseEnds     = "no process ends by itself"
 	PromiseRecover  = "recovery"
+	PromiseCold     = "cold servers get what they bear"
+	PromiseEvacuate = "evacuated zones get nothing"
 )
 
 // Check returns every promise that a history breaks.
@@ -39,6 +41,8 @@
 	o.checkDrain()
 	o.checkBack()
 	o.checkBudget()
+	o.checkCold()
+	o.checkEvacuations()
 	o.checkEnds()
 	return o.found
 }
@@ -277,6 +281,37 @@
 	}
 }
 
+// checkCold holds what came to cold servers against what they bear.
+func (o *oracle) checkCold() {
+	for _, c := range o.Cold {
+		if c.Most > o.bounds.ColdMost {
+			o.report(PromiseCold, time.Time{}, "server %s got %d requests in a second while it was cold, %d are allowed", c.Server, c.Most, o.bounds.ColdMost)
+		}
+	}
+}
+
+// checkEvacuations holds what came to the servers of evacuated zones, by hosts that
+// had heard of it.
+func (o *oracle) checkEvacuations() {
+	for _, a := range o.Arrivals {
+		c := o.calls[a.RequestID]
+		if c == nil {
+			continue
+		}
+		for _, e := range o.Evacuations {
+			after := a.At.Sub(e.From)
+			if o.Zones[a.Host] != e.Zone || after <= o.bounds.Evacuate || !a.At.Before(e.To) {
+				continue
+			}
+			from := a.At.Add(-max(o.bounds.Contact, o.bounds.Evacuate))
+			if o.inTouch(c.Host, from, a.At) && o.inTouch(a.Host, from, a.At) {
+				o.report(PromiseEvacuate, a.At, "request %s came to server %s %v after its zone was evacuated",
+					a.RequestID, a.Server, after.Round(time.Millisecond))
+			}
+		}
+	}
+}
+
 func (o *oracle) checkEnds() {
 	for _, l := range o.Lives {
 		if l.Unexpected != "" {
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -36,11 +36,17 @@
 	order.Repeatable = false
 	probe := answered("3", 10_020)
 	probe.Since = 2
-	h := History{Services: []string{"alpha"}, Attempts: 2, Healed: true}
+	h := History{Services: []string{"alpha"}, Zones: []string{"z"}, Attempts: 2, Healed: true}
 	h.Calls = []Call{read, order, probe}
 	h.Arrivals = []Arrival{arrival(read, "i-0", 10_001), arrival(order, "i-0", 10_011), arrival(probe, "i-0", 10_021)}
 	h.Versions = []Version{{Serial: 1, At: at(0)}, {Serial: 2, At: at(5000)}}
 	h.Lives = []Life{{From: at(0), To: at(60_000)}}
+	h.Cold = []Cold{{Server: "i-0", Most: 50}}
+	h.Evacuations = []Evacuation{
+		{Zone: "z", From: at(9000), To: at(20_000)}, // Not in force yet.
+		{Zone: "z", From: at(1000), To: at(9_900)},  // Taken back.
+		{Zone: "y", From: at(1000), To: at(20_000)}, // Elsewhere.
+	}
 	return h
 }
 
@@ -88,6 +94,10 @@
 			h.Calls = append(h.Calls, again)
 		}},
 		{"a process that crashed", PromiseEnds, func(h *History) { h.Lives[0].Unexpected = "panic: x" }},
+		{"a cold server that got too much", PromiseCold, func(h *History) { h.Cold = []Cold{{Server: "i-0", Most: 51}} }},
+		{"work in an evacuated zone", PromiseEvacuate, func(h *History) {
+			h.Evacuations = []Evacuation{{Zone: "z", From: at(6000), To: at(11_000)}}
+		}},
 		{"no recovery", PromiseRecover, func(h *History) { h.Healed = false }},
 		{"more retries than allowed", PromiseBudget, func(h *History) {
 			for i := range 200 {
--- a/internal/soak/play.go
+++ b/internal/soak/play.go
@@ -111,6 +111,7 @@
 			s.addLife(Life{Host: h.number, To: time.Now(), Unexpected: trace})
 		}
 		for _, server := range h.servers() {
+			s.history.Cold = append(s.history.Cold, Cold{Server: server.ID, Most: server.MostWhileCold()})
 			for _, a := range server.Arrivals() {
 				s.history.Arrivals = append(s.history.Arrivals, Arrival{Arrival: a, Server: server.ID, Host: h.number})
 			}
@@ -195,7 +196,7 @@
 	if isPlanned && host == Everywhere {
 		return // A change of the configuration disturbs nobody.
 	}
-	if step.Kind == Release || step.Kind == Reload {
+	if step.Kind == Release || step.Kind == Reload || step.Kind == Evacuate || step.Kind == ServerCold {
 		return // The host's node goes on.
 	}
 	s.addSpan(Span{Host: host, From: from, To: time.Now(), Kind: step.Kind, Unplanned: !isPlanned})
@@ -293,6 +294,14 @@
 		h.current().SetSlowness(slowPercent)
 		pause(ctx, step.For)
 		h.current().SetSlowness(100)
+	case ServerCold:
+		h.current().SetCold(step.For)
+		pause(ctx, step.For)
+	case Forget:
+		h.peer.Silence()
+		h.store.Silence()
+	case Evacuate:
+		s.evacuate(ctx, h.zone, step.For)
 	case Release:
 		h.release(step.For)
 	}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -54,6 +54,13 @@
 	ServerFault Kind = "server-fault"
 	// ServerSlow makes a backend server several times slower.
 	ServerSlow Kind = "server-slow"
+	// ServerCold makes a backend server cold, so that it bears few requests a second.
+	ServerCold Kind = "server-cold"
+	// Forget makes the open connections to a node's peer port and to the store silent
+	// for good, while new ones work.
+	Forget Kind = "forget"
+	// Evacuate asks that the servers of a host's zone get nothing, for a time.
+	Evacuate Kind = "evacuate"
 	// Release drains a backend server and starts another in its place.
 	Release Kind = "release"
 	// Change writes a new configuration.
@@ -63,12 +70,12 @@
 )
 
 // planned lists the kinds that are planned work.
-var planned = []Kind{Stop, Reload, Release, Change, Storm}
+var planned = []Kind{Stop, Reload, Release, Change, Storm, Evacuate}
 
 // unplanned lists the others.
 var unplanned = []Kind{
 	Kill, KillAll, Pause, ClockStep, Cut, Reset, Silence, OneWay, Delay, StoreCut, StoreDown, StoreSilent,
-	StoreSlow, StoreLost, StoreForget, ServerFault, ServerSlow,
+	StoreSlow, StoreLost, StoreForget, ServerFault, ServerSlow, ServerCold, Forget,
 }
 
 // Step is one disturbance of a run.
@@ -99,6 +106,8 @@
 	stepLeast   = 200 * time.Millisecond
 	stepMost    = 3 * time.Second
 	releaseMost = 4 * time.Second
+	// evacuateMost leaves time in which the evacuation is in force.
+	evacuateMost = 6 * time.Second
 	// plannedDays is how many of ten seeds have planned work only, so that
 	// promises which bind in calm times are held against it.
 	plannedDays = 3
@@ -132,6 +141,8 @@
 	case KillAll, StoreDown, StoreSilent, StoreSlow, StoreLost, StoreForget, Change, Storm:
 	case Release:
 		s.Hosts, s.For = order[:1], releaseMost
+	case Evacuate:
+		s.Hosts, s.For = order[:1], evacuateMost
 	case ServerFault:
 		s.Hosts = order[:struck]
 		s.Behaviour = serverFaults[rng.IntN(len(serverFaults))]
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -28,6 +28,8 @@
 	// storeFaults counts the steps that keep the store in each fault.
 	storeMu     sync.Mutex
 	storeFaults map[Kind]int
+	// evacuating is held while a zone is evacuated.
+	evacuating sync.Mutex
 
 	mu      sync.Mutex
 	history History
@@ -57,6 +59,31 @@
 	return routes
 }
 
+// What cold servers bear, and how much more they may get in a second.
+const (
+	coldStart     = 3
+	coldPerSecond = 20
+	coldOvershoot = 2
+	coldSlack     = 10
+)
+
+// evacuate evacuates a zone for a time, unless it or another one is evacuated already:
+// requests need somewhere to go.
+func (s *site) evacuate(ctx context.Context, zone string, length time.Duration) {
+	if !s.evacuating.TryLock() {
+		return
+	}
+	defer s.evacuating.Unlock()
+	s.store.Put("evacuations", zone, struct{}{})
+	from := time.Now()
+	pause(ctx, length)
+	to := time.Now()
+	s.store.Delete("evacuations", zone)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history.Evacuations = append(s.history.Evacuations, Evacuation{Zone: zone, From: from, To: to})
+}
+
 // sinceKept is how many versions' routes a configuration keeps; a run makes fewer
 // changes, so that none is ever taken away.
 const sinceKept = 400
@@ -127,6 +154,7 @@
 	h.store.SetTarget(s.store.Address())
 	s.hosts = append(s.hosts, h)
 	s.history.Services = append(s.history.Services, h.service)
+	s.history.Zones = append(s.history.Zones, h.zone)
 	return h.newServer()
 }
 
@@ -135,7 +163,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.serial++
-	s.store.Put("config", "main", emulator.Configuration(s.serial, services, routesOf(s.serial)))
+	s.store.Put("config", "main", emulator.ColdConfiguration(s.serial, services, routesOf(s.serial),
+		emulator.ColdService{StartS: coldStart, PerS: coldPerSecond}))
 	s.history.Versions = append(s.history.Versions, Version{Serial: s.serial, At: time.Now()})
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -22,6 +22,18 @@
 	return b
 }
 
+// newest are steps that overlap with a cold start: connections that go silent, an
+// evacuation, nodes that start anew.
+func newest() []Step {
+	return []Step{
+		{At: 500 * time.Millisecond, For: 5 * time.Second, Kind: Evacuate, Hosts: []int{1}},
+		{At: time.Second, For: 3 * time.Second, Kind: ServerCold, Hosts: []int{0, 2, 4}},
+		{At: 1500 * time.Millisecond, For: time.Second, Kind: Kill, Hosts: []int{2}},
+		{At: 2500 * time.Millisecond, For: time.Second, Kind: Forget, Hosts: []int{0, 3}},
+		{At: 5 * time.Second, For: time.Second, Kind: KillAll},
+	}
+}
+
 // Short runs of real processes, one of planned work only and one of everything, and
 // every run that ever failed.
 func TestShortRuns(t *testing.T) {
@@ -29,7 +41,7 @@
 	if err := process.Build(programs); err != nil {
 		t.Fatal(err)
 	}
-	runs := append([]Regression{{Seed: 11, Hosts: 4, Length: 6 * time.Second}, {Seed: 18, Hosts: 4, Length: 6 * time.Second}}, Regressions()...)
+	runs := append([]Regression{{Seed: 11, Hosts: 4, Length: 6 * time.Second}, {Seed: 18, Hosts: 4, Length: 6 * time.Second}, {Seed: 20, Hosts: 6, Length: 6 * time.Second, Steps: newest()}}, Regressions()...)
 	for _, run := range runs {
 		seed := run.Seed
 		report, err := Run(context.Background(), Options{
@@ -39,6 +51,7 @@
 			Hosts:    run.Hosts,
 			Callers:  2,
 			Length:   run.Length,
+			Steps:    run.Steps,
 			Bounds:   patientBounds(),
 		})
 		if err != nil {
