--- a/admit/pace.go
+++ b/admit/pace.go
@@ -10,6 +10,10 @@
 type Rate struct {
 	PerSecond float64
 	Burst     float64
+	// Debt is how many requests that went to the server while it was warm count once
+	// it is cold: some of them may have come after it had turned cold, before it could
+	// say so.
+	Debt float64
 }
 
 // ColdRate is the rate by which a server that may get perSecond x overshoot + slack
@@ -20,7 +24,7 @@
 	if perSecond <= 0 {
 		return Rate{}
 	}
-	return Rate{PerSecond: max(perSecond*overshoot, leastRate), Burst: max(slack-1, 1)}
+	return Rate{PerSecond: max(perSecond*overshoot, leastRate), Burst: max(slack-1, 1), Debt: slack}
 }
 
 // leastRate is one request in ten seconds: a bound that lets nothing through would
@@ -64,11 +68,11 @@
 	return p.tokens >= 1
 }
 
-// take counts a request that goes. One that goes without room, to a server that is
-// not known to be cold, leaves the bucket empty.
+// take counts a request that goes. Those that go without room, to a server that is not
+// known to be cold, make a debt.
 func (p *pace) take(now time.Time) {
 	p.fill(now)
-	p.tokens = max(p.tokens-1, 0)
+	p.tokens = max(p.tokens-1, -p.rate.Debt)
 }
 
 // give takes a request back that did not go after all.
--- a/admit/pace_test.go
+++ b/admit/pace_test.go
@@ -105,10 +105,14 @@
 	if ticket.State() != Queued {
 		t.Errorf("state %d at a cold server that got 50 requests just now", ticket.State())
 	}
-	if after := q.RetryAfter(start); after < rate.interval() {
-		t.Errorf("come back after %v; room for the next but one comes after %v", after, 2*rate.interval())
+	room := time.Duration((rate.Debt + 1) * float64(rate.interval()))
+	if after := q.RetryAfter(start); after < room {
+		t.Errorf("come back after %v; room for this one comes after %v", after, room)
 	}
-	if left := q.Advance(start.Add(rate.interval() + time.Millisecond)); len(left) != 1 || ticket.State() != Dispatched {
+	if left := q.Advance(start.Add(room - time.Millisecond)); len(left) != 0 {
+		t.Errorf("state %d before the debt is paid", ticket.State())
+	}
+	if left := q.Advance(start.Add(room + time.Millisecond)); len(left) != 1 || ticket.State() != Dispatched {
 		t.Errorf("state %d once there is room", ticket.State())
 	}
 	if after := q.RetryAfter(start.Add(2 * time.Second)); after > time.Second {
--- a/gate/cold.go
+++ b/gate/cold.go
@@ -32,6 +32,10 @@
 	wantsWord bool
 }
 
+// coldWordLimit bounds the question whether the server is cold; it answers within a
+// millisecond or two.
+const coldWordLimit = 100 * time.Millisecond
+
 // ends is when the server is surely warm, as far as is known.
 func (c *coldness) ends() time.Time {
 	if c.doubtUntil.After(c.until) {
--- a/gate/job.go
+++ b/gate/job.go
@@ -70,7 +70,7 @@
 		j.finishReset(err)
 		return
 	}
-	j.gate.learn(&exchange.Response.Header)
+	j.gate.learnAndAsk(&exchange.Response.Header)
 	switch kind, fault := j.judge(&exchange.Response); kind {
 	case notRun:
 		exchange.Finish(false)
--- a/gate/slowness.go
+++ b/gate/slowness.go
@@ -32,17 +32,28 @@
 	return g.slownessNow(now)
 }
 
-// learn takes what the server's answer tells of its state.
-func (g *Gate) learn(answer *fasthttp.ResponseHeader) {
+// learnAndAsk takes what the answer to a request tells of the server's state, and asks
+// a server that has become slower at once whether it is cold: each request until it has
+// said so may be one too many.
+func (g *Gate) learnAndAsk(answer *fasthttp.ResponseHeader) {
+	if g.learn(answer) {
+		g.Measure(time.Now(), coldWordLimit)
+	}
+}
+
+// learn takes what the server's answer tells of its state, and reports whether the
+// server has become slower.
+func (g *Gate) learn(answer *fasthttp.ResponseHeader) (slower bool) {
 	if g.settings.Dialect.Load == "" {
-		return
+		return false
 	}
 	load, ok := header.ParseLoad(string(answer.Peek(g.settings.Dialect.Load)))
 	if !ok || load.Slowness == 0 {
-		return
+		return false
 	}
 	g.mu.Lock()
-	if float64(load.Slowness) > newsFactor*float64(g.slowness) {
+	slower = float64(load.Slowness) > newsFactor*float64(g.slowness)
+	if slower {
 		g.cold.wantsWord = true // A cold start is one cause of it.
 	}
 	g.slowness = load.Slowness
@@ -52,6 +63,7 @@
 	if news && g.settings.News != nil {
 		g.settings.News()
 	}
+	return slower
 }
 
 // newsFactor is by how much the slowness must have changed to be told.
