--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -64,6 +64,7 @@
 	if a.call == nil {
 		return nil
 	}
+	r.reached++
 	e.Counters.Hedges.Add(1)
 	r.trail[a.place].Hedge = true
 	return a
@@ -90,7 +91,6 @@
 	if !s.pool.Spare(now, server) || !s.payHedge(now) {
 		return nil
 	}
-	r.reached++
 	return r.begin(now, server)
 }
 
--- a/entry/race.go
+++ b/entry/race.go
@@ -196,12 +196,12 @@
 	if a == nil {
 		return nil, nil
 	}
-	r.reached++
 	suspected := e.send(r, a)
 	if a.call == nil {
 		r.note(a)
 		return nil, nil
 	}
+	r.reached++
 	return a, suspected
 }
 
--- a/entry/silent_test.go
+++ b/entry/silent_test.go
@@ -52,9 +52,8 @@
 	return listener.Addr().String()
 }
 
-// startEntry starts an entry with two servers, of which the first is nearer, and
-// returns the address at which it takes requests.
-func startEntry(t *testing.T, near, far string) string {
+// newEntry returns an entry with two servers, of which the first is nearer.
+func newEntry(t *testing.T, near, far string) (*Entry, *peer.Dialer) {
 	t.Helper()
 	text := "service,server,host,zone,address,state,retry_percent\ns,*,,,,,100\ns,near,h1,z,127.0.0.1:1,,\ns,far,h2,z,127.0.0.1:2,,\n"
 	snapshot, err := table.NewSnapshot(1, "t", []byte(text))
@@ -67,6 +66,7 @@
 		Limit:     time.Second,
 		IdleLimit: time.Minute,
 	}
+	t.Cleanup(dialer.Close)
 	dialect := header.Own()
 	dialect.Prepare()
 	e := New(Settings{
@@ -78,6 +78,14 @@
 		place, ok := places[s.Host]
 		return place, ok
 	}, Nodes: 1})
+	return e, dialer
+}
+
+// startEntry starts an entry with two servers, of which the first is nearer, and
+// returns the address at which it takes requests.
+func startEntry(t *testing.T, near, far string) string {
+	t.Helper()
+	e, dialer := newEntry(t, near, far)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -101,11 +109,28 @@
 		close(done)
 		ticker.Stop()
 		listener.Close()
-		dialer.Close()
 	})
 	return listener.Addr().String()
 }
 
+// A server that could not be reached takes none of the servers that a request may
+// still reach.
+func TestUnreachableServersAreNotCountedAsReached(t *testing.T) {
+	dead, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dead.Close() // Nobody listens there.
+	e, _ := newEntry(t, dead.Addr().String(), dead.Addr().String())
+	r := &request{
+		service: e.services["s"], gone: make(chan struct{}), body: newBody(nil, 0),
+		deadline: time.Now().Add(time.Minute), most: 2, message: wire.Request{Service: "s", Repeatable: true, Last: true},
+	}
+	if a, _ := e.beside(r); a != nil || r.reached != 0 {
+		t.Errorf("attempt %v, %d servers reached", a, r.reached)
+	}
+}
+
 // A repeatable request whose node falls silent goes to another server too. If that
 // one has no room, the silent one's answer still counts once it speaks again.
 func TestSilentNodeIsWaitedForIfTheOtherRefuses(t *testing.T) {
--- a/gate/cold.go
+++ b/gate/cold.go
@@ -24,6 +24,9 @@
 type coldness struct {
 	// until is when the cold time ends by the server's own word.
 	until time.Time
+	// announced is the end by its last announcement, which is put in force again with
+	// each change of anything else.
+	announced time.Time
 	// doubtUntil is until when the server may be cold although it has not said so.
 	doubtUntil time.Time
 	// doubtedAt is when that was last noticed.
@@ -50,6 +53,10 @@
 func (g *Gate) Announced(coldUntil time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if coldUntil.Equal(g.cold.announced) {
+		return
+	}
+	g.cold.announced = coldUntil
 	if coldUntil.After(g.cold.until) {
 		g.cold.until = coldUntil
 		g.queue.SetCold(g.cold.ends())
--- a/gate/cold_test.go
+++ b/gate/cold_test.go
@@ -62,6 +62,12 @@
 			g.Announced(time.Now().Add(time.Minute))
 			g.ask()
 		}, false},
+		{"the same announcement is put in force again", func(g *Gate, _ *atomic.Int64) {
+			until := time.Now().Add(time.Minute)
+			g.Announced(until)
+			g.ask()
+			g.Announced(until)
+		}, false},
 		{"it may have turned cold since", func(g *Gate, _ *atomic.Int64) { g.ask(); g.Doubt(time.Now()) }, true},
 		{"and is not", func(g *Gate, _ *atomic.Int64) { g.Doubt(time.Now()); g.ask() }, false},
 		{"an answer from before the doubt", func(g *Gate, _ *atomic.Int64) {
