entry, event, explain: rejected requests leave a line

Sight first: a request that was rejected before any attempt (unknown route, no table, node stops) left no line, so that logs couldn't tell a wrong request from one that an older table does not know. It now leaves one with the table's generation and how long ago that was confirmed; explain prints the latter, losses has reasons of their own for wrong requests and nodes without a table.

No decision changes.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -49,6 +49,9 @@
 	// Versions returns the generation of the table in force and a number for
 	// all that is known of nodes, for the record; it may be nil.
 	Versions func() (generation, members uint64)
+	// Confirmed returns how long before now the table in force was confirmed as the
+	// newest; ok is false if it never was. It may be nil.
+	Confirmed func(now time.Time) (age time.Duration, ok bool)
 	// NoTableRetryAfter is when to come back while the node has no table.
 	NoTableRetryAfter time.Duration
 }
--- a/entry/record.go
+++ b/entry/record.go
@@ -3,8 +3,11 @@
 package entry
 
 import (
+	"strings"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/ryehaven/ryehaven/balance"
 	"github.com/ryehaven/ryehaven/event"
 	"github.com/ryehaven/ryehaven/header"
@@ -66,11 +69,52 @@
 		line.Outcome = event.Gone
 	default:
 	}
+	e.write(now, &line)
+}
+
+// recordRejected writes that a request was rejected before it could be tried, so that
+// a wrong request can be told from one that an older table does not know.
+func (e *Entry) recordRejected(ctx *fasthttp.RequestCtx, now time.Time, f failure) {
+	e.write(now, &event.Request{
+		ID:         string(ctx.Request.Header.Peek(e.settings.Dialect.RequestID)),
+		Route:      string(ctx.Host()) + prefixOf(string(ctx.Path())),
+		Outcome:    event.NotRun,
+		Status:     f.status,
+		Detail:     f.detail,
+		Took:       now.Sub(ctx.Time()),
+		RetryAfter: f.retryAfter,
+	})
+}
+
+// prefixOf returns the first part of a path, by which rejected requests are grouped.
+func prefixOf(path string) string {
+	first, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	return "/" + first + "/"
+}
+
+// write completes a line with what the decision was made by, if such lines are written.
+func (e *Entry) write(now time.Time, line *event.Request) {
 	if !e.settings.Recorder.Wants(line.ID, line.Unusual()) {
 		return
 	}
 	if e.settings.Versions != nil {
 		line.Generation, line.Members = e.settings.Versions()
 	}
-	e.settings.Recorder.Record(&line)
+	line.Confirmed = e.confirmed(now)
+	e.settings.Recorder.Record(line)
+}
+
+// neverConfirmed stands for the age of a table that was never confirmed.
+const neverConfirmed = -time.Millisecond
+
+// confirmed returns how long before now the table was confirmed as the newest.
+func (e *Entry) confirmed(now time.Time) time.Duration {
+	if e.settings.Confirmed == nil {
+		return neverConfirmed
+	}
+	age, ok := e.settings.Confirmed(now)
+	if !ok {
+		return neverConfirmed
+	}
+	return age
 }
--- a/entry/reply.go
+++ b/entry/reply.go
@@ -179,13 +179,15 @@
 
 // refuseWithoutTable answers while the node has not got a table yet.
 func (e *Entry) refuseWithoutTable(ctx *fasthttp.RequestCtx) {
-	e.fail(ctx, failure{
+	f := failure{
 		status:     fasthttp.StatusServiceUnavailable,
 		outcome:    header.NotRun,
 		proxyError: statusUnavailable,
 		detail:     "this node has no table yet",
 		retryAfter: e.settings.NoTableRetryAfter,
-	})
+	}
+	e.recordRejected(ctx, time.Now(), f)
+	e.fail(ctx, f)
 }
 
 // refuseBad answers a request that is wrong in itself.
@@ -195,5 +197,7 @@
 	if status == fasthttp.StatusNotFound {
 		proxyError = statusNotFound
 	}
-	failure{status: status, outcome: header.NotRun, proxyError: proxyError, detail: fault}.write(ctx, false)
+	f := failure{status: status, outcome: header.NotRun, proxyError: proxyError, detail: fault}
+	e.recordRejected(ctx, time.Now(), f)
+	f.write(ctx, false)
 }
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -46,12 +46,14 @@
 // refuseStopping answers a request that came too late for a stopping node.
 func (e *Entry) refuseStopping(ctx *fasthttp.RequestCtx) {
 	e.Counters.TurnedAway.Add(1)
-	e.fail(ctx, failure{
+	f := failure{
 		status:     fasthttp.StatusServiceUnavailable,
 		outcome:    header.NotRun,
 		proxyError: statusUnavailable,
 		detail:     "this node stops and could not wait for the answer",
 		retryAfter: stoppedRetry,
-	})
+	}
+	e.recordRejected(ctx, time.Now(), f)
+	e.fail(ctx, f)
 	ctx.SetConnectionClose()
 }
--- a/event/event.go
+++ b/event/event.go
@@ -118,9 +118,11 @@
 	Route   string
 	Service string
 	// Generation of the table and Members, a number for all that is known of
-	// nodes, are the versions that it was decided by.
+	// nodes, are the versions that it was decided by. Confirmed is how long before
+	// the table was confirmed as the newest; negative if never.
 	Generation uint64
 	Members    uint64
+	Confirmed  time.Duration
 	Outcome    Outcome
 	Status     int
 	Detail     string
@@ -152,6 +154,7 @@
 	e.AddString("service", r.Service)
 	e.AddUint64("generation", r.Generation)
 	e.AddUint64("members", r.Members)
+	e.AddInt64("confirmed_ms", r.Confirmed.Milliseconds())
 	e.AddString("outcome", string(r.Outcome))
 	e.AddInt("status", r.Status)
 	if r.Detail != "" {
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -156,6 +156,9 @@
 	head := fmt.Sprintf("request to %s (service %s) ended %s with %g after %.1f ms; aim %.0f ms, limit %.0f ms, table %g",
 		line.text("route"), line.text("service"), line.text("outcome"), line.number("status"), line.number("took_ms"),
 		line.number("aim_ms"), line.number("limit_ms"), line.number("generation"))
+	if confirmed, told := line.Fields["confirmed_ms"].(float64); told && confirmed >= 0 {
+		head += fmt.Sprintf(", confirmed %.0f ms before", confirmed)
+	}
 	if detail := line.text("detail"); detail != "" {
 		head += ": " + detail
 	}
--- a/explain/loss.go
+++ b/explain/loss.go
@@ -21,6 +21,8 @@
 	RefusedLeaving  Loss = "refused: servers leave or their zone is evacuated"
 	RefusedTime     Loss = "refused: time was up"
 	RefusedStopping Loss = "refused: node stops"
+	RefusedWrong    Loss = "refused: wrong request, or a route that the table does not know"
+	RefusedNoTable  Loss = "refused: node has no table"
 	RefusedOther    Loss = "refused: other"
 	// FailedTimeout and the next say how it failed.
 	FailedTimeout Loss = "failed: time-out at the server"
@@ -87,10 +89,7 @@
 func (f *finished) refusal() Loss {
 	attempts := objects(f.Fields["attempts"])
 	if len(attempts) == 0 {
-		if strings.Contains(f.text("detail"), "stops") {
-			return RefusedStopping
-		}
-		return RefusedNoServer
+		return f.rejection()
 	}
 	last := Line{Fields: attempts[len(attempts)-1]}
 	switch last.text("reason") {
@@ -108,6 +107,20 @@
 	return RefusedOther
 }
 
+// rejection says why the request was never sent to a gate.
+func (f *finished) rejection() Loss {
+	detail := f.text("detail")
+	switch {
+	case f.number("status") < statusError:
+		return RefusedWrong
+	case strings.Contains(detail, "stops"):
+		return RefusedStopping
+	case strings.Contains(detail, "no table"):
+		return RefusedNoTable
+	}
+	return RefusedNoServer
+}
+
 func (f *finished) lateness() Loss {
 	took := f.number("took_ms")
 	slowness, queued := 0.0, 0.0
--- a/explain/summary_test.go
+++ b/explain/summary_test.go
@@ -30,6 +30,8 @@
 		{LossGone, entryLine("1", `"outcome":"caller-gone","took_ms":50`)},
 		{RefusedNoServer, entryLine("1", `"outcome":"not-run","status":503,"took_ms":5`)},
 		{RefusedStopping, entryLine("1", `"outcome":"not-run","status":503,"detail":"this node stops and could not wait for the answer"`)},
+		{RefusedWrong, entryLine("1", `"outcome":"not-run","status":404,"detail":"no service of the table is meant by the Host field and the path"`)},
+		{RefusedNoTable, entryLine("1", `"outcome":"not-run","status":503,"detail":"this node has no table yet"`)},
 		{RefusedFull, entryLine("1", fmt.Sprintf(refused, "overload"))},
 		{RefusedSlow, entryLine("1", fmt.Sprintf(refused, "slow"))},
 		{RefusedCold, entryLine("1", fmt.Sprintf(refused, "cold"))},
