entry: a node with a doubtful table does not reject a route as unknown

Cause: 404 says that no route exists, and callers never come back after it. A node whose table was last confirmed long ago cannot know that: a newer one may have the route. Such requests are now refused for now, as not run with a Retry-After, as by a node that has no table. Within DoubtAfter of the last confirmation 404 stays.

Ruled out: refusing known routes too while the table is in doubt (it would turn an outage of the store into one of the service). The test fails before in both cases of doubt.

--- a/entry/handle.go
+++ b/entry/handle.go
@@ -22,7 +22,7 @@
 		return
 	}
 	if s == nil {
-		e.refuseBad(ctx, fasthttp.StatusNotFound, "no service of the table is meant by the Host field and the path")
+		e.refuseUnknown(ctx)
 		return
 	}
 	r, fault := e.newRequest(ctx, s, route)
--- a/entry/reject_test.go
+++ b/entry/reject_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/ryehaven/ryehaven/event"
+	"github.com/ryehaven/ryehaven/header"
 )
 
 // ask gives an entry a request for a service and returns the answer.
@@ -48,3 +49,36 @@
 		}
 	}
 }
+
+// While the watches on the store hung on silent connections, nodes went by an old table
+// for more than 20 s and rejected requests for a new route as wrong, with 404, which
+// tells callers not to come back. A node that cannot tell whether its table is the
+// newest one does not say that a route does not exist.
+func TestUnknownRouteOfADoubtfulTableIsNotRejectedAsWrong(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		age       time.Duration
+		confirmed bool
+		service   string
+		want      int
+	}{
+		{"unknown, confirmed of late", time.Second, true, "unknown", fasthttp.StatusNotFound},
+		{"unknown, confirmed long ago", 3 * time.Second, true, "unknown", fasthttp.StatusServiceUnavailable},
+		{"unknown, never confirmed", 0, false, "unknown", fasthttp.StatusServiceUnavailable},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			e, _ := newEntry(t, "127.0.0.1:1", "127.0.0.1:2")
+			e.settings.DoubtAfter = 2 * time.Second
+			e.settings.NoTableRetryAfter = 250 * time.Millisecond
+			e.settings.Confirmed = func(time.Time) (time.Duration, bool) { return test.age, test.confirmed }
+			response := ask(e, test.service)
+			if got := response.StatusCode(); got != test.want {
+				t.Errorf("status %d, want %d", got, test.want)
+			}
+			promised := string(response.Header.Peek(header.Outcome)) == header.NotRun
+			if come := len(response.Header.Peek(fasthttp.HeaderRetryAfter)) > 0; !promised || come != (test.want == fasthttp.StatusServiceUnavailable) {
+				t.Errorf("not run %v, Retry-After %v", promised, come)
+			}
+		})
+	}
+}
