internal/soak, emulator: files with two jobs are split

Ruled out: one file a kind of step, since each is a few lines. Conclusion: nothing in behaviour differs.

--- /dev/null
+++ b/internal/soak/strike.go
@@ -0,0 +1,193 @@
+// SPDX-License-Identifier: MIT
+
+package soak
+
+import (
+	"context"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/ryehaven/ryehaven/internal/faultproxy"
+	"github.com/ryehaven/ryehaven/platform/emulator"
+)
+
+// strike plays one step to its end and notes the time that it took.
+func (s *site) strike(ctx context.Context, step Step) {
+	hosts := step.Hosts
+	if step.Kind == KillAll {
+		hosts = nil
+		for i := range s.hosts {
+			hosts = append(hosts, i)
+		}
+	}
+	if len(hosts) == 0 {
+		s.during(Everywhere, step, func() { s.strikeStore(ctx, step) })
+		return
+	}
+	var wait sync.WaitGroup
+	for _, i := range hosts {
+		wait.Go(func() { s.during(i, step, func() { s.strikeHost(ctx, s.hosts[i], step) }) })
+	}
+	wait.Wait()
+}
+
+// during notes the time that a disturbance takes.
+func (s *site) during(host int, step Step, disturb func()) {
+	from := time.Now()
+	disturb()
+	isPlanned := isPlanned(step.Kind)
+	if isPlanned && host == Everywhere {
+		return // A change of the configuration disturbs nobody.
+	}
+	if step.Kind == Release || step.Kind == Reload || step.Kind == Evacuate || step.Kind == ServerCold {
+		return // The host's node goes on.
+	}
+	s.addSpan(Span{Host: host, From: from, To: time.Now(), Kind: step.Kind, Unplanned: !isPlanned})
+}
+
+func isPlanned(k Kind) bool {
+	for _, p := range planned {
+		if p == k {
+			return true
+		}
+	}
+	return false
+}
+
+const (
+	stormChanges = 8
+	slowStore    = 400 * time.Millisecond
+	lostReplies  = 3
+	linkDelay    = 60 * time.Millisecond
+	slowPercent  = 800
+)
+
+func (s *site) strikeStore(ctx context.Context, step Step) {
+	switch step.Kind {
+	case Change:
+		s.change()
+	case Storm:
+		for range stormChanges {
+			s.change()
+			pause(ctx, step.For/stormChanges)
+		}
+	case StoreForget:
+		s.store.ForgetHistory()
+	default:
+		s.setStoreFault(step.Kind, 1)
+		pause(ctx, step.For)
+		s.setStoreFault(step.Kind, -1)
+	}
+}
+
+// setStoreFault adds a step that keeps the store in a fault, or ends one.
+func (s *site) setStoreFault(k Kind, change int) {
+	s.storeMu.Lock()
+	defer s.storeMu.Unlock()
+	s.storeFaults[k] += change
+	var f emulator.Faults
+	f.Down = s.storeFaults[StoreDown] > 0
+	f.Silent = s.storeFaults[StoreSilent] > 0
+	if s.storeFaults[StoreSlow] > 0 {
+		f.Delay = slowStore
+	}
+	if s.storeFaults[StoreLost] > 0 {
+		f.LostReplies = lostReplies
+	}
+	s.store.SetFaults(f)
+}
+
+// linkFaults are what proxies do for each kind of step.
+var linkFaults = map[Kind]faultproxy.Fault{
+	Cut:      {Refuse: true, Cut: true},
+	Reset:    {Cut: true},
+	Silence:  {HoldForward: true, HoldBackward: true},
+	OneWay:   {HoldBackward: true},
+	Delay:    {Delay: linkDelay},
+	StoreCut: {Refuse: true, Cut: true},
+}
+
+func (s *site) strikeHost(ctx context.Context, h *host, step Step) {
+	switch step.Kind {
+	case Kill, KillAll, ClockStep, Stop:
+		s.restart(ctx, h, step)
+	case Pause:
+		h.signal(syscall.SIGSTOP)
+		pause(ctx, step.For)
+		h.signal(syscall.SIGCONT)
+	case Reload:
+		h.reload()
+		pause(ctx, step.For)
+	case Reset:
+		h.peer.Set(linkFaults[Reset])
+		h.peer.Set(faultproxy.Fault{})
+	case StoreCut:
+		h.store.Set(linkFaults[StoreCut])
+		pause(ctx, step.For)
+		h.store.Set(faultproxy.Fault{})
+	case Cut, Silence, OneWay, Delay:
+		h.peer.Set(linkFaults[step.Kind])
+		pause(ctx, step.For)
+		h.peer.Set(faultproxy.Fault{})
+	case ServerFault:
+		h.current().SetBehaviour(step.Behaviour)
+		pause(ctx, step.For)
+		h.current().SetBehaviour(emulator.Answer)
+	case ServerSlow:
+		h.current().SetSlowness(slowPercent)
+		pause(ctx, step.For)
+		h.current().SetSlowness(100)
+	case ServerCold:
+		h.current().SetCold(step.For)
+		pause(ctx, step.For)
+	case Forget:
+		h.peer.Silence()
+		h.store.Silence()
+	case Evacuate:
+		s.evacuate(ctx, h.zone, step.For)
+	case Release:
+		h.release(step.For)
+	}
+}
+
+// clockSteps are how far a node's time of day moves.
+var clockSteps = []time.Duration{-5 * time.Second, 3 * time.Second}
+
+// restart ends a node's process and begins its next life.
+func (s *site) restart(ctx context.Context, h *host, step Step) {
+	if !h.restarting.TryLock() {
+		return // Another step is at it.
+	}
+	defer h.restarting.Unlock()
+	h.signal(syscall.SIGCONT)
+	signal := syscall.SIGKILL
+	if step.Kind == Stop {
+		signal = syscall.SIGTERM
+	}
+	h.end(signal, stopBound+time.Second)
+	if step.Kind == ClockStep {
+		h.clock = clockSteps[int(step.For)%len(clockSteps)]
+	}
+	pause(ctx, step.For/4)
+	h.upgraded = true
+	if err := h.start(); err != nil {
+		s.note("host %d: %v", h.number, err)
+		s.addLife(Life{Host: h.number, To: time.Now(), Unexpected: err.Error()})
+	}
+}
+
+// reload changes the node's settings in place.
+func (h *host) reload() {
+	if !h.restarting.TryLock() {
+		return
+	}
+	defer h.restarting.Unlock()
+	h.revision++
+	if err := os.WriteFile(h.settingsPath(), []byte(h.settings()), 0o600); err != nil {
+		h.site.note("host %d: %v", h.number, err)
+		return
+	}
+	h.signal(syscall.SIGHUP)
+}
