faultproxy: silence of one way, a reset is passed on as one

Cause: a silence always took both ways, and a reset by the accepting side came to the dialing side as a proper end, so that a server behind a proxy could not reset. One way: what comes from one side is taken (its kernel sees nothing wrong) and never passed on, the other way goes on. Weighed: throwing the bytes away in place of holding them; held ones cost nothing, and the sender fills its buffers later just as on a device that stops acknowledging at its window.

--- a/internal/faultproxy/faultproxy.go
+++ b/internal/faultproxy/faultproxy.go
@@ -6,9 +6,11 @@
 package faultproxy
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -45,10 +47,22 @@
 
 // pair is a connection that is passed on.
 type pair struct {
-	// silent says that neither side hears of the other any more, not even its end.
-	silent atomic.Bool
+	// silentForward and silentBackward say that the accepting and the dialing side
+	// hear nothing more of the other, not even its end.
+	silentForward, silentBackward atomic.Bool
 }
 
+// Way is what a silent connection no longer passes on.
+type Way string
+
+// The ways. In Forward nothing more comes from the dialing side, in Backward nothing
+// more from the accepting side, while the other way goes on.
+const (
+	BothWays Way = "both"
+	Forward  Way = "forward"
+	Backward Way = "backward"
+)
+
 // New listens on a free port of loopback. Connections are refused until
 // SetTarget.
 func New() (*Proxy, error) {
@@ -87,11 +101,20 @@
 
 // Silence makes every connection that is open now silent for good, as a device does
 // that has forgotten it. New ones work. It returns how many there were.
-func (p *Proxy) Silence() int {
+func (p *Proxy) Silence() int { return p.SilenceWay(BothWays) }
+
+// SilenceWay is Silence of one way or both. What the proxy can still take is
+// acknowledged to its sender, so that the sender's kernel sees no fault.
+func (p *Proxy) SilenceWay(w Way) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.pairs {
-		c.silent.Store(true)
+		if w != Backward {
+			c.silentForward.Store(true)
+		}
+		if w != Forward {
+			c.silentBackward.Store(true)
+		}
 	}
 	return len(p.pairs)
 }
@@ -143,10 +166,10 @@
 	defer p.remove(c, dialing, accepting)
 	var both sync.WaitGroup
 	both.Go(func() {
-		p.pass(dialing, accepting, func(f Fault) bool { return f.HoldForward || c.silent.Load() })
+		p.pass(dialing, accepting, func(f Fault) bool { return f.HoldForward || c.silentForward.Load() })
 	})
 	both.Go(func() {
-		p.pass(accepting, dialing, func(f Fault) bool { return f.HoldBackward || c.silent.Load() })
+		p.pass(accepting, dialing, func(f Fault) bool { return f.HoldBackward || c.silentBackward.Load() })
 	})
 	both.Wait()
 }
@@ -173,7 +196,7 @@
 const chunk = 4 << 10
 
 // pass copies one direction. Its end closes both connections, which is enough
-// for protocols that do not close halfway.
+// for protocols that do not close halfway. A reset is passed on as one.
 func (p *Proxy) pass(from, to net.Conn, held func(Fault) bool) {
 	defer from.Close()
 	defer to.Close()
@@ -183,12 +206,23 @@
 		if !p.suffer(n, held) {
 			return
 		}
-		if _, writeErr := to.Write(buf[:n]); writeErr != nil || err != nil {
+		_, writeErr := to.Write(buf[:n])
+		if errors.Is(err, syscall.ECONNRESET) {
+			resetAtClose(to)
+		}
+		if writeErr != nil || err != nil {
 			return
 		}
 	}
 }
 
+// resetAtClose makes the closing of a connection a reset.
+func resetAtClose(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // It may be closed already.
+	}
+}
+
 // suffer lets the fault act on n bytes and reports whether to go on.
 func (p *Proxy) suffer(n int, held func(Fault) bool) bool {
 	fault, _, changed, closed := p.state()
--- a/internal/faultproxy/faultproxy_test.go
+++ b/internal/faultproxy/faultproxy_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -108,3 +109,74 @@
 		t.Errorf("error %v on a new connection", err)
 	}
 }
+
+// Of a connection that is silent one way only that side hears nothing; the proxy goes on
+// taking what is sent, and the other way passes.
+func TestSilenceOfOneWay(t *testing.T) {
+	for _, way := range []Way{Forward, Backward} {
+		t.Run(string(way), func(t *testing.T) {
+			p, dialing, accepting := pairThrough(t)
+			if n := p.SilenceWay(way); n != 1 {
+				t.Errorf("%d connections went silent, want 1", n)
+			}
+			passes(t, dialing, accepting, way != Forward)
+			passes(t, accepting, dialing, way != Backward)
+		})
+	}
+}
+
+// passes checks whether what one side sends reaches the other.
+func passes(t *testing.T, from, to net.Conn, want bool) {
+	t.Helper()
+	if _, err := from.Write([]byte("ping")); err != nil {
+		t.Errorf("the proxy takes nothing more: %v", err)
+	}
+	limit := 50 * time.Millisecond
+	if want {
+		limit = 5 * time.Second
+	}
+	to.SetReadDeadline(time.Now().Add(limit))
+	_, err := io.ReadFull(to, make([]byte, 4))
+	if want && err != nil {
+		t.Errorf("it did not pass: %v", err)
+	}
+	if !want && !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("error is %v, want only the time's end", err)
+	}
+}
+
+// A reset by the accepting side is one for the dialing side too.
+func TestResetIsPassedOn(t *testing.T) {
+	_, dialing, accepting := pairThrough(t)
+	resetAtClose(accepting)
+	accepting.Close()
+	dialing.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, err := dialing.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("error is %v, want a reset", err)
+	}
+}
+
+// pairThrough returns both ends of a connection through a proxy.
+func pairThrough(t *testing.T) (p *Proxy, dialing, accepting net.Conn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	if p, err = New(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	p.SetTarget(listener.Addr().String())
+	if dialing, err = net.Dial("tcp", p.Address()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { dialing.Close() })
+	if accepting, err = listener.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { accepting.Close() })
+	passes(t, dialing, accepting, true) // Once data passes the proxy knows the pair.
+	return p, dialing, accepting
+}
