internal/soak: silences of all hosts, service and rejections are judged

Cause (why the soak never found the incident): `forget` silenced one host at a time, and its neighbours told it what it missed; servers stood without a proxy; nothing judged how many requests are served or rejected as wrong; the only sign of an older version was an unknown route.

New: `forget-all` silences the open connections of all hosts at once (to peers, store or servers, all or one kind, both ways or one, once or twice in short series), always with planned work within 0.3 s of it; three seeds of ten have silences and planned work only, so that hosts are in touch again 3 s later and are judged; a proxy before each server, with three faults of its own; a route that goes to another service with every version; callers at a steady rate that wait for nobody. Promises "proper requests are not rejected as wrong" and "service while connections are silent", the latter at the users' quarter for now; a line for each silence tells the share served a second. Each is proved by spoiled histories, and by ones that its bounds allow.

Weighed: judging the share over the seconds whatever else happens, against only where nothing else costs service. Planned work of one host beside a silence is the case that matters, so that it excuses only where it leaves a service no host.

--- a/cmd/ryehaven-soak/main.go
+++ b/cmd/ryehaven-soak/main.go
@@ -8,9 +8,11 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"time"
 
@@ -137,6 +139,24 @@
 	}
 }
 
+// printedMost is how many findings of one promise are printed; report.json has all.
+const printedMost = 5
+
+func printViolations(violations []soak.Violation) {
+	seen := map[string]int{}
+	for _, v := range violations {
+		seen[v.Promise]++
+		if seen[v.Promise] <= printedMost {
+			fmt.Printf("  %s %s: %s\n", v.At.Format("15:04:05.000"), v.Promise, v.Detail)
+		}
+	}
+	for _, promise := range slices.Sorted(maps.Keys(seen)) {
+		if n := seen[promise]; n > printedMost {
+			fmt.Printf("  %s: %d in all\n", promise, n)
+		}
+	}
+}
+
 // play plays one seed. Its directory stays if a promise was broken.
 // steps replace the schedule that the seed draws; nil leaves it.
 func play(ctx context.Context, args arguments, programs string, seed uint64, steps []soak.Step) (soak.Report, error) {
@@ -158,8 +178,9 @@
 		return report, err
 	}
 	fmt.Println(report)
-	for _, v := range report.Violations {
-		fmt.Printf("  %s %s: %s\n", v.At.Format("15:04:05.000"), v.Promise, v.Detail)
+	printViolations(report.Violations)
+	for _, a := range report.Aftermaths {
+		fmt.Println(" ", a)
 	}
 	for _, note := range report.Notes {
 		fmt.Println("  note:", note)
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -43,7 +43,10 @@
 // Version is a configuration and when the store took it.
 type Version struct {
 	Serial int
-	At     time.Time
+	// Sent is when it was on its way to the store and At when the store had it.
+	Sent, At time.Time
+	// Moving is the service of the route that moves with every version.
+	Moving string
 }
 
 // Evacuation is a time in which the servers of a zone were to get nothing.
@@ -92,7 +95,11 @@
 	Evacuations []Evacuation
 	Cold        []Cold
 	Spans       []Span
-	Lives       []Life
+	// Silences are those of all hosts at once.
+	Silences []SilenceOfAll
+	// Weak are times in which servers took less, though nothing was done to nodes.
+	Weak  []Span
+	Lives []Life
 	// Attempts is how many servers a request of any route may come to.
 	Attempts int
 	// Healed says that all hosts served again in time after the last fault.
@@ -113,6 +120,17 @@
 	Evacuate time.Duration
 	// ColdMost is the most that a cold server may get in a second.
 	ColdMost int
+	// ServedDuring and ServedAfter are the least shares of requests served within
+	// their deadline, of those sent within Silent of a silence of all hosts and in
+	// serviceAfter from then.
+	Silent                    time.Duration
+	ServedDuring, ServedAfter float64
+	// Denied and DeniedShare bound the proper requests that hosts in touch reject as
+	// wrong, as a number and as a share of all requests; DeniedUnknown those that
+	// other hosts take for unknown or not allowed.
+	Denied        int
+	DeniedShare   float64
+	DeniedUnknown int
 }
 
 // UsualBounds are those of the users' small deployments.
@@ -128,6 +146,13 @@
 		RetryWindow: 10 * time.Second,
 		Evacuate:    3 * time.Second,
 		ColdMost:    coldPerSecond*coldOvershoot + coldSlack,
+		Silent:      3 * time.Second,
+		// A quarter served is what the users hold after disturbances.
+		ServedDuring:  0.25,
+		ServedAfter:   0.25,
+		Denied:        5,
+		DeniedShare:   1.0 / 500,
+		DeniedUnknown: 10,
 	}
 }
 
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -48,9 +48,9 @@
 	ip      string
 	zone    string
 	service string
-	// peer and store inject faults into what is sent to the node's peer port
-	// and into its way to the store.
-	peer, store *faultproxy.Proxy
+	// peer, store and toServer inject faults into what is sent to the node's peer
+	// port and into its ways to the store and to its backend server.
+	peer, store, toServer *faultproxy.Proxy
 	// ready is what callers go by, and misses how many questions in a row had no yes.
 	ready  atomic.Bool
 	misses atomic.Int64
@@ -108,7 +108,7 @@
 factor = 2.5
 late_per_mb = 40
 %s`, h.number, h.zone, h.address(callerPort), h.address(peerPort), h.address(adminPort), h.peer.Address(),
-		h.address(serverPort), h.service, h.address(controlPort), h.address(readyPort), h.store.Address(),
+		h.toServer.Address(), h.service, h.address(controlPort), h.address(readyPort), h.store.Address(),
 		stopBound.Milliseconds(), UsualBounds().RetryExtra+h.revision%2, h.experiment())
 }
 
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -59,6 +59,7 @@
 			wait.Go(func() { c.run(ctx) })
 		}
 		wait.Go(func() { s.runProbes(ctx, h) })
+		wait.Go(func() { s.runSteady(ctx, h) })
 	}
 	wait.Wait()
 }
@@ -97,11 +98,13 @@
 
 // next draws a request.
 func (c *client) next() request {
-	switch c.rng.IntN(4) {
+	switch c.rng.IntN(5) {
 	case 0:
 		return request{uri: fmt.Sprint("/write/", c.rng.IntN(100)), body: "an order that runs once"}
 	case 1:
 		return request{uri: fmt.Sprint("/order/", c.rng.IntN(100)), body: "another"}
+	case 2:
+		return request{uri: fmt.Sprint(movingPrefix, c.rng.IntN(100)), repeatable: true}
 	}
 	return request{uri: fmt.Sprint("/read/", c.rng.IntN(100), "?page=2"), repeatable: true}
 }
@@ -183,6 +186,22 @@
 	return call
 }
 
+// steadyEvery is the time between requests that wait for none before them.
+const steadyEvery = 50 * time.Millisecond
+
+// runSteady sends requests at a steady rate, each on a connection of its own, so that
+// those which wait don't keep others from being sent.
+func (s *site) runSteady(ctx context.Context, h *host) {
+	var wait sync.WaitGroup
+	for n := 0; ctx.Err() == nil; n++ {
+		if h.ready.Load() {
+			wait.Go(func() { s.send(h, request{uri: fmt.Sprint("/read/", n%100), repeatable: true}) })
+		}
+		pause(ctx, steadyEvery)
+	}
+	wait.Wait()
+}
+
 // probeEvery is the time between requests that show which configuration a node
 // has in force.
 const probeEvery = 100 * time.Millisecond
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -29,6 +29,8 @@
 	PromiseRecover  = "recovery"
 	PromiseCold     = "cold servers get what they bear"
 	PromiseEvacuate = "evacuated zones get nothing"
+	PromiseDenied   = "proper requests are not rejected as wrong"
+	PromiseService  = "service while connections are silent"
 )
 
 // Check returns every promise that a history breaks.
@@ -39,7 +41,10 @@
 	}
 	o.checkArrivals()
 	o.checkDrain()
+	o.checkMoved()
 	o.checkBack()
+	o.checkDenied()
+	o.checkService()
 	o.checkBudget()
 	o.checkCold()
 	o.checkEvacuations()
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -4,10 +4,12 @@
 
 import (
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/ryehaven/ryehaven/internal/faultproxy"
 	"github.com/ryehaven/ryehaven/platform/emulator"
 )
 
@@ -39,7 +41,7 @@
 	h := History{Services: []string{"alpha"}, Zones: []string{"z"}, Attempts: 2, Healed: true}
 	h.Calls = []Call{read, order, probe}
 	h.Arrivals = []Arrival{arrival(read, "i-0", 10_001), arrival(order, "i-0", 10_011), arrival(probe, "i-0", 10_021)}
-	h.Versions = []Version{{Serial: 1, At: at(0)}, {Serial: 2, At: at(5000)}}
+	h.Versions = []Version{{Serial: 1, Sent: at(0), At: at(0), Moving: "beta"}, {Serial: 2, Sent: at(5000), At: at(5000), Moving: "alpha"}}
 	h.Lives = []Life{{From: at(0), To: at(60_000)}}
 	h.Cold = []Cold{{Server: "i-0", Most: 50}}
 	h.Evacuations = []Evacuation{
@@ -47,9 +49,53 @@
 		{Zone: "z", From: at(1000), To: at(9_900)},  // Taken back.
 		{Zone: "y", From: at(1000), To: at(20_000)}, // Elsewhere.
 	}
+	withSilence(&h)
 	return h
 }
 
+// The silence of the sound history, and how many requests are sent in each second
+// from then on.
+const (
+	silentAt     = 20_000
+	silentSecond = 25
+)
+
+// withSilence adds a silence of all hosts after which every request is served, one in
+// ten of them on the route that has moved.
+func withSilence(h *History) {
+	h.Silences = []SilenceOfAll{{At: at(silentAt), Links: allLinks, Way: faultproxy.BothWays, Connections: 9}}
+	h.Spans = append(h.Spans, Span{Host: Everywhere, From: at(silentAt), To: at(silentAt), Kind: ForgetAll, Unplanned: true})
+	for i := range 6 * silentSecond {
+		c := answered(fmt.Sprint("s", i), silentAt+i*1000/silentSecond)
+		if i%10 == 0 {
+			c.URI = movingPrefix + "1"
+			c.Reply.Body = emulator.BodyOf(c.ID, c.URI)
+		}
+		h.Calls = append(h.Calls, c)
+		h.Arrivals = append(h.Arrivals, arrival(c, "i-0", silentAt+1+i*1000/silentSecond))
+	}
+}
+
+// refuse makes the requests sent from one moment to another refused, but for one in
+// each so many.
+func refuse(h *History, from, to, but int) {
+	for i := range h.Calls {
+		if c := &h.Calls[i]; !c.Sent.Before(at(from)) && c.Sent.Before(at(to)) && i%but != 0 {
+			c.Reply = emulator.Reply{Status: 503}
+		}
+	}
+}
+
+// reject makes so many calls sent from a moment on rejected with a status.
+func reject(h *History, from, n, status int) {
+	for i := range h.Calls {
+		if c := &h.Calls[i]; n > 0 && c.Sent.After(at(from)) {
+			c.Reply = emulator.Reply{Status: status}
+			n--
+		}
+	}
+}
+
 func TestSoundHistoryBreaksNothing(t *testing.T) {
 	if found := Check(sound(), UsualBounds()); len(found) > 0 {
 		t.Errorf("%+v", found)
@@ -93,6 +139,36 @@
 			h.Versions[1].At = at(9500) // Its time is not up, so that only going back is wrong.
 			h.Calls = append(h.Calls, again)
 		}},
+		{"an old configuration after a silence", PromiseConfig, func(h *History) {
+			h.Versions = append(h.Versions, Version{Serial: 3, Sent: at(silentAt), At: at(silentAt + 5), Moving: "alpha"})
+			probe := answered("4", silentAt+3100)
+			probe.Since, probe.Reply = 3, emulator.Reply{Status: 404}
+			h.Calls = append(h.Calls, probe)
+		}},
+		{"run where only an older version has it", PromiseConfig, func(h *History) {
+			h.Versions = append(h.Versions, Version{Serial: 3, Sent: at(silentAt - 1), At: at(silentAt + 2), Moving: "beta"})
+		}},
+		{"not known, in touch", PromiseDenied, func(h *History) { reject(h, silentAt+3000, 1, 404) }},
+		{"rejected often, in touch", PromiseDenied, func(h *History) { reject(h, silentAt+3000, 6, 400) }},
+		{"redirected often, in touch", PromiseDenied, func(h *History) { reject(h, silentAt+3000, 6, 307) }},
+		{"not known often, out of touch", PromiseDenied, func(h *History) { reject(h, silentAt, 11, 403) }},
+		{"little service while silent", PromiseService, func(h *History) { refuse(h, silentAt, silentAt+3000, 5) }},
+		{"little service after a silence", PromiseService, func(h *History) { refuse(h, silentAt+3000, silentAt+6000, 5) }},
+		{"little service, a host of two stopped", PromiseService, func(h *History) {
+			refuse(h, silentAt, silentAt+6000, 5)
+			h.Services, h.Zones = append(h.Services, "alpha"), append(h.Zones, "x")
+			h.Spans = append(h.Spans, Span{Host: 1, From: at(silentAt + 1000), To: at(silentAt + 5000), Kind: Stop})
+		}},
+		{"late service after a silence", PromiseService, func(h *History) {
+			for i := range h.Calls {
+				if c := &h.Calls[i]; c.Sent.After(at(silentAt + 3000)) {
+					c.Done = c.Sent.Add((deadlineMs + 1) * time.Millisecond)
+				}
+			}
+		}},
+		{"work in a zone evacuated at a silence", PromiseEvacuate, func(h *History) {
+			h.Evacuations = []Evacuation{{Zone: "z", From: at(silentAt), To: at(silentAt + 3045)}}
+		}},
 		{"a process that crashed", PromiseEnds, func(h *History) { h.Lives[0].Unexpected = "panic: x" }},
 		{"a cold server that got too much", PromiseCold, func(h *History) { h.Cold = []Cold{{Server: "i-0", Most: 51}} }},
 		{"work in an evacuated zone", PromiseEvacuate, func(h *History) {
@@ -130,7 +206,7 @@
 	excused := sound()
 	excused.Calls[2].Reply = emulator.Reply{Status: 404}
 	excused.Calls[0].Reply = emulator.Reply{Err: errors.New("EOF")}
-	excused.Spans = []Span{{Host: Everywhere, From: at(8000), To: at(9000), Unplanned: true}}
+	excused.Spans = append(excused.Spans, Span{Host: Everywhere, From: at(8000), To: at(9000), Unplanned: true})
 	if found := Check(excused, UsualBounds()); len(found) > 0 {
 		t.Errorf("found in spite of the disturbance: %+v", found)
 	}
@@ -146,8 +222,85 @@
 func TestPlannedWorkExcusesNoLoss(t *testing.T) {
 	h := sound()
 	h.Calls[0].Reply = emulator.Reply{Err: errors.New("EOF")}
-	h.Spans = []Span{{Host: 0, From: at(8000), To: at(11_000), Kind: Stop}}
+	h.Spans = append(h.Spans, Span{Host: 0, From: at(8000), To: at(11_000), Kind: Stop})
 	if found := Check(h, UsualBounds()); len(found) != 1 || found[0].Promise != PromiseLost {
 		t.Errorf("%+v", found)
 	}
 }
+
+// What the bounds of each new promise allow is not held against anybody.
+func TestWhatTheBoundsAllow(t *testing.T) {
+	tests := []struct {
+		name  string
+		allow func(h *History)
+	}{
+		{"a few rejected in touch", func(h *History) { reject(h, silentAt+3000, 5, 400) }},
+		{"a few not known out of touch", func(h *History) { reject(h, silentAt, 10, 404) }},
+		{"refused, not rejected", func(h *History) { reject(h, silentAt+3000, 20, 429) }},
+		{"a server's own rejection", func(h *History) {
+			reject(h, silentAt+3000, 20, 404)
+			for i := range h.Calls {
+				if h.Calls[i].Reply.Status == 404 {
+					h.Calls[i].Reply.Seal = "seal-i-0"
+				}
+			}
+		}},
+		{"service above the floor", func(h *History) { refuse(h, silentAt, silentAt+6000, 3) }},
+		{"little service with other trouble", func(h *History) {
+			refuse(h, silentAt, silentAt+6000, 5)
+			h.Weak = []Span{{Host: 0, From: at(silentAt + 1000), To: at(silentAt + 2000), Kind: ServerCold}}
+		}},
+		{"no service with the only host stopped", func(h *History) {
+			refuse(h, silentAt, silentAt+6000, 5)
+			h.Spans = append(h.Spans, Span{Host: 0, From: at(silentAt + 1000), To: at(silentAt + 5000), Kind: Stop})
+		}},
+		{"no service with the zone of one host evacuated, the other's server replaced", func(h *History) {
+			refuse(h, silentAt, silentAt+6000, 5)
+			h.Services, h.Zones = append(h.Services, "alpha"), append(h.Zones, "x")
+			h.Weak = []Span{
+				{Host: 1, From: at(silentAt + 1000), To: at(silentAt + 5000), Kind: Release},
+				{Host: 0, From: at(silentAt), To: at(silentAt + 5000), Kind: Evacuate},
+			}
+		}},
+		{"the moving route where an older version has it, in time", func(h *History) {
+			h.Versions = append(h.Versions, Version{Serial: 3, Sent: at(silentAt + 4100), At: at(silentAt + 4110), Moving: "beta"})
+		}},
+		{"the moving route where a version on its way has it", func(h *History) {
+			h.Versions = append(h.Versions, Version{Serial: 3, Sent: at(silentAt - 5), At: at(silentAt + 9000), Moving: "beta"})
+			h.Services = append(h.Services, "beta")
+			for i := range h.Arrivals {
+				if strings.HasPrefix(h.Arrivals[i].URI, movingPrefix) {
+					h.Arrivals[i].Host = 1
+				}
+			}
+			h.Zones = append(h.Zones, "x")
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := sound()
+			test.allow(&h)
+			if found := Check(h, UsualBounds()); len(found) > 0 {
+				t.Errorf("%+v", found)
+			}
+		})
+	}
+}
+
+// The shares are those of the requests sent in each second, up to the next silence.
+func TestAftermathsTellTheSharesASecond(t *testing.T) {
+	h := sound()
+	refuse(&h, silentAt, silentAt+1000, len(h.Calls))
+	h.Silences = append(h.Silences, SilenceOfAll{At: at(silentAt + 4500), Links: []Link{ToServers}})
+	got := Aftermaths(h, UsualBounds())
+	if len(got) != 2 || len(got[0].Seconds) != 5 || len(got[1].Seconds) != 6 {
+		t.Fatalf("%+v", got)
+	}
+	first := got[0].Seconds
+	if first[0].Served != 0 || first[0].Sent != silentSecond || first[1].Served != silentSecond {
+		t.Errorf("seconds are %+v", first)
+	}
+	if want := (Share{Sent: 3 * silentSecond, Served: 2 * silentSecond}); got[0].During != want {
+		t.Errorf("during is %+v, want %+v", got[0].During, want)
+	}
+}
--- a/internal/soak/play.go
+++ b/internal/soak/play.go
@@ -44,7 +44,9 @@
 	// HealedAfter is how long after the last fault all hosts served again.
 	HealedAfter time.Duration
 	Violations  []Violation
-	Notes       []string
+	// Aftermaths tell how requests fared around each silence of all hosts.
+	Aftermaths []Aftermath
+	Notes      []string
 }
 
 // recoverBound is when all hosts must serve again after the last fault.
@@ -85,13 +87,14 @@
 		s.history.Healed = true
 		report.HealedAfter = time.Since(began)
 	}
-	pause(ctx, calmAfter)
+	pause(ctx, max(calmAfter, time.Until(s.watchedUntil())))
 	endLoad()
 	callers.Wait()
 	cancel()
 	wait.Wait()
 	s.finish()
 	report.Violations = Check(s.history, o.Bounds)
+	report.Aftermaths = Aftermaths(s.history, o.Bounds)
 	report.count(s.history.Calls)
 	report.Notes = s.notes
 	if len(report.Violations) > 0 {
@@ -100,6 +103,18 @@
 	return report, nil
 }
 
+// watchedUntil is when what a silence of all hosts may do to service and to changes
+// has been seen.
+func (s *site) watchedUntil() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.history.Silences) == 0 {
+		return time.Time{}
+	}
+	last := s.history.Silences[len(s.history.Silences)-1]
+	return last.At.Add(max(s.options.Bounds.Silent, s.options.Bounds.Contact) + serviceAfter)
+}
+
 // finish ends the lives of all processes and gathers what servers saw.
 func (s *site) finish() {
 	for _, h := range s.hosts {
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -8,6 +8,7 @@
 	"sort"
 	"time"
 
+	"github.com/ryehaven/ryehaven/internal/faultproxy"
 	"github.com/ryehaven/ryehaven/platform/emulator"
 )
 
@@ -56,9 +57,16 @@
 	ServerSlow Kind = "server-slow"
 	// ServerCold makes a backend server cold, so that it bears few requests a second.
 	ServerCold Kind = "server-cold"
-	// Forget makes the open connections to a node's peer port and to the store silent
-	// for good, while new ones work.
+	// ServerReset closes the connections to a backend server once.
+	ServerReset Kind = "server-reset"
+	// ServerSilence keeps back what is sent to a backend server and from it.
+	ServerSilence Kind = "server-silence"
+	// ServerDelay holds up every piece of data on the way to a backend server.
+	ServerDelay Kind = "server-delay"
+	// Forget makes open connections of a host silent for good, while new ones work.
 	Forget Kind = "forget"
+	// ForgetAll does so to all hosts at once, in some steps twice.
+	ForgetAll Kind = "forget-all"
 	// Evacuate asks that the servers of a host's zone get nothing, for a time.
 	Evacuate Kind = "evacuate"
 	// Release drains a backend server and starts another in its place.
@@ -75,9 +83,13 @@
 // unplanned lists the others.
 var unplanned = []Kind{
 	Kill, KillAll, Pause, ClockStep, Cut, Reset, Silence, OneWay, Delay, StoreCut, StoreDown, StoreSilent,
-	StoreSlow, StoreLost, StoreForget, ServerFault, ServerSlow, ServerCold, Forget,
+	StoreSlow, StoreLost, StoreForget, ServerFault, ServerSlow, ServerCold, ServerReset, ServerSilence, ServerDelay,
+	Forget, ForgetAll,
 }
 
+// silences are kinds that make connections silent for good.
+var silences = []Kind{Forget, ForgetAll, ForgetAll}
+
 // Step is one disturbance of a run.
 type Step struct {
 	// At counts from the start of the load and For is how long it lasts.
@@ -87,11 +99,32 @@
 	Hosts []int `json:",omitempty"`
 	// Behaviour is that of a server that misbehaves.
 	Behaviour emulator.Behaviour `json:",omitempty"`
+	// Links are what goes silent, Way is which way.
+	Links []Link         `json:",omitempty"`
+	Way   faultproxy.Way `json:",omitempty"`
+	// Twice says that all hosts are struck again after For.
+	Twice bool `json:",omitempty"`
+}
+
+// silenced returns what a step makes silent; one that doesn't say has the links to
+// peers and to the store silent both ways.
+func (s Step) silenced() ([]Link, faultproxy.Way) {
+	if s.Links == nil {
+		return []Link{ToPeers, ToStore}, faultproxy.BothWays
+	}
+	return s.Links, s.Way
 }
 
 // String describes the step on one line.
 func (s Step) String() string {
-	return fmt.Sprintf("%6.2fs for %.2fs %s %v %s", s.At.Seconds(), s.For.Seconds(), s.Kind, s.Hosts, s.Behaviour)
+	text := fmt.Sprintf("%6.2fs for %.2fs %s %v %s", s.At.Seconds(), s.For.Seconds(), s.Kind, s.Hosts, s.Behaviour)
+	if s.Links != nil {
+		text += fmt.Sprintf("%v %s", s.Links, s.Way)
+	}
+	if s.Twice {
+		text += ", twice"
+	}
+	return text
 }
 
 // serverFaults are the behaviours of misbehaving servers.
@@ -111,18 +144,33 @@
 	// plannedDays is how many of ten seeds have planned work only, so that
 	// promises which bind in calm times are held against it.
 	plannedDays = 3
+	// silentDays is how many of ten, after those, have planned work and silences
+	// only, so that hosts are in touch again soon after a silence.
+	silentDays = 3
 )
 
+// kindsOf returns the kinds that a seed draws from.
+func kindsOf(seed uint64) []Kind {
+	switch day := seed % 10; {
+	case day < plannedDays:
+		return planned
+	case day < plannedDays+silentDays:
+		return append(append([]Kind(nil), planned...), silences...)
+	}
+	return append(append([]Kind(nil), planned...), unplanned...)
+}
+
 // Draw returns the schedule of a seed for a number of hosts.
 func Draw(seed uint64, hosts int, length time.Duration) []Step {
 	rng := rand.New(rand.NewPCG(seed, 1))
-	kinds := append(append([]Kind(nil), planned...), unplanned...)
-	if seed%10 < plannedDays {
-		kinds = planned
-	}
+	kinds := kindsOf(seed)
 	var steps []Step
 	for range int(length / stepEvery) {
-		steps = append(steps, draw(rng, kinds, hosts, length))
+		step := draw(rng, kinds, hosts, length)
+		steps = append(steps, step)
+		if step.Kind == ForgetAll {
+			steps = append(steps, drawBeside(rng, step, hosts, length))
+		}
 	}
 	sort.Slice(steps, func(a, b int) bool { return steps[a].At < steps[b].At })
 	return steps
@@ -139,6 +187,11 @@
 	order := rng.Perm(hosts)
 	switch s.Kind {
 	case KillAll, StoreDown, StoreSilent, StoreSlow, StoreLost, StoreForget, Change, Storm:
+	case ForgetAll:
+		drawSilence(rng, &s)
+	case Forget:
+		s.Hosts = order[:struck]
+		drawSilence(rng, &s)
 	case Release:
 		s.Hosts, s.For = order[:1], releaseMost
 	case Evacuate:
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -51,6 +51,9 @@
 		{Prefix: "/write/", Service: services[0], TimeoutMs: 1000, AimMs: 400, Attempts: attempts},
 		{Prefix: "/order/", Service: services[1], TimeoutMs: 1000, AimMs: 400, Attempts: attempts},
 	}
+	routes = append(routes, emulator.Route{
+		Prefix: movingPrefix, Repeatable: true, Service: movingService(serial), TimeoutMs: 1000, AimMs: 400, Attempts: attempts, Rank: 1,
+	})
 	for s := max(1, serial-sinceKept+1); s <= serial; s++ {
 		routes = append(routes, emulator.Route{
 			Prefix: sincePrefix(s), Repeatable: true, Service: services[s%len(services)], TimeoutMs: 1000, AimMs: 400, Attempts: attempts, Rank: 2,
@@ -59,6 +62,11 @@
 	return routes
 }
 
+// movingPrefix is the route that goes to another service with every version.
+const movingPrefix = "/moving/"
+
+func movingService(serial int) string { return services[serial%len(services)] }
+
 // What cold servers bear, and how much more they may get in a second.
 const (
 	coldStart     = 3
@@ -151,7 +159,11 @@
 		return err
 	}
 	h.peer.SetTarget(h.address(peerPort))
+	if h.toServer, err = faultproxy.New(); err != nil {
+		return err
+	}
 	h.store.SetTarget(s.store.Address())
+	h.toServer.SetTarget(h.address(serverPort))
 	s.hosts = append(s.hosts, h)
 	s.history.Services = append(s.history.Services, h.service)
 	s.history.Zones = append(s.history.Zones, h.zone)
@@ -163,9 +175,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.serial++
+	v := Version{Serial: s.serial, Sent: time.Now(), Moving: movingService(s.serial)}
 	s.store.Put("config", "main", emulator.ColdConfiguration(s.serial, services, routesOf(s.serial),
 		emulator.ColdService{StartS: coldStart, PerS: coldPerSecond}))
-	s.history.Versions = append(s.history.Versions, Version{Serial: s.serial, At: time.Now()})
+	v.At = time.Now()
+	s.history.Versions = append(s.history.Versions, v)
 }
 
 // newest returns the newest version of the configuration.
@@ -199,6 +213,12 @@
 	s.history.Spans = append(s.history.Spans, span)
 }
 
+func (s *site) addWeak(span Span) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history.Weak = append(s.history.Weak, span)
+}
+
 // note keeps a remark for the report.
 func (s *site) note(format string, args ...any) {
 	s.mu.Lock()
@@ -307,7 +327,7 @@
 				server.Close()
 			}
 		}
-		for _, p := range []*faultproxy.Proxy{h.peer, h.store} {
+		for _, p := range []*faultproxy.Proxy{h.peer, h.store, h.toServer} {
 			if p != nil {
 				p.Close()
 			}
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -15,6 +15,10 @@
 
 // strike plays one step to its end and notes the time that it took.
 func (s *site) strike(ctx context.Context, step Step) {
+	if step.Kind == ForgetAll {
+		s.forgetAll(ctx, step)
+		return
+	}
 	hosts := step.Hosts
 	if step.Kind == KillAll {
 		hosts = nil
@@ -41,10 +45,14 @@
 	if isPlanned && host == Everywhere {
 		return // A change of the configuration disturbs nobody.
 	}
-	if step.Kind == Release || step.Kind == Reload || step.Kind == Evacuate || step.Kind == ServerCold {
-		return // The host's node goes on.
+	span := Span{Host: host, From: from, To: time.Now(), Kind: step.Kind, Unplanned: !isPlanned}
+	switch step.Kind {
+	case Reload: // The host's node and its server go on.
+	case Release, Evacuate, ServerCold: // Its node goes on.
+		s.addWeak(span)
+	default:
+		s.addSpan(span)
 	}
-	s.addSpan(Span{Host: host, From: from, To: time.Now(), Kind: step.Kind, Unplanned: !isPlanned})
 }
 
 func isPlanned(k Kind) bool {
@@ -101,12 +109,15 @@
 
 // linkFaults are what proxies do for each kind of step.
 var linkFaults = map[Kind]faultproxy.Fault{
-	Cut:      {Refuse: true, Cut: true},
-	Reset:    {Cut: true},
-	Silence:  {HoldForward: true, HoldBackward: true},
-	OneWay:   {HoldBackward: true},
-	Delay:    {Delay: linkDelay},
-	StoreCut: {Refuse: true, Cut: true},
+	Cut:           {Refuse: true, Cut: true},
+	Reset:         {Cut: true},
+	Silence:       {HoldForward: true, HoldBackward: true},
+	OneWay:        {HoldBackward: true},
+	Delay:         {Delay: linkDelay},
+	StoreCut:      {Refuse: true, Cut: true},
+	ServerReset:   {Cut: true},
+	ServerSilence: {HoldForward: true, HoldBackward: true},
+	ServerDelay:   {Delay: linkDelay},
 }
 
 func (s *site) strikeHost(ctx context.Context, h *host, step Step) {
@@ -121,16 +132,15 @@
 		h.reload()
 		pause(ctx, step.For)
 	case Reset:
-		h.peer.Set(linkFaults[Reset])
-		h.peer.Set(faultproxy.Fault{})
-	case StoreCut:
-		h.store.Set(linkFaults[StoreCut])
-		pause(ctx, step.For)
-		h.store.Set(faultproxy.Fault{})
+		disturbLink(ctx, h.peer, step.Kind, 0)
 	case Cut, Silence, OneWay, Delay:
-		h.peer.Set(linkFaults[step.Kind])
-		pause(ctx, step.For)
-		h.peer.Set(faultproxy.Fault{})
+		disturbLink(ctx, h.peer, step.Kind, step.For)
+	case StoreCut:
+		disturbLink(ctx, h.store, step.Kind, step.For)
+	case ServerReset:
+		disturbLink(ctx, h.toServer, step.Kind, 0)
+	case ServerSilence, ServerDelay:
+		disturbLink(ctx, h.toServer, step.Kind, step.For)
 	case ServerFault:
 		h.current().SetBehaviour(step.Behaviour)
 		pause(ctx, step.For)
@@ -143,8 +153,7 @@
 		h.current().SetCold(step.For)
 		pause(ctx, step.For)
 	case Forget:
-		h.peer.Silence()
-		h.store.Silence()
+		h.forget(step.silenced())
 	case Evacuate:
 		s.evacuate(ctx, h.zone, step.For)
 	case Release:
@@ -152,6 +161,13 @@
 	}
 }
 
+// disturbLink keeps a link in a fault for a time.
+func disturbLink(ctx context.Context, p *faultproxy.Proxy, k Kind, length time.Duration) {
+	p.Set(linkFaults[k])
+	pause(ctx, length)
+	p.Set(faultproxy.Fault{})
+}
+
 // clockSteps are how far a node's time of day moves.
 var clockSteps = []time.Duration{-5 * time.Second, 3 * time.Second}
 
