ryehaven-soak: five findings of a promise are told, and how many there are

The test tells them the same way, and the share served around each silence. report.json keeps all. Ruled out: a bound on all lines, which hides promises found later.

--- a/cmd/ryehaven-soak/main.go
+++ b/cmd/ryehaven-soak/main.go
@@ -8,11 +8,9 @@
 import (
 	"context"
 	"fmt"
-	"maps"
 	"os"
 	"os/signal"
 	"path/filepath"
-	"slices"
 	"syscall"
 	"time"
 
@@ -139,24 +137,6 @@
 	}
 }
 
-// printedMost is how many findings of one promise are printed; report.json has all.
-const printedMost = 5
-
-func printViolations(violations []soak.Violation) {
-	seen := map[string]int{}
-	for _, v := range violations {
-		seen[v.Promise]++
-		if seen[v.Promise] <= printedMost {
-			fmt.Printf("  %s %s: %s\n", v.At.Format("15:04:05.000"), v.Promise, v.Detail)
-		}
-	}
-	for _, promise := range slices.Sorted(maps.Keys(seen)) {
-		if n := seen[promise]; n > printedMost {
-			fmt.Printf("  %s: %d in all\n", promise, n)
-		}
-	}
-}
-
 // play plays one seed. Its directory stays if a promise was broken.
 // steps replace the schedule that the seed draws; nil leaves it.
 func play(ctx context.Context, args arguments, programs string, seed uint64, steps []soak.Step) (soak.Report, error) {
@@ -178,7 +158,9 @@
 		return report, err
 	}
 	fmt.Println(report)
-	printViolations(report.Violations)
+	for _, line := range report.Findings() {
+		fmt.Println(" ", line)
+	}
 	for _, a := range report.Aftermaths {
 		fmt.Println(" ", a)
 	}
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -304,3 +304,16 @@
 		t.Errorf("during is %+v, want %+v", got[0].During, want)
 	}
 }
+
+// Every broken promise is told, with its number where that is large.
+func TestFindingsTellEveryPromise(t *testing.T) {
+	var r Report
+	for range toldMost + 1 {
+		r.Violations = append(r.Violations, Violation{Promise: PromiseConfig, Detail: "x"})
+	}
+	r.Violations = append(r.Violations, Violation{Promise: PromiseOnce, Detail: "y"})
+	got := r.Findings()
+	if len(got) != toldMost+2 || !strings.Contains(got[toldMost], PromiseOnce) || got[toldMost+1] != PromiseConfig+": 6 in all" {
+		t.Errorf("%q", got)
+	}
+}
--- a/internal/soak/play.go
+++ b/internal/soak/play.go
@@ -6,8 +6,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -185,3 +187,24 @@
 	return fmt.Sprintf("seed %d: %d hosts, %d steps, %d calls: %d answered, %d refused, %d without answer, %d others; healed after %.2fs; %d broken",
 		r.Seed, r.Hosts, len(r.Steps), r.Calls, r.Answered, r.Refused, r.Failed, r.Others, r.HealedAfter.Seconds(), len(r.Violations))
 }
+
+// toldMost is how many findings of one promise are told; the history has all.
+const toldMost = 5
+
+// Findings tells the broken promises, each with its first findings and their number.
+func (r Report) Findings() []string {
+	var lines []string
+	found := map[string]int{}
+	for _, v := range r.Violations {
+		found[v.Promise]++
+		if found[v.Promise] <= toldMost {
+			lines = append(lines, fmt.Sprintf("%s %s: %s", v.At.Format("15:04:05.000"), v.Promise, v.Detail))
+		}
+	}
+	for _, promise := range slices.Sorted(maps.Keys(found)) {
+		if n := found[promise]; n > toldMost {
+			lines = append(lines, fmt.Sprintf("%s: %d in all", promise, n))
+		}
+	}
+	return lines
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -58,11 +58,14 @@
 			t.Fatal(err)
 		}
 		t.Log(report)
+		for _, a := range report.Aftermaths {
+			t.Log(a)
+		}
 		if report.Answered == 0 {
 			t.Errorf("seed %d: nothing was answered", seed)
 		}
-		for _, v := range report.Violations {
-			t.Errorf("seed %d: %s: %s", seed, v.Promise, v.Detail)
+		for _, line := range report.Findings() {
+			t.Errorf("seed %d: %s", seed, line)
 		}
 	}
 }
