--- a/cmd/ryehaven-soak/main.go
+++ b/cmd/ryehaven-soak/main.go
@@ -158,8 +158,11 @@
 		return report, err
 	}
 	fmt.Println(report)
-	for _, v := range report.Violations {
-		fmt.Printf("  %s %s: %s\n", v.At.Format("15:04:05.000"), v.Promise, v.Detail)
+	for _, line := range report.Findings() {
+		fmt.Println(" ", line)
+	}
+	for _, a := range report.Aftermaths {
+		fmt.Println(" ", a)
 	}
 	for _, note := range report.Notes {
 		fmt.Println("  note:", note)
--- a/internal/soak/play.go
+++ b/internal/soak/play.go
@@ -6,16 +6,15 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
-
-	"github.com/ryehaven/ryehaven/internal/faultproxy"
-	"github.com/ryehaven/ryehaven/platform/emulator"
 )
 
 // Options of a run.
@@ -47,7 +46,9 @@
 	// HealedAfter is how long after the last fault all hosts served again.
 	HealedAfter time.Duration
 	Violations  []Violation
-	Notes       []string
+	// Aftermaths tell how requests fared around each silence of all hosts.
+	Aftermaths []Aftermath
+	Notes      []string
 }
 
 // recoverBound is when all hosts must serve again after the last fault.
@@ -88,13 +89,14 @@
 		s.history.Healed = true
 		report.HealedAfter = time.Since(began)
 	}
-	pause(ctx, calmAfter)
+	pause(ctx, max(calmAfter, time.Until(s.watchedUntil())))
 	endLoad()
 	callers.Wait()
 	cancel()
 	wait.Wait()
 	s.finish()
 	report.Violations = Check(s.history, o.Bounds)
+	report.Aftermaths = Aftermaths(s.history, o.Bounds)
 	report.count(s.history.Calls)
 	report.Notes = s.notes
 	if len(report.Violations) > 0 {
@@ -103,6 +105,18 @@
 	return report, nil
 }
 
+// watchedUntil is when what a silence of all hosts may do to service and to changes
+// has been seen.
+func (s *site) watchedUntil() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.history.Silences) == 0 {
+		return time.Time{}
+	}
+	last := s.history.Silences[len(s.history.Silences)-1]
+	return last.At.Add(max(s.options.Bounds.Silent, s.options.Bounds.Contact) + serviceAfter)
+}
+
 // finish ends the lives of all processes and gathers what servers saw.
 func (s *site) finish() {
 	for _, h := range s.hosts {
@@ -168,187 +182,29 @@
 	wait.Wait()
 }
 
-// strike plays one step to its end and notes the time that it took.
-func (s *site) strike(ctx context.Context, step Step) {
-	hosts := step.Hosts
-	if step.Kind == KillAll {
-		hosts = nil
-		for i := range s.hosts {
-			hosts = append(hosts, i)
-		}
-	}
-	if len(hosts) == 0 {
-		s.during(Everywhere, step, func() { s.strikeStore(ctx, step) })
-		return
-	}
-	var wait sync.WaitGroup
-	for _, i := range hosts {
-		wait.Go(func() { s.during(i, step, func() { s.strikeHost(ctx, s.hosts[i], step) }) })
-	}
-	wait.Wait()
+// String sums a report up on one line.
+func (r Report) String() string {
+	return fmt.Sprintf("seed %d: %d hosts, %d steps, %d calls: %d answered, %d refused, %d without answer, %d others; healed after %.2fs; %d broken",
+		r.Seed, r.Hosts, len(r.Steps), r.Calls, r.Answered, r.Refused, r.Failed, r.Others, r.HealedAfter.Seconds(), len(r.Violations))
 }
 
-// during notes the time that a disturbance takes.
-func (s *site) during(host int, step Step, disturb func()) {
-	from := time.Now()
-	disturb()
-	isPlanned := isPlanned(step.Kind)
-	if isPlanned && host == Everywhere {
-		return // A change of the configuration disturbs nobody.
-	}
-	if step.Kind == Release || step.Kind == Reload || step.Kind == Evacuate || step.Kind == ServerCold {
-		return // The host's node goes on.
-	}
-	s.addSpan(Span{Host: host, From: from, To: time.Now(), Kind: step.Kind, Unplanned: !isPlanned})
-}
+// toldMost is how many findings of one promise are told; the history has all.
+const toldMost = 5
 
-func isPlanned(k Kind) bool {
-	for _, p := range planned {
-		if p == k {
-			return true
+// Findings tells the broken promises, each with its first findings and their number.
+func (r Report) Findings() []string {
+	var lines []string
+	found := map[string]int{}
+	for _, v := range r.Violations {
+		found[v.Promise]++
+		if found[v.Promise] <= toldMost {
+			lines = append(lines, fmt.Sprintf("%s %s: %s", v.At.Format("15:04:05.000"), v.Promise, v.Detail))
 		}
 	}
-	return false
-}
-
-const (
-	stormChanges = 8
-	slowStore    = 400 * time.Millisecond
-	lostReplies  = 3
-	linkDelay    = 60 * time.Millisecond
-	slowPercent  = 800
-)
-
-func (s *site) strikeStore(ctx context.Context, step Step) {
-	switch step.Kind {
-	case Change:
-		s.change()
-	case Storm:
-		for range stormChanges {
-			s.change()
-			pause(ctx, step.For/stormChanges)
+	for _, promise := range slices.Sorted(maps.Keys(found)) {
+		if n := found[promise]; n > toldMost {
+			lines = append(lines, fmt.Sprintf("%s: %d in all", promise, n))
 		}
-	case StoreForget:
-		s.store.ForgetHistory()
-	default:
-		s.setStoreFault(step.Kind, 1)
-		pause(ctx, step.For)
-		s.setStoreFault(step.Kind, -1)
-	}
-}
-
-// setStoreFault adds a step that keeps the store in a fault, or ends one.
-func (s *site) setStoreFault(k Kind, change int) {
-	s.storeMu.Lock()
-	defer s.storeMu.Unlock()
-	s.storeFaults[k] += change
-	var f emulator.Faults
-	f.Down = s.storeFaults[StoreDown] > 0
-	f.Silent = s.storeFaults[StoreSilent] > 0
-	if s.storeFaults[StoreSlow] > 0 {
-		f.Delay = slowStore
 	}
-	if s.storeFaults[StoreLost] > 0 {
-		f.LostReplies = lostReplies
-	}
-	s.store.SetFaults(f)
-}
-
-// linkFaults are what proxies do for each kind of step.
-var linkFaults = map[Kind]faultproxy.Fault{
-	Cut:      {Refuse: true, Cut: true},
-	Reset:    {Cut: true},
-	Silence:  {HoldForward: true, HoldBackward: true},
-	OneWay:   {HoldBackward: true},
-	Delay:    {Delay: linkDelay},
-	StoreCut: {Refuse: true, Cut: true},
-}
-
-func (s *site) strikeHost(ctx context.Context, h *host, step Step) {
-	switch step.Kind {
-	case Kill, KillAll, ClockStep, Stop:
-		s.restart(ctx, h, step)
-	case Pause:
-		h.signal(syscall.SIGSTOP)
-		pause(ctx, step.For)
-		h.signal(syscall.SIGCONT)
-	case Reload:
-		h.reload()
-		pause(ctx, step.For)
-	case Reset:
-		h.peer.Set(linkFaults[Reset])
-		h.peer.Set(faultproxy.Fault{})
-	case StoreCut:
-		h.store.Set(linkFaults[StoreCut])
-		pause(ctx, step.For)
-		h.store.Set(faultproxy.Fault{})
-	case Cut, Silence, OneWay, Delay:
-		h.peer.Set(linkFaults[step.Kind])
-		pause(ctx, step.For)
-		h.peer.Set(faultproxy.Fault{})
-	case ServerFault:
-		h.current().SetBehaviour(step.Behaviour)
-		pause(ctx, step.For)
-		h.current().SetBehaviour(emulator.Answer)
-	case ServerSlow:
-		h.current().SetSlowness(slowPercent)
-		pause(ctx, step.For)
-		h.current().SetSlowness(100)
-	case ServerCold:
-		h.current().SetCold(step.For)
-		pause(ctx, step.For)
-	case Forget:
-		h.peer.Silence()
-		h.store.Silence()
-	case Evacuate:
-		s.evacuate(ctx, h.zone, step.For)
-	case Release:
-		h.release(step.For)
-	}
-}
-
-// clockSteps are how far a node's time of day moves.
-var clockSteps = []time.Duration{-5 * time.Second, 3 * time.Second}
-
-// restart ends a node's process and begins its next life.
-func (s *site) restart(ctx context.Context, h *host, step Step) {
-	if !h.restarting.TryLock() {
-		return // Another step is at it.
-	}
-	defer h.restarting.Unlock()
-	h.signal(syscall.SIGCONT)
-	signal := syscall.SIGKILL
-	if step.Kind == Stop {
-		signal = syscall.SIGTERM
-	}
-	h.end(signal, stopBound+time.Second)
-	if step.Kind == ClockStep {
-		h.clock = clockSteps[int(step.For)%len(clockSteps)]
-	}
-	pause(ctx, step.For/4)
-	h.upgraded = true
-	if err := h.start(); err != nil {
-		s.note("host %d: %v", h.number, err)
-		s.addLife(Life{Host: h.number, To: time.Now(), Unexpected: err.Error()})
-	}
-}
-
-// reload changes the node's settings in place.
-func (h *host) reload() {
-	if !h.restarting.TryLock() {
-		return
-	}
-	defer h.restarting.Unlock()
-	h.revision++
-	if err := os.WriteFile(h.settingsPath(), []byte(h.settings()), 0o600); err != nil {
-		h.site.note("host %d: %v", h.number, err)
-		return
-	}
-	h.signal(syscall.SIGHUP)
-}
-
-// String sums a report up on one line.
-func (r Report) String() string {
-	return fmt.Sprintf("seed %d: %d hosts, %d steps, %d calls: %d answered, %d refused, %d without answer, %d others; healed after %.2fs; %d broken",
-		r.Seed, r.Hosts, len(r.Steps), r.Calls, r.Answered, r.Refused, r.Failed, r.Others, r.HealedAfter.Seconds(), len(r.Violations))
+	return lines
 }
