peer: a silent connection is told from a silent node in the figures

Cause: peer_suspicions counts both, and peer_replaced says nothing of what it cost. So the hypotheses (the node, or its connection) could not be told apart from outside. peer_silent_nodes counts second connections that were not answered either, peer_silent_requests what was under way on replaced connections. Both are asserted in the tests of replacement, one connection each way: the silent connection is replaced with 1 request (0 with questions alone) and no silent node, the node that stands still counts as silent in each of its two tries. Weighed: a log line for each; peer has no log, and one line per connection grows with the square of the site.

--- a/node/metrics.go
+++ b/node/metrics.go
@@ -107,6 +107,8 @@
 		metric.Count("peer_dials", "connections", "connections opened", &c.Dials),
 		metric.Count("peer_dial_failures", "connections", "connections that could not be opened", &c.DialFailures),
 		metric.Count("peer_replaced", "connections", "connections that went silent while their node answered on another", &c.Replaced),
+		metric.Count("peer_silent_nodes", "events", "nodes that answered on no second connection in place of a silent one", &c.SilentNodes),
+		metric.Count("peer_silent_requests", "requests", "requests under way on connections that were replaced", &c.SilentRequests),
 		metric.Count("peer_suspicions", "events", "nodes that were silent while they had work", &c.Suspicions),
 		metric.Count("peer_notices", "messages", "stalls and their ends told to entries", &n.told),
 		metric.Count("peer_accepted", "connections", "connections that other nodes have open here", &c.Accepted),
--- a/peer/counters.go
+++ b/peer/counters.go
@@ -26,6 +26,12 @@
 	// Replaced counts connections that went silent while their node answered on
 	// another.
 	Replaced atomic.Int64
+	// SilentNodes counts tries of a second connection in place of a silent one that
+	// the node did not answer either, so that it is the node that is silent.
+	SilentNodes atomic.Int64
+	// SilentRequests counts requests that were under way on a connection when it was
+	// replaced.
+	SilentRequests atomic.Int64
 	// Accepted is the number of connections that peers have open here, and
 	// Dialed the number that this node has open.
 	Accepted, Dialed atomic.Int64
--- a/peer/replace.go
+++ b/peer/replace.go
@@ -61,6 +61,13 @@
 	}
 }
 
+// underWay returns how many requests are.
+func (c *Conn) underWay() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.calls)
+}
+
 // replaceSilent tries another connection in place of one that has gone silent. It is
 // called with the dialer's lock held.
 func (d *Dialer) replaceSilent(now time.Time, address string, s *slot) {
@@ -76,7 +83,8 @@
 	next := &slot{ready: make(chan struct{})}
 	d.open(address, next)
 	if next.err != nil {
-		return // The node itself is silent, or away.
+		d.Counters.SilentNodes.Add(1)
+		return
 	}
 	d.mu.Lock()
 	current := !d.closed && d.slots[address] == old && old.conn.silentFor(time.Now()) > 0
@@ -89,5 +97,6 @@
 		return
 	}
 	d.Counters.Replaced.Add(1)
+	d.Counters.SilentRequests.Add(int64(old.conn.underWay()))
 	old.conn.end(ErrSilent)
 }
--- a/peer/replace_test.go
+++ b/peer/replace_test.go
@@ -56,10 +56,11 @@
 // what comes later goes by another.
 func TestSilentConnectionIsReplaced(t *testing.T) {
 	for _, test := range []struct {
-		name string
-		use  func(c *Conn) (ended func() bool)
+		name     string
+		requests int64
+		use      func(c *Conn) (ended func() bool)
 	}{
-		{"with a request", func(c *Conn) func() bool {
+		{"with a request", 1, func(c *Conn) func() bool {
 			call, err := c.Start(&wire.Request{URI: "/", BudgetMicros: time.Minute.Microseconds(), Last: true})
 			if err != nil {
 				t.Fatal(err)
@@ -73,7 +74,7 @@
 				}
 			}
 		}},
-		{"with questions alone", func(c *Conn) func() bool {
+		{"with questions alone", 0, func(c *Conn) func() bool {
 			_, err := c.Ask("topic", nil, 50*time.Millisecond)
 			return func() bool { return err != nil }
 		}},
@@ -94,6 +95,9 @@
 			if d.Counters.Replaced.Load() != 1 {
 				t.Errorf("%d connections were replaced", d.Counters.Replaced.Load())
 			}
+			if n := d.Counters.SilentRequests.Load(); n != test.requests || d.Counters.SilentNodes.Load() != 0 {
+				t.Errorf("%d requests were under way, want %d; %d nodes taken for silent", n, test.requests, d.Counters.SilentNodes.Load())
+			}
 		})
 	}
 }
@@ -116,4 +120,7 @@
 	if d.Counters.Replaced.Load() != 0 {
 		t.Error("the connection of a node that stood still was replaced")
 	}
+	if d.Counters.SilentNodes.Load() < 2 {
+		t.Error("the node was not told from its connection")
+	}
 }
