peer, wire, entry: what was sent into a silent connection is known to have run or not

Cause: a connection that goes silent cannot be told from its node on that connection. It was replaced only a second after the node was suspected, and then all that was under way ended as unknown, although nothing sent after the silence had arrived: orders were lost for their callers, repeatable requests were out of budget or of other servers, and the gates counted as failing. Idle connections stayed traps.

Now a suspected node is asked on a second connection at once. If it answers, a fence names the old connection (by the nonce of its handshake): the node takes no request from there any more, and says which had arrived. Those that had not are not run, and go out again free of the budget; those that had are answered on the new connection under their own numbers, also with answers sent into the silence, which a node keeps for 2 s (1 MiB at most). Cancels are said again. Bodies under way stay a second for the old one to speak again. Then all other connections are looked at once (Recheck, bounded), and OnSilent tells the owner of the node, on both sides.

The wire: adding a field to a message does not work. msgpack refuses an array of another length, whatever wire/doc.go said (seen in a test of both directions; the page is put right). So the accepting side says in Challenge.Version, at which older dialing sides do not look, that it knows the new kinds, and is sent none otherwise; a mixed pair behaves as before.

Ruled out: ending the old connection as a whole at once (a link that sends again would cut bodies); sending again in peer itself (the entry could not choose another server, and would take the silence for the server's time); leaving for another server at the moment of suspicion (the others are silent too, and the budget is gone), so that 20 ms are waited for the word on the second connection.

Tests changed: TestSilentConnectionIsReplaced wanted ErrSilent (unknown) for a request sent into the silence; it is now known not to have run, so the test wants ErrNotArrived, which is stricter, after the accepting side's handshake has ended. The raw peer of TestDialerWatchesConnectionsWithWork takes a second connection without a request.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
 	"github.com/ryehaven/ryehaven/balance"
@@ -38,6 +39,8 @@
 	// reason and retryAfter are the gate's when it refused.
 	reason     wire.Reason
 	retryAfter time.Duration
+	// notArrived says that the request never got to the gate, through no fault of that.
+	notArrived bool
 	// final says that no other attempt may follow: the caller is gone or its
 	// time is up.
 	final bool
@@ -164,8 +167,9 @@
 		a.response = head.Response
 		a.outcome = outcomeOfStatus(head.Response.Status)
 		failed := a.outcome == retry.ServerError && !head.Response.NoRetry
-		e.end(r, a, balance.Result{Latency: took, Failed: failed, Load: &head.Response.Load})
-		if a.outcome == retry.Answered {
+		// Of one that was moved the time says nothing of the server.
+		e.end(r, a, balance.Result{Latency: took, Failed: failed, Abandoned: head.Moved && !failed, Load: &head.Response.Load})
+		if a.outcome == retry.Answered && !head.Moved {
 			r.observe(took, head.Response)
 		}
 	case head.Refusal != nil:
@@ -188,9 +192,15 @@
 		a.outcome = retry.Unknown
 		a.final = head.Reset.Expired
 		e.end(r, a, balance.Result{Latency: took, Failed: true, Load: &head.Reset.Load})
+	case eris.Is(head.Err, peer.ErrNotArrived):
+		a.outcome, a.reason, a.notArrived = retry.NotRun, wire.ReasonConnect, true
+		r.forget(a.server)
+		e.clear(r.service, a)
+		e.end(r, a, balance.Result{Abandoned: true})
 	default:
 		a.outcome = retry.Unknown
-		e.end(r, a, balance.Result{Latency: took, Failed: true})
+		silent := eris.Is(head.Err, peer.ErrSilent)
+		e.end(r, a, balance.Result{Latency: took, Failed: !silent, Abandoned: silent})
 	}
 }
 
@@ -229,6 +239,20 @@
 	e.end(r, a, balance.Result{Abandoned: true})
 }
 
+// clear no longer suspects a node that answers on another connection than a request's,
+// so that the request may go there again at once.
+func (e *Entry) clear(s *service, a *attempt) {
+	conn := e.dialer.Peek(a.node)
+	if conn == nil || conn.IsSuspected() {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.pool.Suspect(time.Now(), a.server, false) {
+		e.settings.Recorder.Record(suspicionOf(s.name, a.server, false))
+	}
+}
+
 // endDeadline asks the gate to cancel and takes its word for whether the
 // request was run.
 func (e *Entry) endDeadline(r *request, a *attempt) {
--- /dev/null
+++ b/entry/fence_test.go
@@ -0,0 +1,124 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/ryehaven/ryehaven/header"
+	"github.com/ryehaven/ryehaven/internal/faultproxy"
+	"github.com/ryehaven/ryehaven/peer"
+	"github.com/ryehaven/ryehaven/retry"
+	"github.com/ryehaven/ryehaven/wire"
+)
+
+// counted is a gate that answers at once and counts what has run.
+type counted struct {
+	mu  sync.Mutex
+	ran map[string]int
+}
+
+func (c *counted) request(s *peer.Stream) {
+	c.mu.Lock()
+	c.ran[s.Request.URI]++
+	c.mu.Unlock()
+	_ = s.Respond(&wire.Response{Status: 200, Last: true})
+}
+
+func (c *counted) times(uri string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ran[uri]
+}
+
+// post sends a request that may not be repeated and returns the status.
+func post(t *testing.T, address, uri string) int {
+	t.Helper()
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + address + uri)
+	request.Header.SetMethod("POST")
+	request.Header.SetHost("s")
+	request.UseHostHeader = true
+	request.Header.Set(header.Deadline, "15000")
+	if err := (&fasthttp.Client{Dial: func(string) (net.Conn, error) { return net.Dial("tcp", address) }}).Do(request, response); err != nil {
+		t.Error(err)
+	}
+	return response.StatusCode()
+}
+
+// All connections of an entry went silent while new ones worked. Orders sent then ended
+// as unknown (502) for their callers a second later, though none had arrived, and the
+// gates counted as failing. They are not run, and that is known, so that each goes out
+// again whatever the budget of repeats holds.
+func TestOrdersSentIntoASilenceRunOnce(t *testing.T) {
+	for _, nodes := range []int{1, 2} {
+		t.Run(fmt.Sprint("servers on hosts: ", nodes), func(t *testing.T) { sendIntoSilences(t, nodes) })
+	}
+}
+
+// sendIntoSilences sends orders to two servers beside one or two nodes.
+func sendIntoSilences(t *testing.T, nodes int) {
+	gates := &counted{ran: map[string]int{}}
+	var proxies []*faultproxy.Proxy
+	for range nodes {
+		p, err := faultproxy.New()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(p.Close)
+		p.SetTarget(startGate(t, gates.request))
+		proxies = append(proxies, p)
+	}
+	address := startEntry(t, proxies[0].Address(), proxies[nodes-1].Address())
+	const orders = 60 // More than the budget would pay for.
+	for round := range 3 {
+		for i := range 4 {
+			if status := post(t, address, fmt.Sprintf("/warm/%d/%d", round, i)); status != 200 {
+				t.Fatalf("round %d begins with %d", round, status)
+			}
+		}
+		for _, p := range proxies {
+			p.Silence()
+		}
+		var wait sync.WaitGroup
+		for i := range orders {
+			wait.Go(func() {
+				uri := fmt.Sprintf("/order/%d/%d", round, i)
+				if status := post(t, address, uri); status != 200 || gates.times(uri) != 1 {
+					t.Errorf("%s: status %d, ran %d times", uri, status, gates.times(uri))
+				}
+			})
+		}
+		wait.Wait()
+	}
+	for _, p := range proxies {
+		p.Resume()
+	}
+	time.Sleep(50 * time.Millisecond) // For what was sent into the silences to run, if it did.
+	for round := range 3 {
+		for i := range orders {
+			if n := gates.times(fmt.Sprintf("/order/%d/%d", round, i)); n != 1 {
+				t.Errorf("order %d of round %d ran %d times", i, round, n)
+			}
+		}
+	}
+}
+
+// What never arrived costs a server nothing, whether the budget counts what reaches
+// servers or what is sent.
+func TestNotArrivedIsFree(t *testing.T) {
+	a := &attempt{outcome: retry.NotRun, reason: wire.ReasonConnect, notArrived: true}
+	for _, terms := range []retry.Terms{{}, {Share: 0.1, Window: time.Second}} {
+		if cost := a.cost(&terms); cost != 0 {
+			t.Errorf("it costs %v under %+v", cost, terms)
+		}
+	}
+}
--- a/entry/handle.go
+++ b/entry/handle.go
@@ -233,6 +233,8 @@
 // that count what reaches servers, a refusal before that is free.
 func (a *attempt) cost(terms *retry.Terms) float64 {
 	switch {
+	case a.notArrived:
+		return 0
 	case !terms.Counted():
 		return a.outcome.Cost()
 	case a.reached():
--- a/entry/race.go
+++ b/entry/race.go
@@ -23,6 +23,8 @@
 	// lookAgain is when a request at a suspected node looks for another one again;
 	// nil while there is no such.
 	lookAgain <-chan time.Time
+	// awaited says that the node's word on another connection has been waited for.
+	awaited bool
 	// left says that the hedge was sent because the first attempt's node was silent,
 	// and hedgeSuspected is closed when the hedge's own becomes suspected.
 	left           bool
@@ -110,7 +112,7 @@
 func (w *race) promote() {
 	w.first, w.hedge = w.hedge, nil
 	w.suspected, w.hedgeSuspected = w.hedgeSuspected, nil
-	w.left, w.lookAgain, w.settle = false, nil, nil
+	w.left, w.awaited, w.lookAgain, w.settle = false, false, nil, nil
 }
 
 // giveUpSilent gives up the first attempt, whose node was silent, for the hedge:
@@ -133,7 +135,7 @@
 	w.entry.endHead(w.request, hedge, head)
 	if hedge.outcome != retry.Answered {
 		w.request.note(hedge)
-		if w.left && !hedge.reached() {
+		if (w.left || hedge.notArrived) && !hedge.reached() {
 			w.request.reached--
 		}
 		w.hedge, w.left, w.hedgeSuspected, w.settle = nil, false, nil, nil
@@ -150,6 +152,10 @@
 }
 
 const (
+	// wordAfter is how long the word of a silent node is awaited that comes on another
+	// connection if only the first has gone silent: some round trips of a region. Most
+	// requests need no second server then.
+	wordAfter = 20 * time.Millisecond
 	// suspectedLook is how often a request at a suspected node looks for another one.
 	suspectedLook = 20 * time.Millisecond
 	// settleAfter is how long a request that was sent to another server stays at the
@@ -166,7 +172,12 @@
 		return nil
 	}
 	if conn := w.entry.dialer.Peek(w.first.node); conn != nil && !conn.IsSuspected() {
-		w.suspected = conn.Suspected() // It speaks again.
+		w.suspected, w.awaited = conn.Suspected(), false // It speaks again, or on another connection.
+		return nil
+	}
+	if !w.awaited {
+		w.awaited = true
+		w.lookAgain = time.After(wordAfter)
 		return nil
 	}
 	if !w.entry.leave(w.request, w.first) {
--- a/internal/faultproxy/faultproxy.go
+++ b/internal/faultproxy/faultproxy.go
@@ -96,6 +96,18 @@
 	return len(p.pairs)
 }
 
+// Resume has silent connections pass on again, and first what was sent meanwhile, as a
+// way does that was only away for a while.
+func (p *Proxy) Resume() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.pairs {
+		c.silent.Store(false)
+	}
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
 // Close ends the proxy and its connections.
 func (p *Proxy) Close() {
 	p.listener.Close()
--- a/internal/faultproxy/faultproxy_test.go
+++ b/internal/faultproxy/faultproxy_test.go
@@ -107,4 +107,9 @@
 	if err := echo(next, 5*time.Second); err != nil {
 		t.Errorf("error %v on a new connection", err)
 	}
+	p.Resume()
+	old.SetDeadline(time.Now().Add(5 * time.Second))
+	if _, err := io.ReadFull(old, make([]byte, 4)); err != nil {
+		t.Errorf("error %v, want what was sent into the silence", err)
+	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -153,6 +153,7 @@
 		HandshakeLimit: handshakeLimit,
 		MaxConns:       maxPeerConns,
 	}
+	n.peerServer.OnSilent = n.dialer.Recheck
 	n.entry = entry.New(n.entrySettings(), n.dialer)
 	n.dialer.OnNotice = n.entry.Notice
 	n.dialer.OnSlowness = n.entry.Slowness
--- a/peer/auth.go
+++ b/peer/auth.go
@@ -31,6 +31,16 @@
 	Key []byte
 }
 
+// greeting is what a handshake tells of a connection.
+type greeting struct {
+	// peer is who proved the key on the other side.
+	peer Identity
+	// id names the connection: the dialing side's nonce.
+	id string
+	// fences says that the accepting side knows wire.Fence.
+	fences bool
+}
+
 // Roles keep a proof of one side from serving as the other's.
 const (
 	roleDialer   = "ryehaven dialer"
@@ -96,51 +106,61 @@
 }
 
 // dialHandshake proves the key from the dialing side and returns who answered.
-func dialHandshake(nc net.Conn, r *wire.Reader, self Identity, limit time.Duration) (Identity, error) {
+func dialHandshake(nc net.Conn, r *wire.Reader, self Identity, limit time.Duration) (greeting, error) {
 	if err := nc.SetDeadline(time.Now().Add(limit)); err != nil {
-		return Identity{}, err
+		return greeting{}, err
 	}
 	hello := &wire.Hello{Version: wire.Version, Host: self.Host, Incarnation: self.Incarnation, Nonce: nonce()}
 	if err := writeFrame(nc, hello); err != nil {
-		return Identity{}, err
+		return greeting{}, err
 	}
 	challenge, err := expect[*wire.Challenge](r)
 	if err != nil {
-		return Identity{}, err
+		return greeting{}, err
 	}
 	if !hmac.Equal(challenge.MAC, proof(self.Key, roleAcceptor, hello, challenge)) {
-		return Identity{}, ErrWrongKey
+		return greeting{}, ErrWrongKey
 	}
 	if err := writeFrame(nc, &wire.Proof{MAC: proof(self.Key, roleDialer, hello, challenge)}); err != nil {
-		return Identity{}, err
+		return greeting{}, err
 	}
-	return Identity{Host: challenge.Host, Incarnation: challenge.Incarnation}, nc.SetDeadline(time.Time{})
+	met := greeting{
+		peer:   Identity{Host: challenge.Host, Incarnation: challenge.Incarnation},
+		id:     string(hello.Nonce),
+		fences: challenge.Version >= wire.VersionFence,
+	}
+	return met, nc.SetDeadline(time.Time{})
 }
 
 // acceptHandshake proves the key from the accepting side and returns who
 // dialed. No frame but Hello and Proof is read before it succeeds.
-func acceptHandshake(nc net.Conn, r *wire.Reader, self Identity, limit time.Duration) (Identity, error) {
+func acceptHandshake(nc net.Conn, r *wire.Reader, self Identity, limit time.Duration) (greeting, error) {
 	if err := nc.SetDeadline(time.Now().Add(limit)); err != nil {
-		return Identity{}, err
+		return greeting{}, err
 	}
 	hello, err := expect[*wire.Hello](r)
 	if err != nil {
-		return Identity{}, err
+		return greeting{}, err
 	}
 	if hello.Version != wire.Version || len(hello.Nonce) != nonceBytes {
-		return Identity{}, eris.Wrapf(ErrHandshake, "version %d, nonce of %d bytes", hello.Version, len(hello.Nonce))
+		return greeting{}, eris.Wrapf(ErrHandshake, "version %d, nonce of %d bytes", hello.Version, len(hello.Nonce))
 	}
-	challenge := &wire.Challenge{Version: wire.Version, Host: self.Host, Incarnation: self.Incarnation, Nonce: nonce()}
+	challenge := &wire.Challenge{Version: wire.VersionFence, Host: self.Host, Incarnation: self.Incarnation, Nonce: nonce()}
 	challenge.MAC = proof(self.Key, roleAcceptor, hello, challenge)
 	if err := writeFrame(nc, challenge); err != nil {
-		return Identity{}, err
+		return greeting{}, err
 	}
 	answer, err := expect[*wire.Proof](r)
 	if err != nil {
-		return Identity{}, err
+		return greeting{}, err
 	}
 	if !hmac.Equal(answer.MAC, proof(self.Key, roleDialer, hello, challenge)) {
-		return Identity{}, ErrWrongKey
+		return greeting{}, ErrWrongKey
+	}
+	met := greeting{
+		peer:   Identity{Host: hello.Host, Incarnation: hello.Incarnation},
+		id:     string(hello.Nonce),
+		fences: true,
 	}
-	return Identity{Host: hello.Host, Incarnation: hello.Incarnation}, nc.SetDeadline(time.Time{})
+	return met, nc.SetDeadline(time.Time{})
 }
--- a/peer/call.go
+++ b/peer/call.go
@@ -4,6 +4,7 @@
 
 import (
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -22,19 +23,27 @@
 	Refusal *wire.Refusal
 	// Reset says that the request was handed to the backend server.
 	Reset *wire.Reset
-	// Err says that the connection was lost; whether it ran is not known.
+	// Err says that the connection was lost. With ErrNotArrived the request was not
+	// run and never will be; else that is not known.
 	Err error
+	// Moved says that the answer was held up by a connection that went silent.
+	Moved bool
 }
 
 // Call is a request under way, seen from the entry.
 type Call struct {
-	conn *Conn
+	// conn is the connection that the call is on, changed under its lock.
+	conn atomic.Pointer[Conn]
 	id   uint64
 	head chan Head
 	in   *pipe
 	out  *allowance
-	// answered is set by the connection's reader with the answer's start.
-	answered bool
+	// whole says that the request went in one frame.
+	whole bool
+	// answered is set with the answer's start and moved with another connection, both
+	// under the connection's lock.
+	answered, moved bool
+	canceled        atomic.Bool
 }
 
 // Head returns the channel on which the answer's Head arrives once.
@@ -43,20 +52,34 @@
 // Cancel tells the gate that the answer is no longer wanted. The gate's word
 // on whether the request ran still arrives on Head.
 func (c *Call) Cancel() {
-	_ = c.conn.w.send(&wire.Cancel{ID: c.id}) // A lost connection reports on Head.
+	c.canceled.Store(true)                           // Before the connection is read: whoever moves the call looks after.
+	_ = c.conn.Load().w.send(&wire.Cancel{ID: c.id}) // A lost connection reports on Head.
 }
 
 // Abandon ends the call: frames that still arrive for it are dropped.
 func (c *Call) Abandon() {
-	if c.conn.forget(c.id) {
+	if c.forget() {
 		c.Cancel()
 	}
 	c.fail(ErrClosed)
 }
 
+// forget takes the call off its connection and reports whether it was still there.
+func (c *Call) forget() bool {
+	for {
+		conn := c.conn.Load()
+		if conn.forget(c.id) {
+			return true
+		}
+		if c.conn.Load() == conn {
+			return false
+		}
+	}
+}
+
 // Send sends a part of the body and waits up to idle for the gate to take it.
 func (c *Call) Send(part []byte, last bool, idle time.Duration) error {
-	return sendBody(c.conn.w, c.out, c.id, part, last, idle)
+	return sendBody(c.conn.Load().w, c.out, c.id, part, last, idle)
 }
 
 // StopSending makes a waiting Send return; the call itself goes on.
@@ -66,7 +89,7 @@
 // call. A body that was cut short ends with an error other than io.EOF.
 func (c *Call) Body(idle time.Duration) io.ReadCloser {
 	c.in.openCredit(func(n int64) {
-		_ = c.conn.w.send(&wire.Credit{ID: c.id, Bytes: n})
+		_ = c.conn.Load().w.send(&wire.Credit{ID: c.id, Bytes: n})
 	})
 	return &callBody{call: c, idle: idle}
 }
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -21,6 +21,12 @@
 	// Peer is who proved the key on the other side.
 	Peer Identity
 
+	// address is what was dialed, id the connection's name on both sides, and fences
+	// says that the peer knows wire.Fence.
+	address string
+	id      string
+	fences  bool
+
 	nc       net.Conn
 	w        *writer
 	counters *Counters
@@ -35,19 +41,27 @@
 	asks   map[uint64]chan *wire.Reply
 	nextID uint64
 	err    error
+	// next takes what is new once it is set, and prev is what this one took the place
+	// of. unsure are calls moved from there until the peer has said what became of them.
+	next, prev *Conn
+	unsure     map[uint64]struct{}
 	// lastUsed is when the last call or question began or ended.
 	lastUsed time.Time
 	// busySince is when the first of the calls under way began.
 	busySince time.Time
 	pingSent  time.Time
 	pings     uint64
+	probe     probe
 
 	// watched says that there is work here, or was when the peer fell silent, so
 	// that the watch over silent peers has to look.
 	watched      atomic.Bool
 	lastReceived atomic.Int64
 	suspicion    atomic.Pointer[suspicion]
-	silence      silence
+	silentSince  atomic.Int64
+	// spoke is closed once the peer has sent something after the handshake.
+	spoke     chan struct{}
+	spokeOnce sync.Once
 }
 
 // connHooks are what a connection calls; each may be nil.
@@ -67,16 +81,20 @@
 	}
 }
 
-func openConn(nc net.Conn, self Identity, counters *Counters, limit time.Duration, hooks connHooks) (*Conn, error) {
+func openConn(nc net.Conn, address string, self Identity, counters *Counters, limit time.Duration, hooks connHooks) (*Conn, error) {
 	reader := wire.NewReader(bufio.NewReaderSize(nc, readBuffer))
-	peer, err := dialHandshake(nc, reader, self, limit)
+	met, err := dialHandshake(nc, reader, self, limit)
 	if err != nil {
 		nc.Close()
 		return nil, err
 	}
 	now := time.Now()
 	c := &Conn{
-		Peer:     peer,
+		Peer:     met.peer,
+		address:  address,
+		id:       met.id,
+		fences:   met.fences,
+		spoke:    make(chan struct{}),
 		nc:       nc,
 		w:        newWriter(nc, counters),
 		counters: counters,
@@ -96,13 +114,17 @@
 // Start sends a request whose ID and SentMicros it fills in. After an error
 // nothing of the request left this node.
 func (c *Conn) Start(r *wire.Request) (*Call, error) {
-	call := &Call{conn: c, head: make(chan Head, 1), in: newPipe(), out: newAllowance()}
+	call := &Call{head: make(chan Head, 1), in: newPipe(), out: newAllowance(), whole: r.Last}
+	call.conn.Store(c)
 	c.starting.Lock()
 	defer c.starting.Unlock()
 	c.mu.Lock()
-	if c.err != nil {
+	if next, err := c.next, c.err; next != nil || err != nil {
 		c.mu.Unlock()
-		return nil, c.err
+		if next != nil {
+			return next.Start(r)
+		}
+		return nil, err
 	}
 	c.nextID++
 	call.id = c.nextID
@@ -112,9 +134,7 @@
 	}
 	c.calls[call.id] = call
 	c.mu.Unlock()
-	if c.watched.CompareAndSwap(false, true) && c.hooks.onWork != nil {
-		c.hooks.onWork(c)
-	}
+	c.watch()
 	r.ID = call.id
 	r.SentMicros = time.Since(c.opened).Microseconds()
 	call.out.left -= int64(len(r.Body))
@@ -130,9 +150,12 @@
 	reply := make(chan *wire.Reply, 1)
 	asked := time.Now()
 	c.mu.Lock()
-	if c.err != nil {
+	if next, err := c.next, c.err; next != nil || err != nil {
 		c.mu.Unlock()
-		return nil, c.err
+		if next != nil {
+			return next.Ask(topic, payload, limit)
+		}
+		return nil, err
 	}
 	c.nextID++
 	id := c.nextID
@@ -195,6 +218,7 @@
 	c.err = err
 	calls, asks := c.calls, c.asks
 	c.calls, c.asks = map[uint64]*Call{}, map[uint64]chan *wire.Reply{}
+	c.prev = nil
 	c.mu.Unlock()
 	c.counters.Dialed.Add(-1)
 	c.w.close(err)
@@ -255,13 +279,13 @@
 		}
 	case *wire.Refusal:
 		if call := c.take(m.ID); call != nil {
-			call.answer(Head{Refusal: m})
+			call.answer(Head{Refusal: m, Moved: call.moved})
 			call.fail(ErrClosed)
 			return nil
 		}
 	case *wire.Reset:
 		if call := c.take(m.ID); call != nil {
-			call.answer(Head{Reset: m})
+			call.answer(Head{Reset: m, Moved: call.moved})
 			call.fail(eris.Wrap(ErrReset, m.Message))
 			return nil
 		}
@@ -279,6 +303,9 @@
 		return nil
 	case *wire.Pong:
 		return nil
+	case *wire.Fenced:
+		c.receiveFenced(m)
+		return nil
 	default:
 		return eris.Wrapf(ErrHandshake, "got kind %d from the accepting side", m.Kind())
 	}
@@ -288,30 +315,44 @@
 
 // take removes a call and returns it, or nil.
 func (c *Conn) take(id uint64) *Call {
-	call := c.call(id)
-	if call != nil {
-		c.forget(id)
-	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	call := c.calls[id]
+	delete(c.calls, id)
+	c.lastUsed = time.Now()
 	return call
 }
 
 func (c *Conn) receiveResponse(m *wire.Response) error {
-	call := c.call(m.ID)
-	if call == nil || call.answered {
+	call := c.takeAnswer(m.ID, m.Last)
+	if call == nil {
 		c.counters.LateFrames.Add(1)
 		return nil
 	}
-	call.answered = true
-	if m.Last {
-		c.forget(m.ID)
-	}
 	if err := call.in.push(m.Body, m.Last); err != nil {
 		return err
 	}
-	call.answer(Head{Response: m})
+	call.answer(Head{Response: m, Moved: call.moved})
 	return nil
 }
 
+// takeAnswer returns the call whose answer begins, or nil, and removes it if that is
+// all of it. From then on it is not moved to another connection.
+func (c *Conn) takeAnswer(id uint64, last bool) *Call {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	call := c.calls[id]
+	if call == nil || call.answered {
+		return nil
+	}
+	call.answered = true
+	if last {
+		delete(c.calls, id)
+		c.lastUsed = time.Now()
+	}
+	return call
+}
+
 func (c *Conn) receiveData(m *wire.Data) error {
 	call := c.call(m.ID)
 	if call == nil {
--- a/peer/counters.go
+++ b/peer/counters.go
@@ -32,6 +32,9 @@
 	// SilentRequests counts requests that were under way on a connection when it was
 	// replaced.
 	SilentRequests atomic.Int64
+	// Moved counts requests that another connection took over, NotArrived those that
+	// had not arrived and so were not run, and MovedLost those that cannot be answered.
+	Moved, NotArrived, MovedLost atomic.Int64
 	// Accepted is the number of connections that peers have open here, and
 	// Dialed the number that this node has open.
 	Accepted, Dialed atomic.Int64
@@ -39,7 +42,8 @@
 
 func isControl(kind wire.Kind) bool {
 	switch kind {
-	case wire.KindPing, wire.KindPong, wire.KindAsk, wire.KindReply, wire.KindNotice, wire.KindSlowness:
+	case wire.KindPing, wire.KindPong, wire.KindAsk, wire.KindReply, wire.KindNotice, wire.KindSlowness,
+		wire.KindFence, wire.KindFenced:
 		return true
 	}
 	return false
--- a/peer/dialer.go
+++ b/peer/dialer.go
@@ -36,12 +36,21 @@
 	OnNotice func(n *wire.Notice)
 	// OnSlowness is called likewise with the address of the gate's node.
 	OnSlowness func(address string, percent int)
+	// OnSilent is called, in a goroutine of its own, when a connection went silent
+	// while its node answers on another; it may be nil.
+	OnSilent func()
 
 	mu        sync.Mutex
 	slots     map[string]*slot
 	lastCheck time.Time
 	lastSweep time.Time
 	closed    bool
+	// yielded are silent connections whose place another has taken, for what is still
+	// under way on them.
+	yielded map[*Conn]struct{}
+	// rechecked is when all connections were last looked at.
+	rechecked  time.Time
+	recheckDue atomic.Bool
 
 	watched watchList
 	changes atomic.Uint64
@@ -136,7 +145,7 @@
 	d.Counters.Dials.Add(1)
 	nc, err := sock.Dial(address, d.Limit)
 	if err == nil {
-		s.conn, err = openConn(nc, d.Self, d.Counters, d.Limit, d.hooksOf(address))
+		s.conn, err = openConn(nc, address, d.Self, d.Counters, d.Limit, d.hooksOf(address))
 	}
 	if err == nil && d.OnPeer != nil {
 		go d.OnPeer(s.conn.Peer, address)
@@ -162,12 +171,14 @@
 		d.lastSweep = now
 		d.sweep(now)
 	}
+	d.recheck(now)
 	d.mu.Unlock()
 	for _, conn := range d.watched.all() {
 		if heldUp {
 			conn.Excuse()
 		}
 		conn.check(now, pingAfter, suspectAfter)
+		d.replaceSilent(now, conn)
 	}
 }
 
@@ -185,9 +196,12 @@
 		}
 		if idle := conn.idleSince(); !idle.IsZero() && now.Sub(idle) > d.IdleLimit {
 			conn.Close()
-			continue
 		}
-		d.replaceSilent(now, address, s)
+	}
+	for conn := range d.yielded {
+		if conn.over(now) {
+			delete(d.yielded, conn)
+		}
 	}
 }
 
@@ -224,9 +238,12 @@
 func (d *Dialer) Close() {
 	d.mu.Lock()
 	d.closed = true
-	slots := d.slots
-	d.slots = nil
+	slots, yielded := d.slots, d.yielded
+	d.slots, d.yielded = nil, nil
 	d.mu.Unlock()
+	for conn := range yielded {
+		conn.Close()
+	}
 	for _, s := range slots {
 		<-s.ready
 		if s.conn != nil {
--- a/peer/doc.go
+++ b/peer/doc.go
@@ -23,6 +23,14 @@
 // who waits on it. A node that finds its own clock has jumped suspects nobody
 // in that round: it may have been frozen itself.
 //
+// A suspected peer is asked on a second connection at once. If it answers there, it is
+// the connection that is silent: a [wire.Fence] tells the peer, which takes no request
+// from there any more. What had not arrived ends with [ErrNotArrived]; what had is
+// answered on the new connection, also from answers that were sent into the silence.
+// Bodies under way stay a second for the old one to speak again. Between builds of which
+// one has no fences, all that is under way ends with [ErrSilent] after that second. Then
+// all other connections are looked at ([Dialer.Recheck]).
+//
 // # Age
 //
 // Each request carries the sender's monotonic time. The accepting side takes
--- a/peer/replace.go
+++ b/peer/replace.go
@@ -3,50 +3,40 @@
 package peer
 
 import (
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/ryehaven/ryehaven/wire"
 )
 
 // A connection may go silent for good while new ones to the same node work: a device
 // on the way has forgotten it. Nothing on it tells that from a node that stands still,
 // and its node would be passed over for as long as the connection lives. So a second
-// connection is tried, and takes its place if the node answers there.
+// connection is tried at once, and takes its place if the node answers there.
 const (
-	// replaceAfter is how long a peer must have been silent for that: a node that is
-	// held up for a moment speaks again before.
+	// replaceAfter is how long a peer must have been silent before what cannot be moved
+	// to another connection is given up: a node that is held up for a moment, or a link
+	// that sends again, speaks before.
 	replaceAfter = time.Second
 	// replaceEvery is the time between two tries.
 	replaceEvery = time.Second
+	// recheckEvery is the least time between two looks at all connections.
+	recheckEvery = time.Second
 )
 
-// ErrSilent ends what is under way on a connection that went silent while its node
-// answers on another.
-var ErrSilent = eris.New("connection went silent, its node answers on another")
-
-// silence is what a connection knows of its peer's silence.
-type silence struct {
-	// since is when the peer was suspected, in nanoseconds since the connection was
-	// opened, 0 while it is not.
-	since atomic.Int64
-	// unanswered is when a question was put that was not answered, and nothing else
-	// was heard since; 0 if there is none.
-	unanswered atomic.Int64
-}
-
-// heard takes note that the peer spoke.
-func (s *silence) heard() {
-	s.since.Store(0)
-	s.unanswered.Store(0)
-}
+// Errors of what is under way on a connection that went silent while its node answers
+// on another.
+var (
+	// ErrSilent says that the request may have run.
+	ErrSilent = eris.New("connection went silent, its node answers on another")
+	// ErrNotArrived says that the request was not run and never will be.
+	ErrNotArrived = eris.New("request had not arrived when its connection was given up")
+)
 
 // silentFor is how long the peer has been silent although it had to speak.
 func (c *Conn) silentFor(now time.Time) time.Duration {
-	began := c.silence.since.Load()
-	if asked := c.silence.unanswered.Load(); began == 0 || (asked != 0 && asked < began) {
-		began = asked
-	}
+	began := c.silentSince.Load()
 	if began == 0 {
 		return 0
 	}
@@ -55,48 +45,116 @@
 
 // noteUnanswered takes note of a question that was put at a time and not answered.
 func (c *Conn) noteUnanswered(asked time.Time) {
-	at := int64(asked.Sub(c.opened))
-	if c.lastReceived.Load() < at {
-		c.silence.unanswered.CompareAndSwap(0, at)
+	if c.lastReceived.Load() < int64(asked.Sub(c.opened)) {
+		c.lookAt()
 	}
 }
 
-// underWay returns how many requests are.
-func (c *Conn) underWay() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.calls)
+// Recheck looks at all connections soon, also those without work: one was found
+// silent, and others may be.
+func (d *Dialer) Recheck() { d.recheckDue.Store(true) }
+
+// recheck has all connections looked at if that is due. It is called with the lock
+// held.
+func (d *Dialer) recheck(now time.Time) {
+	if !d.recheckDue.Load() || now.Sub(d.rechecked) < recheckEvery {
+		return
+	}
+	d.recheckDue.Store(false)
+	d.rechecked = now
+	for _, s := range d.slots {
+		if conn := s.opened(); conn != nil {
+			conn.lookAt()
+		}
+	}
 }
 
-// replaceSilent tries another connection in place of one that has gone silent. It is
-// called with the dialer's lock held.
-func (d *Dialer) replaceSilent(now time.Time, address string, s *slot) {
-	if s.conn.silentFor(now) < replaceAfter || now.Sub(s.replaced) < replaceEvery {
+// replaceSilent tries another connection in place of one whose peer is suspected.
+func (d *Dialer) replaceSilent(now time.Time, conn *Conn) {
+	silent := conn.silentFor(now)
+	if silent == 0 || (!conn.fences && silent < replaceAfter) {
+		return // Of a peer without fences nothing could be moved.
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.slots[conn.address]
+	if s == nil || s.opened() != conn || now.Sub(s.replaced) < replaceEvery {
 		return
 	}
 	s.replaced = now
-	go d.replace(address, s)
+	go d.replace(conn.address, s)
 }
 
 // replace opens a connection and puts it in the place of a silent one.
 func (d *Dialer) replace(address string, old *slot) {
 	next := &slot{ready: make(chan struct{})}
 	d.open(address, next)
-	if next.err != nil {
+	if next.err != nil || !next.conn.answers(d.Limit) {
 		d.Counters.SilentNodes.Add(1)
+		if next.conn != nil {
+			next.conn.Close()
+		}
 		return
 	}
-	d.mu.Lock()
-	current := !d.closed && d.slots[address] == old && old.conn.silentFor(time.Now()) > 0
-	if current {
-		d.slots[address] = next
-	}
-	d.mu.Unlock()
-	if !current {
+	if !d.takePlace(address, old, next) {
 		next.conn.Close()
 		return
 	}
+	d.Recheck()
+	if d.OnSilent != nil {
+		d.OnSilent()
+	}
+}
+
+// answers reports whether the peer speaks on a new connection. A node that stood still
+// does so too, but what it sends on the old one comes first.
+func (c *Conn) answers(limit time.Duration) bool {
+	if c.w.send(&wire.Ping{}) != nil {
+		return false
+	}
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-c.spoke:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
+// takePlace puts a connection in the place of one that is still silent and reports
+// whether it was.
+func (d *Dialer) takePlace(address string, old, next *slot) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed || d.slots[address] != old || old.conn.silentSince.Load() == 0 {
+		return false
+	}
+	underWay := old.conn.underWay()
+	if !samePeer(old.conn.Peer, next.conn.Peer) || !next.conn.fences {
+		// Who answers does not know what arrived there.
+		d.slots[address] = next
+		old.conn.end(ErrSilent)
+	} else if !old.conn.yieldTo(next.conn) {
+		return false
+	} else {
+		d.slots[address] = next
+		if d.yielded == nil {
+			d.yielded = map[*Conn]struct{}{}
+		}
+		d.yielded[old.conn] = struct{}{}
+	}
 	d.Counters.Replaced.Add(1)
-	d.Counters.SilentRequests.Add(int64(old.conn.underWay()))
-	old.conn.end(ErrSilent)
+	d.Counters.SilentRequests.Add(int64(underWay))
+	return true
+}
+
+// samePeer reports whether two are the same life of a node.
+func samePeer(a, b Identity) bool { return a.Host == b.Host && a.Incarnation == b.Incarnation }
+
+// underWay returns how many requests are.
+func (c *Conn) underWay() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.calls)
 }
--- a/peer/replace_test.go
+++ b/peer/replace_test.go
@@ -52,8 +52,8 @@
 	}
 }
 
-// A connection that went silent for good is replaced: what is under way on it ends, and
-// what comes later goes by another.
+// A connection that went silent for good is replaced: what was sent into the
+// silence ends as not run, and what comes later goes by another.
 func TestSilentConnectionIsReplaced(t *testing.T) {
 	for _, test := range []struct {
 		name     string
@@ -68,7 +68,7 @@
 			return func() bool {
 				select {
 				case head := <-call.Head():
-					return head.Response == nil && errors.Is(head.Err, ErrSilent)
+					return head.Response == nil && errors.Is(head.Err, ErrNotArrived)
 				default:
 					return false
 				}
@@ -80,10 +80,11 @@
 		}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			address, _ := start(t, &handler{request: func(s *Stream) { s.Respond(&wire.Response{Status: 200, Last: true}) }})
+			address, counters := start(t, &handler{request: func(s *Stream) { s.Respond(&wire.Response{Status: 200, Last: true}) }})
 			p := through(t, address)
 			d := watched(t)
 			c := connect(t, d, p.Address())
+			eventually(t, "the end of the handshake", func() bool { return counters.Accepted.Load() == 1 })
 			p.Silence()
 			ended := test.use(c)
 			eventually(t, "another connection", func() bool { return d.Counters.Replaced.Load() == 1 })
--- a/peer/server.go
+++ b/peer/server.go
@@ -40,6 +40,12 @@
 	// OnPeer is called, in a goroutine of its own, with each node that opened a
 	// connection; it may be nil.
 	OnPeer func(who Identity)
+	// OnSilent is called, in a goroutine of its own, when a node says that one of its
+	// connections here has gone silent; it may be nil.
+	OnSilent func()
+
+	sent   sentList
+	opened atomic.Uint64
 
 	mu     sync.Mutex
 	conns  map[*accepted]struct{}
@@ -97,16 +103,16 @@
 	defer s.remove(a)
 	reader := wire.NewReader(bufio.NewReaderSize(nc, readBuffer))
 	began := time.Now()
-	peer, err := acceptHandshake(nc, reader, s.Self, s.HandshakeLimit)
+	met, err := acceptHandshake(nc, reader, s.Self, s.HandshakeLimit)
 	if err != nil {
 		if eris.Is(err, ErrWrongKey) {
 			s.Counters.WrongKeys.Add(1)
 		}
 		return
 	}
-	a.peer = peer
+	a.peer, a.id, a.opened = met.peer, met.id, s.opened.Add(1)
 	if s.OnPeer != nil {
-		go s.OnPeer(peer)
+		go s.OnPeer(a.peer)
 	}
 	a.age.start(began, time.Now())
 	a.ready.Store(true)
@@ -122,16 +128,26 @@
 type accepted struct {
 	server *Server
 	peer   Identity
+	// id is the connection's name on both sides, and opened its number here.
+	id     string
+	opened uint64
 	nc     net.Conn
 	w      *writer
 	age    ageClock
 
+	// turn is held while a frame is taken, a newer connection's before an older one's.
+	turn sync.Mutex
+
 	// ready says that the handshake has ended.
 	ready atomic.Bool
 
 	mu      sync.Mutex
 	streams map[uint64]*Stream
-	lastID  uint64
+	// lastID is the highest number of a request that has arrived.
+	lastID uint64
+	// fenced says that no request is taken any more, and over that nothing is under way
+	// any more either.
+	fenced, over bool
 	// lastRequest is when the newest request came.
 	lastRequest time.Time
 }
@@ -183,7 +199,10 @@
 			return err
 		}
 		a.server.Counters.countReceived(m.Kind(), r.LastSize())
-		if err := a.receive(m); err != nil {
+		a.turn.Lock()
+		err = a.receive(m)
+		a.turn.Unlock()
+		if err != nil {
 			return err
 		}
 	}
@@ -208,10 +227,13 @@
 			return nil
 		}
 	case *wire.Ping:
-		return a.w.send(&wire.Pong{Seq: m.Seq})
+		_ = a.w.send(&wire.Pong{Seq: m.Seq}) // A lost connection is noticed by its reader.
+		return nil
 	case *wire.Ask:
 		go a.answer(m)
 		return nil
+	case *wire.Fence:
+		return a.receiveFence(m)
 	default:
 		return eris.Wrapf(ErrHandshake, "got kind %d from the dialing side", m.Kind())
 	}
@@ -220,10 +242,9 @@
 }
 
 func (a *accepted) receiveRequest(m *wire.Request) error {
-	if m.ID <= a.lastID {
-		return eris.Wrapf(ErrHandshake, "request number %d after %d", m.ID, a.lastID)
+	if ok, err := a.take(m.ID); !ok {
+		return err
 	}
-	a.lastID = m.ID
 	now := time.Now()
 	age := a.age.age(now, time.Duration(m.SentMicros)*time.Microsecond)
 	budget := time.Duration(m.BudgetMicros) * time.Microsecond
@@ -232,10 +253,10 @@
 		From:     a.peer,
 		Received: now,
 		Deadline: now.Add(budget - age),
-		conn:     a,
 		in:       newPipe(),
 		out:      newAllowance(),
 	}
+	s.conn.Store(a)
 	if err := s.in.push(m.Body, m.Last); err != nil {
 		return err
 	}
@@ -247,6 +268,22 @@
 	return nil
 }
 
+// take takes a request's number and reports whether the request is taken. The lock is
+// held for those who read it while it is not this connection's turn.
+func (a *accepted) take(id uint64) (bool, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.fenced {
+		a.server.Counters.LateFrames.Add(1)
+		return false, nil
+	}
+	if id <= a.lastID {
+		return false, eris.Wrapf(ErrHandshake, "request number %d after %d", id, a.lastID)
+	}
+	a.lastID = id
+	return true, nil
+}
+
 func (a *accepted) stream(id uint64) *Stream {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -259,6 +296,7 @@
 	defer a.mu.Unlock()
 	_, ok := a.streams[id]
 	delete(a.streams, id)
+	a.closeIfOver()
 	return ok
 }
 
@@ -278,9 +316,7 @@
 	a.streams = map[uint64]*Stream{}
 	a.mu.Unlock()
 	for _, s := range streams {
-		s.in.fail(err)
-		s.out.fail(err)
-		a.server.Handler.Canceled(s, true)
+		s.lose(err)
 	}
 }
 
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -4,6 +4,7 @@
 
 import (
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/ryehaven/ryehaven/wire"
@@ -24,9 +25,12 @@
 	// Owner is the Handler's own.
 	Owner any
 
-	conn *accepted
-	in   *pipe
-	out  *allowance
+	// conn is the connection that the stream is on, changed under its lock.
+	conn atomic.Pointer[accepted]
+	// started says that a part of the answer has gone out, under the same lock.
+	started bool
+	in      *pipe
+	out     *allowance
 }
 
 // Refuse says that the request was not run and never will be.
@@ -52,10 +56,9 @@
 
 // end sends a stream's last message unless the stream has ended.
 func (s *Stream) end(m wire.Message) {
-	if !s.conn.forget(s.Request.ID) {
+	if s.hold(func(conn *accepted) { conn.last(s, m) }) != nil {
 		return
 	}
-	_ = s.conn.w.send(m) // Canceled reports a lost connection.
 	s.in.fail(ErrClosed)
 	s.out.fail(ErrClosed)
 }
@@ -70,18 +73,63 @@
 		s.end(r)
 		return nil
 	}
-	if s.conn.stream(r.ID) == nil {
-		return ErrClosed
+	var err error
+	closed := s.hold(func(conn *accepted) {
+		s.started = true
+		err = conn.w.send(r)
+	})
+	if closed != nil {
+		return closed
+	}
+	return err
+}
+
+// hold calls do with the lock held of the connection that the stream is on. It returns
+// ErrClosed instead if the stream has ended.
+func (s *Stream) hold(do func(conn *accepted)) error {
+	for {
+		conn := s.conn.Load()
+		conn.mu.Lock()
+		if s.conn.Load() != conn {
+			conn.mu.Unlock()
+			continue // It was moved meanwhile.
+		}
+		_, open := conn.streams[s.Request.ID]
+		if open {
+			do(conn)
+		}
+		conn.mu.Unlock()
+		if !open {
+			return ErrClosed
+		}
+		return nil
+	}
+}
+
+// last sends a stream's last message and keeps it for the case that the connection has
+// gone silent. It is called with the lock held.
+func (a *accepted) last(s *Stream, m wire.Message) {
+	delete(a.streams, s.Request.ID)
+	if !s.started {
+		a.server.sent.add(sentAnswer{conn: a, id: s.Request.ID, at: time.Now(), m: m})
 	}
-	return s.conn.w.send(r)
+	_ = a.w.send(m) // Canceled reports a lost connection.
+	a.closeIfOver()
+}
+
+// lose ends a stream that nobody can be answered on.
+func (s *Stream) lose(err error) {
+	s.in.fail(err)
+	s.out.fail(err)
+	s.conn.Load().server.Handler.Canceled(s, true)
 }
 
 // Send sends a part of the answer's body and waits up to idle for the entry
 // to take it.
 func (s *Stream) Send(part []byte, last bool, idle time.Duration) error {
-	err := sendBody(s.conn.w, s.out, s.Request.ID, part, last, idle)
+	err := sendBody(s.conn.Load().w, s.out, s.Request.ID, part, last, idle)
 	if last && err == nil {
-		s.conn.forget(s.Request.ID)
+		s.conn.Load().forget(s.Request.ID)
 		s.in.fail(ErrClosed)
 	}
 	return err
@@ -91,7 +139,7 @@
 // must not be read before the request is dispatched.
 func (s *Stream) Body(idle time.Duration) io.Reader {
 	s.in.openCredit(func(n int64) {
-		_ = s.conn.w.send(&wire.Credit{ID: s.Request.ID, Bytes: n})
+		_ = s.conn.Load().w.send(&wire.Credit{ID: s.Request.ID, Bytes: n})
 	})
 	return streamBody{in: s.in, idle: idle}
 }
--- a/peer/watch.go
+++ b/peer/watch.go
@@ -39,7 +39,7 @@
 func (c *Conn) check(now time.Time, pingAfter, suspectAfter time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.err != nil || (len(c.calls) == 0 && !c.IsSuspected()) {
+	if c.err != nil || (len(c.calls) == 0 && !c.IsSuspected() && c.probe == noProbe) {
 		c.pingSent = time.Time{}
 		c.watched.Store(false)
 		return
@@ -51,8 +51,15 @@
 		}
 		return
 	}
+	if !c.pingSent.IsZero() && c.probe == probeSent {
+		c.probe = noProbe
+	}
 	c.pingSent = time.Time{}
-	if now.Sub(heard) >= pingAfter && now.Sub(c.busySince) >= pingAfter {
+	waits := len(c.calls) > 0 && now.Sub(heard) >= pingAfter && now.Sub(c.busySince) >= pingAfter
+	if waits || c.probe == probeDue {
+		if c.probe == probeDue {
+			c.probe = probeSent
+		}
 		c.pingSent = now
 		c.pings++
 		_ = c.w.send(&wire.Ping{Seq: c.pings})
@@ -63,14 +70,43 @@
 func (c *Conn) Excuse() {
 	c.mu.Lock()
 	c.pingSent = time.Time{}
+	if c.probe == probeSent {
+		c.probe = probeDue
+	}
 	c.mu.Unlock()
 }
 
+// probe is how far a look at a connection without work has come.
+type probe int
+
+const (
+	noProbe probe = iota
+	probeDue
+	probeSent
+)
+
+// lookAt has the watch ping the peer although it has no work.
+func (c *Conn) lookAt() {
+	c.mu.Lock()
+	if c.probe == noProbe {
+		c.probe = probeDue
+	}
+	c.mu.Unlock()
+	c.watch()
+}
+
+// watch has the watch over silent peers look at the connection.
+func (c *Conn) watch() {
+	if c.watched.CompareAndSwap(false, true) && c.hooks.onWork != nil {
+		c.hooks.onWork(c)
+	}
+}
+
 func (c *Conn) suspect(now time.Time) {
 	s := c.suspicion.Load()
 	if s.is.CompareAndSwap(false, true) {
 		c.counters.Suspicions.Add(1)
-		c.silence.since.Store(max(int64(now.Sub(c.opened)), 1))
+		c.silentSince.Store(max(int64(now.Sub(c.opened)), 1))
 		close(s.raised)
 		c.hooks.changed()
 	}
@@ -78,7 +114,8 @@
 
 func (c *Conn) heard() {
 	c.lastReceived.Store(int64(time.Since(c.opened)))
-	c.silence.heard()
+	c.silentSince.Store(0)
+	c.spokeOnce.Do(func() { close(c.spoke) })
 	if c.IsSuspected() {
 		c.suspicion.Store(newSuspicion())
 		c.hooks.changed()
--- a/peer/watch_test.go
+++ b/peer/watch_test.go
@@ -17,6 +17,9 @@
 	release := make(chan struct{})
 	address := rawPeer(t, func(nc net.Conn, r *wire.Reader) {
 		request := nextRequest(r)
+		if request == nil {
+			return // The second connection that is tried in place of the first.
+		}
 		<-release
 		writeFrame(nc, &wire.Response{ID: request.ID, Status: 200, Last: true})
 		nextRequest(r)
--- a/wire/doc.go
+++ b/wire/doc.go
@@ -6,8 +6,9 @@
 //
 // A frame is a length in four bytes, big endian, then that many bytes of
 // msgpack: the message's [Kind] and the message itself as an array of its
-// fields. Fields are only ever added at the end, so that an older node can
-// skip them.
+// fields. The codec refuses an array of another length and a node a kind that it
+// does not know, so what is new is a new kind, sent only to nodes whose
+// [Challenge] has a version that knows it.
 //
 // # Life of a request
 //
@@ -16,4 +17,10 @@
 // message that says that a request was not run. [Credit] returns room for
 // body bytes, so that one slow reader holds up only its own request. The entry
 // may send [Cancel] at any time and still waits for the gate's word.
+//
+// # A connection in another's place
+//
+// With [Fence] the dialing side says on a new connection that an older one has gone
+// silent. [Fenced] tells which requests had not arrived there and so were not run; the
+// others are answered on the new one.
 package wire
--- a/wire/message.go
+++ b/wire/message.go
@@ -7,8 +7,14 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-// Version is the protocol version in Hello.
-const Version = 1
+// Versions of the protocol.
+const (
+	// Version is the one in Hello.
+	Version = 1
+	// VersionFence is the one in Challenge from which on the accepting side knows
+	// Fence. Dialing sides that don't know it do not look at that number.
+	VersionFence = 2
+)
 
 // Kind tells messages apart.
 type Kind uint8
@@ -31,6 +37,8 @@
 	KindReply     Kind = 31
 	KindNotice    Kind = 40
 	KindSlowness  Kind = 41
+	KindFence     Kind = 50
+	KindFenced    Kind = 51
 )
 
 // Message is one of the types of this package.
@@ -49,6 +57,7 @@
 
 // Challenge answers Hello and proves that the accepting side has the key.
 type Challenge struct {
+	// Version is what the accepting side knows.
 	Version     int
 	Host        string
 	Incarnation uint64
@@ -294,6 +303,49 @@
 	Seq uint64
 }
 
+// Numbers are numbers of requests. They are decoded one by one, since the codec would
+// allocate for as many as the message claims to have.
+type Numbers []uint64
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (n *Numbers) DecodeMsgpack(d *msgpack.Decoder) error {
+	count, err := d.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	*n = nil
+	for range max(count, 0) { // It is -1 if it was encoded as nil.
+		number, err := d.DecodeUint64()
+		if err != nil {
+			return err
+		}
+		*n = append(*n, number)
+	}
+	return nil
+}
+
+// Fence says that another connection of the same dialing node has gone silent. The
+// accepting side takes no request from there any more, so that one that has not
+// arrived never will, moves to this connection those that are asked for, and cancels
+// those that are named neither way.
+type Fence struct {
+	// Conn is the nonce with which the dialing side opened the other connection.
+	Conn []byte
+	// Move are the requests whose answers are wanted here, and Stay those with bodies
+	// under way, which go on there for as long as it may speak again.
+	Move Numbers
+	Stay Numbers
+}
+
+// Fenced answers a Fence.
+type Fenced struct {
+	// NotArrived are the requests that had not arrived, and now never will.
+	NotArrived Numbers
+	// Lost are those of Move that cannot be answered here; whether they ran is not
+	// known.
+	Lost Numbers
+}
+
 // Topic names a question between nodes.
 type Topic string
 
@@ -356,6 +408,12 @@
 // Kind implements Message.
 func (*Slowness) Kind() Kind { return KindSlowness }
 
+// Kind implements Message.
+func (*Fence) Kind() Kind { return KindFence }
+
+// Kind implements Message.
+func (*Fenced) Kind() Kind { return KindFenced }
+
 // Kind implements Message.
 func (*Reply) Kind() Kind { return KindReply }
 
@@ -394,6 +452,10 @@
 		return new(Notice)
 	case KindSlowness:
 		return new(Slowness)
+	case KindFence:
+		return new(Fence)
+	case KindFenced:
+		return new(Fenced)
 	}
 	return nil
 }
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -22,6 +22,9 @@
 	&Reset{ID: 1, Message: "why"},
 	&Notice{Service: "s", Server: "a", Load: Load{StalledMicros: 9}},
 	&Ping{Seq: 1}, &Pong{Seq: 1},
+	&Challenge{Version: 1, Host: "h", Incarnation: 5, Nonce: []byte{1}, MAC: []byte{2}},
+	&Fence{Conn: []byte{1}, Move: Numbers{1, 1 << 40}, Stay: Numbers{2}}, &Fence{Conn: []byte{1}},
+	&Fenced{NotArrived: Numbers{7}, Lost: Numbers{3}},
 	&Ask{ID: 1, Topic: "t", Payload: []byte{0}}, &Reply{ID: 1, Error: "e"},
 }
 
