--- a/entry/silent_test.go
+++ b/entry/silent_test.go
@@ -86,6 +86,12 @@
 func startEntry(t *testing.T, near, far string) string {
 	t.Helper()
 	e, dialer := newEntry(t, near, far)
+	return serve(t, e, dialer)
+}
+
+// serve has an entry take requests and returns the address.
+func serve(t *testing.T, e *Entry, dialer *peer.Dialer) string {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
