peer, entry: a node that fell silent stays so until it speaks

Cause: suspicion lived on the connection. Keep-alive ends a silent connection after three seconds, and with it went the suspicion: the node counted as regained, with nothing known of its load, looked best, and each request waited for a try to connect (up to 250 ms).

A node whose connection ended while it was silent, or to which a connection could not be opened in time, is away: suspected, tried in the background four times and then once a second, and whoever wants a connection to it is told at once that there is none.

Ruled out: longer bounds in the kernel (a watch or a request would hang as long); remembering the suspicion in each service (each would try for itself).

--- a/entry/service.go
+++ b/entry/service.go
@@ -81,8 +81,7 @@
 	}
 	s.peersSeen = changes
 	for _, server := range s.pool.Servers() {
-		conn := dialer.Peek(server.Node)
-		suspected := conn != nil && conn.IsSuspected()
+		suspected := dialer.Silent(server.Node)
 		if s.pool.Suspect(now, server, suspected) {
 			recorder.Record(suspicionOf(s.name, server, suspected))
 		}
--- a/peer/dialer.go
+++ b/peer/dialer.go
@@ -40,8 +40,10 @@
 	// while its node answers on another; it may be nil.
 	OnSilent func()
 
-	mu        sync.Mutex
-	slots     map[string]*slot
+	mu    sync.Mutex
+	slots map[string]*slot
+	// away are nodes that fell silent and have no connection.
+	away      map[string]*away
 	lastCheck time.Time
 	lastSweep time.Time
 	closed    bool
@@ -57,9 +59,9 @@
 }
 
 // Changes returns a number that rises whenever a peer becomes suspected or speaks
-// again, and whenever a connection ends. While it stands still, Peek and
-// IsSuspected say of each node what they said before, but for new connections,
-// which nobody suspects.
+// again, whenever a connection ends, and whenever a node is away or back. While it
+// stands still, Peek and Silent say of each node what they said before, but for new
+// connections, which nobody suspects.
 func (d *Dialer) Changes() uint64 { return d.changes.Load() }
 
 // slot is the one connection to an address, or its opening.
@@ -72,7 +74,8 @@
 }
 
 // Get returns the connection to an address and opens it when there is none.
-// It waits up to limit; the opening goes on for later callers.
+// It waits up to limit; the opening goes on for later callers. For a node that is away
+// it returns ErrAway at once.
 func (d *Dialer) Get(address string, limit time.Duration) (*Conn, error) {
 	s, err := d.slot(address)
 	if err != nil {
@@ -122,10 +125,17 @@
 		d.slots = map[string]*slot{}
 	}
 	s := d.slots[address]
-	if s == nil || s.ended() {
+	if s != nil && s.ended() {
+		d.retire(time.Now(), address, s)
+		s = nil
+	}
+	if s == nil && d.away[address] != nil {
+		return nil, eris.Wrap(ErrAway, address)
+	}
+	if s == nil {
 		s = &slot{ready: make(chan struct{})}
 		d.slots[address] = s
-		go d.open(address, s)
+		go d.openFor(address, s)
 	}
 	return s, nil
 }
@@ -140,6 +150,16 @@
 	}
 }
 
+// openFor opens the connection that somebody has asked for.
+func (d *Dialer) openFor(address string, s *slot) {
+	d.open(address, s)
+	if timedOut(s.err) {
+		d.mu.Lock()
+		d.noteAway(time.Now(), address)
+		d.mu.Unlock()
+	}
+}
+
 func (d *Dialer) open(address string, s *slot) {
 	defer close(s.ready)
 	d.Counters.Dials.Add(1)
@@ -172,6 +192,7 @@
 		d.sweep(now)
 	}
 	d.recheck(now)
+	d.tryAway(now)
 	d.mu.Unlock()
 	for _, conn := range d.watched.all() {
 		if heldUp {
@@ -187,7 +208,7 @@
 func (d *Dialer) sweep(now time.Time) {
 	for address, s := range d.slots {
 		if s.ended() {
-			delete(d.slots, address)
+			d.retire(now, address, s)
 			continue
 		}
 		conn := s.opened()
