--- a/peer/dialer.go
+++ b/peer/dialer.go
@@ -36,21 +36,32 @@
 	OnNotice func(n *wire.Notice)
 	// OnSlowness is called likewise with the address of the gate's node.
 	OnSlowness func(address string, percent int)
+	// OnSilent is called, in a goroutine of its own, when a connection went silent
+	// while its node answers on another; it may be nil.
+	OnSilent func()
 
-	mu        sync.Mutex
-	slots     map[string]*slot
+	mu    sync.Mutex
+	slots map[string]*slot
+	// away are nodes that fell silent and have no connection.
+	away      map[string]*away
 	lastCheck time.Time
 	lastSweep time.Time
 	closed    bool
+	// yielded are silent connections whose place another has taken, for what is still
+	// under way on them.
+	yielded map[*Conn]struct{}
+	// rechecked is when all connections were last looked at.
+	rechecked  time.Time
+	recheckDue atomic.Bool
 
 	watched watchList
 	changes atomic.Uint64
 }
 
 // Changes returns a number that rises whenever a peer becomes suspected or speaks
-// again, and whenever a connection ends. While it stands still, Peek and
-// IsSuspected say of each node what they said before, but for new connections,
-// which nobody suspects.
+// again, whenever a connection ends, and whenever a node is away or back. While it
+// stands still, Peek and Silent say of each node what they said before, but for new
+// connections, which nobody suspects.
 func (d *Dialer) Changes() uint64 { return d.changes.Load() }
 
 // slot is the one connection to an address, or its opening.
@@ -63,7 +74,8 @@
 }
 
 // Get returns the connection to an address and opens it when there is none.
-// It waits up to limit; the opening goes on for later callers.
+// It waits up to limit; the opening goes on for later callers. For a node that is away
+// it returns ErrAway at once.
 func (d *Dialer) Get(address string, limit time.Duration) (*Conn, error) {
 	s, err := d.slot(address)
 	if err != nil {
@@ -113,10 +125,17 @@
 		d.slots = map[string]*slot{}
 	}
 	s := d.slots[address]
-	if s == nil || s.ended() {
+	if s != nil && s.ended() {
+		d.retire(time.Now(), address, s)
+		s = nil
+	}
+	if s == nil && d.away[address] != nil {
+		return nil, eris.Wrap(ErrAway, address)
+	}
+	if s == nil {
 		s = &slot{ready: make(chan struct{})}
 		d.slots[address] = s
-		go d.open(address, s)
+		go d.openFor(address, s)
 	}
 	return s, nil
 }
@@ -131,12 +150,22 @@
 	}
 }
 
+// openFor opens the connection that somebody has asked for.
+func (d *Dialer) openFor(address string, s *slot) {
+	d.open(address, s)
+	if timedOut(s.err) {
+		d.mu.Lock()
+		d.noteAway(time.Now(), address)
+		d.mu.Unlock()
+	}
+}
+
 func (d *Dialer) open(address string, s *slot) {
 	defer close(s.ready)
 	d.Counters.Dials.Add(1)
 	nc, err := sock.Dial(address, d.Limit)
 	if err == nil {
-		s.conn, err = openConn(nc, d.Self, d.Counters, d.Limit, d.hooksOf(address))
+		s.conn, err = openConn(nc, address, d.Self, d.Counters, d.Limit, d.hooksOf(address))
 	}
 	if err == nil && d.OnPeer != nil {
 		go d.OnPeer(s.conn.Peer, address)
@@ -162,12 +191,15 @@
 		d.lastSweep = now
 		d.sweep(now)
 	}
+	d.recheck(now)
+	d.tryAway(now)
 	d.mu.Unlock()
 	for _, conn := range d.watched.all() {
 		if heldUp {
 			conn.Excuse()
 		}
 		conn.check(now, pingAfter, suspectAfter)
+		d.replaceSilent(now, conn)
 	}
 }
 
@@ -176,7 +208,7 @@
 func (d *Dialer) sweep(now time.Time) {
 	for address, s := range d.slots {
 		if s.ended() {
-			delete(d.slots, address)
+			d.retire(now, address, s)
 			continue
 		}
 		conn := s.opened()
@@ -185,9 +217,12 @@
 		}
 		if idle := conn.idleSince(); !idle.IsZero() && now.Sub(idle) > d.IdleLimit {
 			conn.Close()
-			continue
 		}
-		d.replaceSilent(now, address, s)
+	}
+	for conn := range d.yielded {
+		if conn.over(now) {
+			delete(d.yielded, conn)
+		}
 	}
 }
 
@@ -224,9 +259,12 @@
 func (d *Dialer) Close() {
 	d.mu.Lock()
 	d.closed = true
-	slots := d.slots
-	d.slots = nil
+	slots, yielded := d.slots, d.yielded
+	d.slots, d.yielded = nil, nil
 	d.mu.Unlock()
+	for conn := range yielded {
+		conn.Close()
+	}
 	for _, s := range slots {
 		<-s.ready
 		if s.conn != nil {
--- a/peer/replace_test.go
+++ b/peer/replace_test.go
@@ -52,14 +52,15 @@
 	}
 }
 
-// A connection that went silent for good is replaced: what is under way on it ends, and
-// what comes later goes by another.
+// A connection that went silent for good is replaced: what was sent into the
+// silence ends as not run, and what comes later goes by another.
 func TestSilentConnectionIsReplaced(t *testing.T) {
 	for _, test := range []struct {
-		name string
-		use  func(c *Conn) (ended func() bool)
+		name     string
+		requests int64
+		use      func(c *Conn) (ended func() bool)
 	}{
-		{"with a request", func(c *Conn) func() bool {
+		{"with a request", 1, func(c *Conn) func() bool {
 			call, err := c.Start(&wire.Request{URI: "/", BudgetMicros: time.Minute.Microseconds(), Last: true})
 			if err != nil {
 				t.Fatal(err)
@@ -67,22 +68,23 @@
 			return func() bool {
 				select {
 				case head := <-call.Head():
-					return head.Response == nil && errors.Is(head.Err, ErrSilent)
+					return head.Response == nil && errors.Is(head.Err, ErrNotArrived)
 				default:
 					return false
 				}
 			}
 		}},
-		{"with questions alone", func(c *Conn) func() bool {
+		{"with questions alone", 0, func(c *Conn) func() bool {
 			_, err := c.Ask("topic", nil, 50*time.Millisecond)
 			return func() bool { return err != nil }
 		}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			address, _ := start(t, &handler{request: func(s *Stream) { s.Respond(&wire.Response{Status: 200, Last: true}) }})
+			address, counters := start(t, &handler{request: func(s *Stream) { s.Respond(&wire.Response{Status: 200, Last: true}) }})
 			p := through(t, address)
 			d := watched(t)
 			c := connect(t, d, p.Address())
+			eventually(t, "the end of the handshake", func() bool { return counters.Accepted.Load() == 1 })
 			p.Silence()
 			ended := test.use(c)
 			eventually(t, "another connection", func() bool { return d.Counters.Replaced.Load() == 1 })
@@ -94,6 +96,9 @@
 			if d.Counters.Replaced.Load() != 1 {
 				t.Errorf("%d connections were replaced", d.Counters.Replaced.Load())
 			}
+			if n := d.Counters.SilentRequests.Load(); n != test.requests || d.Counters.SilentNodes.Load() != 0 {
+				t.Errorf("%d requests were under way, want %d; %d nodes taken for silent", n, test.requests, d.Counters.SilentNodes.Load())
+			}
 		})
 	}
 }
@@ -116,4 +121,7 @@
 	if d.Counters.Replaced.Load() != 0 {
 		t.Error("the connection of a node that stood still was replaced")
 	}
+	if d.Counters.SilentNodes.Load() < 2 {
+		t.Error("the node was not told from its connection")
+	}
 }
