entry: a test that no server is ejected for what its node's connection did

Forty requests that had not arrived, or that ended as unknown or were answered after a move from a silent connection, eject no server; forty lost connections and forty failures that were moved do, as before. No logic changes.

--- a/entry/fence_test.go
+++ b/entry/fence_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
 	"github.com/ryehaven/ryehaven/header"
@@ -122,3 +123,37 @@
 		}
 	}
 }
+
+// A server is not passed over for what the connection to its node did.
+func TestSilentConnectionsEjectNoServer(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		head    peer.Head
+		ejected bool
+		outcome retry.Outcome
+	}{
+		{"not arrived", peer.Head{Err: eris.Wrap(peer.ErrNotArrived, "wrapped")}, false, retry.NotRun},
+		{"unknown on a silent connection", peer.Head{Err: peer.ErrSilent}, false, retry.Unknown},
+		{"lost connection", peer.Head{Err: peer.ErrConnClosed}, true, retry.Unknown},
+		{"moved answer", peer.Head{Response: &wire.Response{Status: 200, Last: true}, Moved: true}, false, retry.Answered},
+		{"moved failure", peer.Head{Response: &wire.Response{Status: 500, Last: true}, Moved: true}, true, retry.ServerError},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			e, _ := newEntry(t, "127.0.0.1:1", "127.0.0.1:2")
+			s := e.services["s"]
+			ejected := false
+			for range 40 {
+				r := &request{service: s, body: newBody(nil, 0), deadline: time.Now().Add(time.Minute), message: wire.Request{Service: "s"}}
+				a := r.pick(time.Now())
+				e.endHead(r, a, test.head)
+				if a.outcome != test.outcome {
+					t.Fatalf("outcome %v, want %v", a.outcome, test.outcome)
+				}
+				ejected = ejected || a.server.Ejected(time.Now())
+			}
+			if ejected != test.ejected {
+				t.Errorf("ejected %t, want %t", ejected, test.ejected)
+			}
+		})
+	}
+}
