peer: a second connection is waited for as long as a node may stand still

Cause: with a connection silent and its node held up for 300 ms at the same moment, the try of a second connection was given up after the limit for opening (250 ms) and the next came a second after the first, by when short deadlines had passed. A try now lasts until the next one. TestSilentConnectionOfAStillNode holds the node for longer than that limit: one try was given up before (2 of 2 runs), none now (10 of 10 with -race). Weighed: tries every 300 ms, which leave a node that was frozen for 3 s with ten times the connections.

TestOlderPeerIsSentNoFence failed once in 3 runs: it read the count of replaced connections between the end of the old one and the count. The count comes first now (10 of 10).

--- a/peer/dialer.go
+++ b/peer/dialer.go
@@ -125,7 +125,7 @@
 	if s == nil || s.ended() {
 		s = &slot{ready: make(chan struct{})}
 		d.slots[address] = s
-		go d.open(address, s)
+		go d.open(address, s, d.Limit)
 	}
 	return s, nil
 }
@@ -140,12 +140,12 @@
 	}
 }
 
-func (d *Dialer) open(address string, s *slot) {
+func (d *Dialer) open(address string, s *slot, limit time.Duration) {
 	defer close(s.ready)
 	d.Counters.Dials.Add(1)
-	nc, err := sock.Dial(address, d.Limit)
+	nc, err := sock.Dial(address, limit)
 	if err == nil {
-		s.conn, err = openConn(nc, address, d.Self, d.Counters, d.Limit, d.hooksOf(address))
+		s.conn, err = openConn(nc, address, d.Self, d.Counters, limit, d.hooksOf(address))
 	}
 	if err == nil && d.OnPeer != nil {
 		go d.OnPeer(s.conn.Peer, address)
--- a/peer/replace.go
+++ b/peer/replace.go
@@ -19,7 +19,8 @@
 	// to another connection is given up: a node that is held up for a moment, or a link
 	// that sends again, speaks before.
 	replaceAfter = time.Second
-	// replaceEvery is the time between two tries.
+	// replaceEvery is the time between two tries. Each lasts as long: a node may stand
+	// still for a moment while its connection is silent.
 	replaceEvery = time.Second
 	// recheckEvery is the least time between two looks at all connections.
 	recheckEvery = time.Second
@@ -88,8 +89,8 @@
 // replace opens a connection and puts it in the place of a silent one.
 func (d *Dialer) replace(address string, old *slot) {
 	next := &slot{ready: make(chan struct{})}
-	d.open(address, next)
-	if next.err != nil || !next.conn.answers(d.Limit) {
+	d.open(address, next, replaceEvery)
+	if next.err != nil || !next.conn.answers(replaceEvery) {
 		d.Counters.SilentNodes.Add(1)
 		if next.conn != nil {
 			next.conn.Close()
@@ -131,21 +132,21 @@
 		return false
 	}
 	underWay := old.conn.underWay()
-	if !samePeer(old.conn.Peer, next.conn.Peer) || !next.conn.fences {
-		// Who answers does not know what arrived there.
-		d.slots[address] = next
-		old.conn.end(ErrSilent)
-	} else if !old.conn.yieldTo(next.conn) {
+	knows := samePeer(old.conn.Peer, next.conn.Peer) && next.conn.fences
+	if knows && !old.conn.yieldTo(next.conn) {
 		return false
-	} else {
-		d.slots[address] = next
-		if d.yielded == nil {
-			d.yielded = map[*Conn]struct{}{}
-		}
-		d.yielded[old.conn] = struct{}{}
 	}
+	d.slots[address] = next
 	d.Counters.Replaced.Add(1)
 	d.Counters.SilentRequests.Add(int64(underWay))
+	if !knows {
+		old.conn.end(ErrSilent) // Who answers can't say what arrived there.
+		return true
+	}
+	if d.yielded == nil {
+		d.yielded = map[*Conn]struct{}{}
+	}
+	d.yielded[old.conn] = struct{}{}
 	return true
 }
 
--- a/peer/replace_test.go
+++ b/peer/replace_test.go
@@ -125,3 +125,23 @@
 		t.Error("the node was not told from its connection")
 	}
 }
+
+// A node that stands still while its connection is silent is asked for as long as that
+// may last, so that what is under way goes on as soon as it is back.
+func TestSilentConnectionOfAStillNode(t *testing.T) {
+	p := startPair(t)
+	p.d.Limit = 20 * time.Millisecond
+	p.proxy.Silence()
+	p.proxy.Set(faultproxy.Fault{HoldForward: true, HoldBackward: true})
+	began := time.Now()
+	call := startCall(t, p.conn, "/")
+	eventually(t, "a second connection", func() bool { return p.d.Counters.Dials.Load() == 2 })
+	time.Sleep(3 * p.d.Limit)
+	if n := p.d.Counters.DialFailures.Load(); n > 0 && time.Since(began) < replaceEvery {
+		t.Errorf("%d tries were given up", n)
+	}
+	p.proxy.Set(faultproxy.Fault{})
+	if head := wait(t, call); !errors.Is(head.Err, ErrNotArrived) {
+		t.Errorf("head %+v", head)
+	}
+}
