--- a/internal/faultproxy/faultproxy.go
+++ b/internal/faultproxy/faultproxy.go
@@ -125,7 +125,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.pairs {
-		c.silent.Store(false)
+		c.silentForward.Store(false)
+		c.silentBackward.Store(false)
 	}
 	close(p.changed)
 	p.changed = make(chan struct{})
--- a/peer/away.go
+++ b/peer/away.go
@@ -99,7 +99,7 @@
 // reach tries once to reach a node that is away.
 func (d *Dialer) reach(address string, a *away) {
 	s := &slot{ready: make(chan struct{})}
-	d.open(address, s)
+	d.open(address, s, d.Limit)
 	d.mu.Lock()
 	a.trying = false
 	a.next = time.Now().Add(a.pause)
--- a/peer/dialer.go
+++ b/peer/dialer.go
@@ -152,7 +152,7 @@
 
 // openFor opens the connection that somebody has asked for.
 func (d *Dialer) openFor(address string, s *slot) {
-	d.open(address, s)
+	d.open(address, s, d.Limit)
 	if timedOut(s.err) {
 		d.mu.Lock()
 		d.noteAway(time.Now(), address)
@@ -160,12 +160,12 @@
 	}
 }
 
-func (d *Dialer) open(address string, s *slot) {
+func (d *Dialer) open(address string, s *slot, limit time.Duration) {
 	defer close(s.ready)
 	d.Counters.Dials.Add(1)
-	nc, err := sock.Dial(address, d.Limit)
+	nc, err := sock.Dial(address, limit)
 	if err == nil {
-		s.conn, err = openConn(nc, address, d.Self, d.Counters, d.Limit, d.hooksOf(address))
+		s.conn, err = openConn(nc, address, d.Self, d.Counters, limit, d.hooksOf(address))
 	}
 	if err == nil && d.OnPeer != nil {
 		go d.OnPeer(s.conn.Peer, address)
