gate, backend: a mute connection to the server is told from a server that is late

Cause looked for: a request on a connection that has gone silent waits out its deadline, and neither log nor counter told it from a request at a server that stands still. The gate asks its server for its load on kept connections anyway; what stays unanswered there for 20 ms is now asked on a new connection too, within the budget of checks. The pair tells them apart: gate_mute and a line "mute" (age, kind of connection, how long it waited) if the new one was answered, gate_silent if neither was. The record of a request tells what kind of connection it had. Nothing is done about it yet.

Ruled out: taking a question's time-out alone as the sign. A server that comes back answers both at once, so the second answer has to be there while the first is still out.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -38,6 +38,7 @@
 
 	pool    *Pool
 	conn    *conn
+	origin  Origin
 	aborted atomic.Bool
 	ended   bool
 	// written is closed when the request was written or that has failed.
@@ -52,9 +53,48 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Exchange{pool: p, conn: c}, nil
+	return newExchange(p, c), nil
 }
 
+// OpenNew is Open on a connection that is made now.
+func (p *Pool) OpenNew() (*Exchange, error) {
+	c, err := p.dial()
+	if err != nil {
+		return nil, err
+	}
+	return newExchange(p, c), nil
+}
+
+// Opened is when the exchange's connection was made.
+func (e *Exchange) Opened() time.Time { return e.conn.opened }
+
+// Origin tells where the exchange's connection comes from.
+func (e *Exchange) Origin() Origin { return e.origin }
+
+func newExchange(p *Pool, c *conn) *Exchange {
+	origin := Fresh
+	switch {
+	case c.used:
+		origin = Kept
+	case c.spare:
+		origin = Spare
+	}
+	return &Exchange{pool: p, conn: c, origin: origin}
+}
+
+// Origin is where the connection of an exchange comes from.
+type Origin string
+
+// The origins.
+const (
+	// Kept connections have carried requests before.
+	Kept Origin = "kept"
+	// Spare ones were opened ahead.
+	Spare Origin = "spare"
+	// Fresh ones were made for the exchange.
+	Fresh Origin = "fresh"
+)
+
 // Send writes the request and reads the answer's head until the deadline.
 // After an error it is not known whether the request ran.
 func (e *Exchange) Send(r *fasthttp.Request, deadline time.Time) error {
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -56,8 +56,11 @@
 	net.Conn
 	reader *bufio.Reader
 	writer *bufio.Writer
+	// opened is when the connection was made.
+	opened time.Time
 	since  time.Time
 	used   bool
+	spare  bool
 }
 
 // get returns a connection; fresh asks for one that never carried a request.
@@ -109,6 +112,7 @@
 	p.opening--
 	keep := err == nil && !p.closed
 	if keep {
+		c.spare = true
 		p.spares = append(p.spares, c)
 	}
 	p.mu.Unlock()
@@ -147,11 +151,13 @@
 		return nil, eris.Wrapf(ErrConnect, "%s: %v", p.Address, err)
 	}
 	p.Dials.Add(1)
+	now := time.Now()
 	return &conn{
 		Conn:   nc,
 		reader: bufio.NewReaderSize(nc, readBuffer),
 		writer: bufio.NewWriterSize(nc, writeBuffer),
-		since:  time.Now(),
+		opened: now,
+		since:  now,
 	}, nil
 }
 
--- a/event/event.go
+++ b/event/event.go
@@ -187,6 +187,8 @@
 	Waited, Took time.Duration
 	// InFlight, Queued and Limit are the gate's when the job ended.
 	InFlight, Queued, Limit int
+	// Connection is what kind of connection to the server it had; blank if none.
+	Connection string
 	// Slowness is the server's when the job ended, and BeganSlowness when it began
 	// there, in percent; 0 if that was not known.
 	Slowness, BeganSlowness int
@@ -216,6 +218,9 @@
 	}
 	e.AddFloat64("waited_ms", millis(j.Waited))
 	e.AddFloat64("took_ms", millis(j.Took))
+	if j.Connection != "" {
+		e.AddString("connection", j.Connection)
+	}
 	e.AddInt("in_flight", j.InFlight)
 	e.AddInt("queued", j.Queued)
 	e.AddInt("limit", j.Limit)
@@ -267,6 +272,35 @@
 	return nil
 }
 
+// Mute is a backend server's connection on which a question stayed unanswered.
+type Mute struct {
+	standalone
+
+	Service string
+	Server  string
+	// Connection is what kind of connection it was, and Age how old.
+	Connection string
+	Age        time.Duration
+	// Waited is how long the question has been out.
+	Waited time.Duration
+	// Elsewhere says that the server answered on a new connection meanwhile.
+	Elsewhere bool
+}
+
+// Message implements Event.
+func (*Mute) Message() string { return "mute" }
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (m *Mute) MarshalLogObject(e zapcore.ObjectEncoder) error {
+	e.AddString("service", m.Service)
+	e.AddString("server", m.Server)
+	e.AddString("connection", m.Connection)
+	e.AddFloat64("age_ms", millis(m.Age))
+	e.AddFloat64("waited_ms", millis(m.Waited))
+	e.AddBool("answers_on_a_new_one", m.Elsewhere)
+	return nil
+}
+
 // Member is a change of what a node knows of another.
 type Member struct {
 	standalone
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -97,6 +97,9 @@
 	Measured, MeasureFailed atomic.Int64
 	// BadReports counts reports of a server that could not be read.
 	BadReports atomic.Int64
+	// Mute counts connections to the server that stayed silent while it answered on a
+	// new one, and Silent questions that it answered on no connection.
+	Mute, Silent atomic.Int64
 	// Checked counts those that were made before a request was handed over.
 	Checked atomic.Int64
 }
@@ -357,6 +360,9 @@
 
 		BeganSlowness: j.slowness,
 	}
+	if j.exchange != nil {
+		e.Connection = string(j.exchange.Origin())
+	}
 	if !j.began.IsZero() {
 		e.Waited = j.began.Sub(j.stream.Received)
 		e.Took = now.Sub(j.began)
--- a/gate/measure.go
+++ b/gate/measure.go
@@ -3,14 +3,12 @@
 package gate
 
 import (
-	"io"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/ryehaven/ryehaven/backend"
 	"github.com/ryehaven/ryehaven/header"
-	"github.com/ryehaven/ryehaven/measure"
 	"github.com/ryehaven/ryehaven/table"
 )
 
@@ -86,43 +84,16 @@
 	}
 }
 
-func (g *Gate) askReport(row table.Server, limit time.Duration) (measure.Report, bool) {
-	asked := time.Now()
-	exchange, err := ask(g.server, row.HealthPath, row.Service, limit)
-	if err != nil {
-		return measure.Report{}, false
-	}
-	body, err := readFirst(exchange.Body(), maxReport)
-	whole := err == io.EOF
-	g.learn(&exchange.Response.Header)
-	g.learnCold(asked, &exchange.Response.Header)
-	dialect := &g.settings.Dialect
-	if id := exchange.Response.Header.Peek(dialect.ServerID); dialect.Strict() && len(id) > 0 && string(id) != row.Name {
-		g.wrongServer()
-	}
-	exchange.Finish(whole)
-	if !whole || exchange.Response.StatusCode() != fasthttp.StatusOK {
-		return measure.Report{}, false
-	}
-	if dialect.Strict() {
-		return measure.Report{}, true // The header fields have told everything.
-	}
-	return measure.Parse(body)
-}
-
 // ask sends a measuring call.
 func ask(server *backend.Pool, path, service string, limit time.Duration) (*backend.Exchange, error) {
 	exchange, err := server.Open(false)
 	if err != nil {
 		return nil, err
 	}
-	request := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(request)
-	request.SetRequestURI(path)
-	request.Header.SetHost(service)
-	if err := exchange.Send(request, time.Now().Add(limit)); err != nil {
+	q := put(exchange, path, service, limit)
+	if <-q.done; q.err != nil {
 		exchange.Finish(false)
-		return nil, err
+		return nil, q.err
 	}
 	return exchange, nil
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -85,6 +85,8 @@
 		n.sumGates("gate_measured", "calls", "measuring calls to the backend server", func(c *counters) *atomic.Int64 { return &c.Measured }),
 		n.sumGates("gate_bad_reports", "answers", "answers to measuring calls whose cold time could not be read", func(c *counters) *atomic.Int64 { return &c.BadReports }),
 		n.sumGates("gate_checked", "calls", "calls that asked the backend server for its speed before a request was handed over", func(c *counters) *atomic.Int64 { return &c.Checked }),
+		n.sumGates("gate_mute", "connections", "connections to the backend server that stayed silent while it answered on a new one", func(c *counters) *atomic.Int64 { return &c.Mute }),
+		n.sumGates("gate_silent", "questions", "questions that the backend server answered neither on a kept nor on a new connection", func(c *counters) *atomic.Int64 { return &c.Silent }),
 		n.sumGates("gate_measure_failed", "calls", "measuring calls without an answer", func(c *counters) *atomic.Int64 { return &c.MeasureFailed }),
 	}
 	for reason := wire.ReasonOverload; reason < wire.Reasons; reason++ {
