backend: no connection to the server is opened ahead

Cause: a request that must run at most once got a spare connection, opened up to a second before. Spares fall silent with all other open connections, and each cost such a request its whole time. A connection made for the request cannot have been silent before.

Weighed: spares kept for less than a second (the fault stays, with fewer requests); a connection at need, which costs the millisecond that the spare had hidden. The new test failed before.

--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -171,6 +171,32 @@
 	}
 }
 
+// A request that must run at most once goes on no connection that was open before it
+// came: one at rest may have gone silent, also when it has carried nothing yet. Those
+// opened up to a second ahead cost such a request its whole time each.
+func TestNoConnectionIsOpenedAhead(t *testing.T) {
+	address, _ := rawServer(t, func(c net.Conn, _ int) {
+		r := bufio.NewReader(c)
+		for readRequest(r) {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	p := newPool(address)
+	p.MaxConns = 100
+	defer p.Close()
+	for i := range 20 {
+		began := time.Now()
+		e, err := send(t, p, true)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if e.Opened().Before(began) {
+			t.Fatalf("request %d got a connection that was opened before it", i)
+		}
+		e.Finish(true)
+	}
+}
+
 func TestClosedIdleConnectionIsSeen(t *testing.T) {
 	address, _ := rawServer(t, func(c net.Conn, _ int) {
 		readRequest(bufio.NewReader(c))
--- a/backend/doc.go
+++ b/backend/doc.go
@@ -10,8 +10,8 @@
 //
 // A kept connection can be closed by the server at the moment a request is
 // written to it, and then nobody knows whether the request ran. A request that
-// must run at most once therefore gets a connection that has never carried
-// one. Opening it costs about a millisecond, so after such a request one spare
-// is opened ahead and kept for a short time. Repeatable requests use kept
-// connections, after a look whether the server has closed them.
+// must run at most once therefore gets a connection that is made for it, which
+// costs about a millisecond. None is opened ahead: a connection at rest may fall
+// silent as well as one that was used. Repeatable requests use kept connections,
+// after a look whether the server has closed them.
 package backend
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -47,7 +47,7 @@
 }
 
 // Open takes a connection. After an error nothing was sent. With fresh the
-// connection has never carried a request.
+// connection is made now.
 func (p *Pool) Open(fresh bool) (*Exchange, error) {
 	c, err := p.get(fresh)
 	if err != nil {
@@ -56,15 +56,6 @@
 	return newExchange(p, c), nil
 }
 
-// OpenNew is Open on a connection that is made now.
-func (p *Pool) OpenNew() (*Exchange, error) {
-	c, err := p.dial()
-	if err != nil {
-		return nil, err
-	}
-	return newExchange(p, c), nil
-}
-
 // Opened is when the exchange's connection was made.
 func (e *Exchange) Opened() time.Time { return e.conn.opened }
 
@@ -73,11 +64,8 @@
 
 func newExchange(p *Pool, c *conn) *Exchange {
 	origin := Fresh
-	switch {
-	case c.used:
+	if c.used {
 		origin = Kept
-	case c.spare:
-		origin = Spare
 	}
 	return &Exchange{pool: p, conn: c, origin: origin}
 }
@@ -89,8 +77,6 @@
 const (
 	// Kept connections have carried requests before.
 	Kept Origin = "kept"
-	// Spare ones were opened ahead.
-	Spare Origin = "spare"
 	// Fresh ones were made for the exchange.
 	Fresh Origin = "fresh"
 )
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -23,10 +23,6 @@
 const (
 	readBuffer  = 8 << 10
 	writeBuffer = 8 << 10
-	// spareLimit is how long a connection opened ahead is kept, and maxSpares
-	// how many there are at most.
-	spareLimit = time.Second
-	maxSpares  = 16
 )
 
 // Pool is the connections to one backend server. Set the exported fields
@@ -42,11 +38,8 @@
 
 	mu     sync.Mutex
 	idle   []*conn
-	spares []*conn
-	// opening counts the spares that are being opened.
-	opening int
-	open    int
-	closed  bool
+	open   int
+	closed bool
 
 	// Dials and Reused count connections opened and used again.
 	Dials, Reused atomic.Int64
@@ -60,18 +53,14 @@
 	opened time.Time
 	since  time.Time
 	used   bool
-	spare  bool
 }
 
-// get returns a connection; fresh asks for one that never carried a request.
+// get returns a connection; fresh asks for one that is made now.
 func (p *Pool) get(fresh bool) (*conn, error) {
-	now := time.Now()
 	if fresh {
-		if c := p.takeSpare(now); c != nil {
-			return c, nil
-		}
 		return p.dial()
 	}
+	now := time.Now()
 	for {
 		c := p.takeIdle(now)
 		if c == nil {
@@ -85,42 +74,6 @@
 	}
 }
 
-// takeSpare takes the newest spare that is still good, or nil, and has another
-// opened in its place.
-func (p *Pool) takeSpare(now time.Time) *conn {
-	p.mu.Lock()
-	if len(p.spares)+p.opening < maxSpares && p.open < p.MaxConns && !p.closed {
-		p.opening++
-		go p.openSpare()
-	}
-	var c *conn
-	if n := len(p.spares); n > 0 {
-		c = p.spares[n-1]
-		p.spares = p.spares[:n-1]
-	}
-	p.mu.Unlock()
-	if c != nil && (now.Sub(c.since) > spareLimit || !sock.Quiet(c.Conn)) {
-		p.drop(c)
-		return nil
-	}
-	return c
-}
-
-func (p *Pool) openSpare() {
-	c, err := p.dial()
-	p.mu.Lock()
-	p.opening--
-	keep := err == nil && !p.closed
-	if keep {
-		c.spare = true
-		p.spares = append(p.spares, c)
-	}
-	p.mu.Unlock()
-	if err == nil && !keep {
-		p.drop(c)
-	}
-}
-
 // takeIdle takes the connection used last, which the server is least likely
 // to have closed.
 func (p *Pool) takeIdle(now time.Time) *conn {
@@ -202,16 +155,6 @@
 	for len(p.idle) > 0 && now.Sub(p.idle[0].since) > p.IdleLimit {
 		p.dropIdle()
 	}
-	for len(p.spares) > 0 && now.Sub(p.spares[0].since) > spareLimit {
-		p.dropSpare()
-	}
-}
-
-// dropSpare closes the oldest spare. It is called with the lock held.
-func (p *Pool) dropSpare() {
-	p.spares[0].Close()
-	p.spares = p.spares[1:]
-	p.open--
 }
 
 // Close closes what is idle; connections in use close when their exchange
@@ -222,7 +165,4 @@
 	p.closed = true
 	for p.dropIdle() {
 	}
-	for len(p.spares) > 0 {
-		p.dropSpare()
-	}
 }
--- a/gate/mute.go
+++ b/gate/mute.go
@@ -129,7 +129,7 @@
 	if !q.kept() || !g.check.limiter.Allow() {
 		return nil
 	}
-	exchange, err := g.server.OpenNew()
+	exchange, err := g.server.Open(true)
 	if err != nil {
 		return nil
 	}
