backend: idle connections can be renewed, a burst does not go on kept ones alone

Cause: when all open connections to the server fall silent at once, whatever is sent before that is known goes on them.

Renew closes the idle connections opened before a time. Of requests on kept connections, no more than three go out within 25 ms before one as old is heard; others get a connection that is made for them.

Unmeasured: the bound of 25 ms with other counts than three.

--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/ryehaven/ryehaven/internal/faultproxy"
 )
 
 // rawServer answers each connection with a script, so that tests decide every
@@ -197,6 +199,86 @@
 	}
 }
 
+// silent returns a pool behind a proxy with n kept connections that have gone silent.
+func silent(t *testing.T, n int) *Pool {
+	t.Helper()
+	address, _ := rawServer(t, func(c net.Conn, _ int) {
+		r := bufio.NewReader(c)
+		for readRequest(r) {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	proxy, err := faultproxy.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(proxy.Close)
+	proxy.SetTarget(address)
+	p := newPool(proxy.Address())
+	p.MaxConns = 100
+	t.Cleanup(p.Close)
+	var answered []*Exchange
+	for range n {
+		e, err := send(t, p, true)
+		if err != nil {
+			t.Fatal(err)
+		}
+		answered = append(answered, e)
+	}
+	for _, e := range answered {
+		e.Finish(true)
+	}
+	proxy.Silence()
+	return p
+}
+
+// Of a burst, one silence of all open connections takes no more than a few requests: 7
+// to 9 at each of 4 gates went on silent ones, more than the budget of retries paid for.
+func TestBurstDoesNotGoOnKeptConnectionsAlone(t *testing.T) {
+	p := silent(t, 8)
+	var taken []*Exchange
+	began := time.Now()
+	for range 8 {
+		e, err := p.Open(false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		taken = append(taken, e)
+	}
+	stretched := time.Since(began) > unheardFor
+	kept := 0
+	for _, e := range taken {
+		if e.Origin() == Kept {
+			kept++
+		}
+		e.Finish(false)
+	}
+	// A loaded machine may stretch the burst; then this says nothing.
+	if kept > maxUnheard && !stretched {
+		t.Errorf("%d of a burst went on kept connections, at most %d may", kept, maxUnheard)
+	}
+	if len(p.unheard) != 0 {
+		t.Errorf("%d connections that have ended are still counted", len(p.unheard))
+	}
+}
+
+// After the pool was renewed no request gets a connection that was open before.
+func TestRenewedPoolUsesNewConnections(t *testing.T) {
+	p := silent(t, 4)
+	before := time.Now()
+	if dropped := p.Renew(before); dropped != 4 {
+		t.Errorf("%d connections dropped, want 4", dropped)
+	}
+	e, err := send(t, p, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.Finish(true)
+	if dropped := p.Renew(before); dropped != 0 || p.open != 1 {
+		t.Errorf("%d connections dropped that were opened later, %d open", dropped, p.open)
+	}
+}
+
 func TestClosedIdleConnectionIsSeen(t *testing.T) {
 	address, _ := rawServer(t, func(c net.Conn, _ int) {
 		readRequest(bufio.NewReader(c))
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -43,6 +43,7 @@
 	ended   bool
 	// written is closed when the request was written or that has failed.
 	written  chan struct{}
+	sent     atomic.Bool
 	writeErr error
 }
 
@@ -94,6 +95,9 @@
 	e.Response.SkipBody = r.Header.IsHead()
 	e.startWrite(r)
 	readErr := e.readOwn()
+	if readErr == nil {
+		e.pool.heard(e.conn)
+	}
 	if readErr == nil || eris.Is(readErr, ErrNotOurs) {
 		return readErr
 	}
@@ -152,8 +156,12 @@
 	if e.writeErr == nil {
 		e.writeErr = e.conn.writer.Flush()
 	}
+	e.sent.Store(e.writeErr == nil)
 }
 
+// Sent reports whether all of the request was written.
+func (e *Exchange) Sent() bool { return e.sent.Load() }
+
 // wholeSent reports whether the writing has ended.
 func (e *Exchange) wholeSent() bool {
 	select {
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,6 +24,10 @@
 const (
 	readBuffer  = 8 << 10
 	writeBuffer = 8 << 10
+	// maxUnheard bounds what one silence of all open connections takes of a burst: so
+	// many go out on kept ones within unheardFor before one of these is heard.
+	maxUnheard = 3
+	unheardFor = 25 * time.Millisecond
 )
 
 // Pool is the connections to one backend server. Set the exported fields
@@ -36,10 +41,13 @@
 	IdleLimit time.Duration
 	DialLimit time.Duration
 
-	mu     sync.Mutex
-	idle   []*conn
-	open   int
-	closed bool
+	mu   sync.Mutex
+	idle []*conn
+	// unheard are kept connections that were lately taken for a request since anything
+	// was heard on one as old.
+	unheard []*conn
+	open    int
+	closed  bool
 
 	// Dials and Reused count connections opened and used again.
 	Dials, Reused atomic.Int64
@@ -52,7 +60,9 @@
 	// opened is when the connection was made.
 	opened time.Time
 	since  time.Time
-	used   bool
+	// sent is when a kept connection was last taken for a request.
+	sent time.Time
+	used bool
 }
 
 // get returns a connection; fresh asks for one that is made now.
@@ -80,14 +90,37 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := len(p.idle)
-	if n == 0 || now.Sub(p.idle[n-1].since) > p.IdleLimit {
+	if n == 0 || p.burst(now) || now.Sub(p.idle[n-1].since) > p.IdleLimit {
 		return nil
 	}
 	c := p.idle[n-1]
 	p.idle = p.idle[:n-1]
+	c.sent = now
+	p.unheard = append(p.unheard, c)
 	return c
 }
 
+// burst reports whether enough is out on kept connections of which nothing was heard
+// yet. It is called with the lock held.
+func (p *Pool) burst(now time.Time) bool {
+	p.unheard = slices.DeleteFunc(p.unheard, func(c *conn) bool { return now.Sub(c.sent) > unheardFor })
+	return len(p.unheard) >= maxUnheard
+}
+
+// heard takes note that a connection speaks: what was opened as early or later has not
+// gone silent.
+func (p *Pool) heard(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unheard = slices.DeleteFunc(p.unheard, func(other *conn) bool { return !other.opened.Before(c.opened) })
+}
+
+// gone forgets a connection. It is called with the lock held.
+func (p *Pool) gone(c *conn) {
+	p.open--
+	p.unheard = slices.DeleteFunc(p.unheard, func(other *conn) bool { return other == c })
+}
+
 func (p *Pool) dial() (*conn, error) {
 	p.mu.Lock()
 	if p.open >= p.MaxConns && !p.dropIdle() {
@@ -144,7 +177,7 @@
 func (p *Pool) drop(c *conn) {
 	c.Close()
 	p.mu.Lock()
-	p.open--
+	p.gone(c)
 	p.mu.Unlock()
 }
 
@@ -157,6 +190,26 @@
 	}
 }
 
+// Renew closes the idle connections that were opened before a time, and returns how
+// many there were. They may have gone silent; new ones work.
+func (p *Pool) Renew(before time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if c.opened.Before(before) {
+			c.Close()
+			p.open--
+			continue
+		}
+		kept = append(kept, c)
+	}
+	dropped := len(p.idle) - len(kept)
+	clear(p.idle[len(kept):])
+	p.idle = kept
+	return dropped
+}
+
 // Close closes what is idle; connections in use close when their exchange
 // ends.
 func (p *Pool) Close() {
