gate, entry: requests on silent connections to the server are found and end

Cause: connections to the server that were open went silent while new ones worked, and nothing but a request's deadline ended what was sent on them. The reproduction (four hosts, three silences): 64 of 96 repeatable requests 504 after their whole 15 s.

Now a gate that found one connection mute (the question on a new one was answered) closes the idle ones opened before and suspects those with work. They are lost if the server names no more at work than is out on newer ones, or after twice the usual time (100 ms at least) if none as old is heard; without a mute connection, if two reports in a row miss them and four times the usual time has passed. Lost requests give their slots back. Repeatable ones end at once as unknown, marked as the connection's fault: the entry does not count it against the server. Others stay until their deadline. What may have reached a server before gets a connection that is made for it, so that a second try cannot be lost the same way. Gate.Renew lets other evidence in the node do the same.

Sending it again costs half a try of the budget, since it came to the server only if it was at work there when the silence began, and waits for the budget up to half of its time.

Weighed and not done: the gate sending it again by itself (an arrival that the entry's budget does not see); a shorter bound on unacknowledged bytes (the kernel sees nothing where something between acknowledges, and a server that reads a body late would hit it).

The new tests of the gate fail without the ending and dropping (three of three, after 20 s).

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -29,6 +29,11 @@
 	began    time.Time
 	// place is the attempt's in the request's trail.
 	place int
+	// again says that the request is at another server too.
+	again bool
+	// mute says that the connection to the server was silent, and denied that the
+	// budget did not pay for another attempt.
+	mute, denied bool
 	// dropped says that its outcome was not waited for.
 	dropped bool
 
@@ -130,6 +135,7 @@
 	m.BudgetMicros = left.Microseconds()
 	m.Patient = a.patient
 	m.Slowness = a.slowness
+	m.Again = a.again || r.reached > 0
 	if !r.refuseBy.IsZero() {
 		m.Patient = r.waiting
 		m.WaitMicros = max(time.Until(r.refuseBy), time.Millisecond).Microseconds()
@@ -187,7 +193,8 @@
 	case head.Reset != nil:
 		a.outcome = retry.Unknown
 		a.final = head.Reset.Expired
-		e.end(r, a, balance.Result{Latency: took, Failed: true, Load: &head.Reset.Load})
+		a.mute = head.Reset.Mute
+		e.end(r, a, balance.Result{Latency: took, Failed: !a.mute, Abandoned: a.mute, Load: &head.Reset.Load})
 	default:
 		a.outcome = retry.Unknown
 		e.end(r, a, balance.Result{Latency: took, Failed: true})
--- a/entry/handle.go
+++ b/entry/handle.go
@@ -124,7 +124,7 @@
 		}
 		res.last = a
 		r.note(a)
-		if a.outcome == retry.Answered || a.final || !(e.again(r, a) || r.waitForRoom(a)) {
+		if a.outcome == retry.Answered || a.final || !(e.again(r, a) || r.waitForRoom(a) || e.awaitBudget(r, a)) {
 			break
 		}
 		if a.response != nil {
@@ -175,13 +175,56 @@
 	r.paid = false
 	if !paid && !s.budget.Take(now, a.cost(&s.terms)) {
 		e.Counters.RetriesDenied.Add(1)
-		r.denied = true
+		r.denied, a.denied = true, true
 		return false
 	}
 	e.Counters.Retries.Add(1)
 	return true
 }
 
+const (
+	// budgetEvery is how often a request looks whether the budget pays for it now, and
+	// budgetShare the part of its time for which it does.
+	budgetEvery = 20 * time.Millisecond
+	budgetShare = 0.5
+)
+
+// awaitBudget waits until the budget pays for sending a request again whose connection
+// to the server was silent, and reports whether it did: one silence takes many requests
+// at the same moment, and none of them has another way to be answered.
+func (e *Entry) awaitBudget(r *request, a *attempt) bool {
+	if !a.mute || !a.denied {
+		return false
+	}
+	until := r.began.Add(time.Duration(budgetShare * float64(r.deadline.Sub(r.began))))
+	look := time.NewTicker(budgetEvery)
+	defer look.Stop()
+	for now := time.Now(); now.Before(until); now = time.Now() {
+		select {
+		case <-r.gone:
+			return false
+		case <-look.C:
+		}
+		if e.payAgain(r, a) {
+			return true
+		}
+	}
+	return false
+}
+
+// payAgain has the budget pay for sending a request again.
+func (e *Entry) payAgain(r *request, a *attempt) bool {
+	s := r.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.budget.Take(time.Now(), a.cost(&s.terms)) {
+		return false
+	}
+	r.denied = false
+	e.Counters.Retries.Add(1)
+	return true
+}
+
 // asEnded describes an attempt that ends in an outcome, for the rules. It is called
 // with the service's lock held.
 func (r *request) asEnded(now time.Time, a *attempt, outcome retry.Outcome) retry.Attempt {
@@ -229,12 +272,18 @@
 	return a.outcome.MayHaveRun() || a.reason == wire.ReasonShed
 }
 
+// muteCost is what a request on a silent connection to its server costs that is sent
+// again: it has come there once only if it did so before the silence.
+const muteCost = 0.5
+
 // cost is what sending the request again takes from the budget. Under terms
 // that count what reaches servers, a refusal before that is free.
 func (a *attempt) cost(terms *retry.Terms) float64 {
 	switch {
 	case !terms.Counted():
 		return a.outcome.Cost()
+	case a.mute:
+		return muteCost
 	case a.reached():
 		return 1
 	}
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -60,6 +60,7 @@
 		e.end(r, a, balance.Result{Abandoned: true})
 		return nil
 	}
+	a.again = true
 	e.send(r, a)
 	if a.call == nil {
 		return nil
--- a/entry/race.go
+++ b/entry/race.go
@@ -196,6 +196,7 @@
 	if a == nil {
 		return nil, nil
 	}
+	a.again = true
 	suspected := e.send(r, a)
 	if a.call == nil {
 		r.note(a)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -100,6 +100,8 @@
 	// Mute counts connections to the server that stayed silent while it answered on a
 	// new one, and Silent questions that it answered on no connection.
 	Mute, Silent atomic.Int64
+	// Severed counts requests on such connections that were no longer waited for.
+	Severed atomic.Int64
 	// Checked counts those that were made before a request was handed over.
 	Checked atomic.Int64
 }
@@ -131,8 +133,9 @@
 	toldAt   time.Time
 	cold     coldness
 	// asked is when the last request came.
-	asked time.Time
-	check check
+	asked   time.Time
+	check   check
+	silence silence
 }
 
 // New returns a gate for a row.
@@ -395,6 +398,7 @@
 			g.settle(g.queue.Flush())
 		}
 	}
+	g.sever(now)
 	g.mu.Unlock()
 	g.server.Tidy(now)
 }
--- a/gate/job.go
+++ b/gate/job.go
@@ -26,8 +26,14 @@
 
 	// The gate's lock guards the fields below.
 	handedOver bool
-	canceled   bool
-	exchange   *backend.Exchange
+	// answered says that the head of the answer came, and mute that its connection was
+	// found silent before.
+	answered, mute bool
+	// reports counts the server's reports while the request was out, and short those
+	// in a row by which it cannot be at work.
+	reports, short int
+	canceled       bool
+	exchange       *backend.Exchange
 
 	began time.Time
 	// slowness is the server's when the job began, in percent; 0 if not known.
@@ -91,12 +97,16 @@
 // connection ends at once is not sent again here: the server may have run it, and
 // what reaches a server twice is paid from the entry's budget.
 func (j *job) send(request *fasthttp.Request) (*backend.Exchange, wire.Reason, error) {
-	exchange, reason := j.open(!j.stream.Request.Repeatable)
+	exchange, reason := j.open(!j.stream.Request.Repeatable || j.stream.Request.Again)
 	if reason != 0 {
 		return nil, reason, nil
 	}
 	exchange.TagField, exchange.Tag = j.gate.settings.Dialect.RequestID, j.stream.Request.Tag
-	return exchange, 0, exchange.Send(request, j.sendLimit())
+	err := exchange.Send(request, j.sendLimit())
+	if err == nil {
+		j.gate.heard(j)
+	}
+	return exchange, 0, err
 }
 
 // open gets a connection and, under the gate's lock, makes the one decision
@@ -359,12 +369,20 @@
 }
 
 func (j *job) finishReset(err error) {
-	if now := time.Now(); now.Before(j.stream.Deadline) {
+	mute := j.isMute()
+	if now := time.Now(); now.Before(j.stream.Deadline) && !mute {
 		j.gate.Doubt(now)
 	}
 	load := j.done(false)
+	if mute {
+		err = errMute
+	}
 	j.gate.record(j, load, event.Unknown, err.Error(), 0)
 	j.gate.Counters.Reset.Add(1)
+	if mute && time.Now().Before(j.stream.Deadline) {
+		j.stream.Sever(err.Error(), load)
+		return
+	}
 	if !time.Now().Before(j.stream.Deadline) {
 		j.stream.Expire(err.Error(), load)
 		return
--- a/gate/mute.go
+++ b/gate/mute.go
@@ -33,6 +33,8 @@
 type question struct {
 	exchange *backend.Exchange
 	asked    time.Time
+	// out are the requests that the gate waited for when it was put, oldest first.
+	out []*job
 	// done is closed when err is known.
 	done chan struct{}
 	err  error
@@ -77,11 +79,13 @@
 
 // askReport asks the server for its report and waits for it up to a limit.
 func (g *Gate) askReport(row table.Server, limit time.Duration) (measure.Report, bool) {
+	out := g.waitedFor()
 	exchange, err := g.server.Open(false)
 	if err != nil {
 		return measure.Report{}, false
 	}
 	q := put(exchange, row.HealthPath, row.Service, max(limit, muteLimit))
+	q.out = out
 	if q.waitUntil(min(limit, muteAfter)) {
 		return g.take(row, q)
 	}
@@ -118,6 +122,7 @@
 	} else if took := time.Since(second.asked); !q.waitUntil(time.Since(q.asked) + max(took, muteGrace)) {
 		g.Counters.Mute.Add(1)
 		g.recordMute(q, true)
+		g.renew(q.asked)
 	}
 	q.drop()
 	return g.take(row, second)
@@ -134,7 +139,10 @@
 		return nil
 	}
 	g.Counters.Measured.Add(1)
-	return put(exchange, row.HealthPath, row.Service, limit)
+	out := g.waitedFor()
+	second := put(exchange, row.HealthPath, row.Service, limit)
+	second.out = out
+	return second
 }
 
 // take reads the answer to a question, if there is one.
@@ -147,6 +155,7 @@
 	body, err := readFirst(exchange.Body(), maxReport)
 	whole := err == io.EOF
 	g.learn(&exchange.Response.Header)
+	g.learnAtWork(q)
 	g.learnCold(q.asked, &exchange.Response.Header)
 	dialect := &g.settings.Dialect
 	if id := exchange.Response.Header.Peek(dialect.ServerID); dialect.Strict() && len(id) > 0 && string(id) != row.Name {
--- /dev/null
+++ b/gate/silence_test.go
@@ -0,0 +1,209 @@
+// SPDX-License-Identifier: MIT
+
+package gate_test
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/ryehaven/ryehaven/gate"
+	"github.com/ryehaven/ryehaven/header"
+	"github.com/ryehaven/ryehaven/internal/faultproxy"
+	"github.com/ryehaven/ryehaven/table"
+	"github.com/ryehaven/ryehaven/wire"
+)
+
+// silenceable is a bench whose server stands behind a proxy and tells at its health
+// path how many requests it works on.
+type silenceable struct {
+	*bench
+	proxy *faultproxy.Proxy
+	asked atomic.Int64
+	// long is closed to end the work on /long.
+	long chan struct{}
+}
+
+const healthPath = "/health"
+
+func newSilenceable(t *testing.T, slots int) *silenceable {
+	t.Helper()
+	s := &silenceable{bench: &bench{t: t, started: make(chan string, 100), release: make(chan int, 100)}, long: make(chan struct{})}
+	server := listen(t)
+	var atWork atomic.Int64
+	http := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+		ctx.Response.Header.Set(loadField, fmt.Sprintf("%d,0,%d,100", atWork.Load(), slots))
+		if string(ctx.Path()) == healthPath {
+			s.asked.Add(1)
+			return
+		}
+		atWork.Add(1)
+		s.started <- string(ctx.Path())
+		if string(ctx.Path()) == "/long" {
+			<-s.long
+		} else {
+			ctx.SetStatusCode(<-s.release)
+		}
+		atWork.Add(-1)
+	}}
+	go http.Serve(server)
+	proxy, err := faultproxy.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	proxy.SetTarget(server.Addr().String())
+	s.proxy, s.address, s.dialect = proxy, proxy.Address(), header.Own()
+	s.dialect.Load = loadField
+	s.dialect.Prepare()
+	row := s.row(func(row *table.Server) {
+		row.Slots, row.Queue, row.MeasureRate, row.HealthPath = slots, 10, 1000, healthPath
+	})
+	s.gate = gate.New(row, gate.Settings{
+		IdleLimit: time.Minute, DialLimit: time.Second, BodyIdleLimit: time.Minute, AbandonedLimit: time.Minute,
+		FixedLimit: true, Dialect: s.dialect, ChecksPerSecond: 1000, MeasureAfter: time.Millisecond,
+	})
+	stop := make(chan struct{})
+	go s.tick(stop)
+	t.Cleanup(func() {
+		close(stop)
+		proxy.Close()
+		server.Close()
+		close(s.release)
+	})
+	s.conn = connect(t, s.gate)
+	return s
+}
+
+// tick does what a node does for its gate.
+func (s *silenceable) tick(stop <-chan struct{}) {
+	ticker := time.NewTicker(5 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case now := <-ticker.C:
+			s.gate.Tick(now)
+			s.gate.Measure(now, time.Second)
+		}
+	}
+}
+
+// warm has the gate keep so many connections.
+func (s *silenceable) warm(n int) {
+	s.t.Helper()
+	var calls []interface{ Cancel() }
+	for range n {
+		call := s.start("/warm", nil)
+		defer s.head(call)
+		calls = append(calls, call)
+	}
+	for range calls {
+		s.running()
+	}
+	for range calls {
+		s.release <- 200
+	}
+}
+
+// free waits until no slot is taken.
+func (s *silenceable) free() {
+	s.t.Helper()
+	for until := time.Now().Add(patience); s.gate.Load().InFlight > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			s.t.Fatalf("%d slots are still taken", s.gate.Load().InFlight)
+		}
+	}
+}
+
+// serves checks that the next request reaches the server and is answered.
+func (s *silenceable) serves() {
+	s.t.Helper()
+	call := s.start("/next", nil)
+	if path := s.running(); path != "/next" {
+		s.t.Fatalf("the server works on %s", path)
+	}
+	s.release <- 200
+	if head := s.head(call); head.Response == nil || head.Response.Status != 200 {
+		s.t.Errorf("head %+v, want an answer", head)
+	}
+}
+
+// Kept connections went silent while new ones worked: each cost a request its whole
+// deadline, of a minute here, and held a slot for as long. 64 of 96 requests waited
+// out 15 s so after three silences of a site. The entry is told at once that it was the
+// connection's fault, so that another server is asked and this one not left out.
+func TestRequestsOnSilentConnectionsEndSoon(t *testing.T) {
+	s := newSilenceable(t, 3)
+	s.warm(3)
+	s.proxy.Silence()
+	for range 3 {
+		call := s.start("/lost", nil)
+		select {
+		case <-s.started: // On a new connection, since the silence is known.
+			s.release <- 200
+			continue
+		case head := <-call.Head():
+			if head.Reset == nil || !head.Reset.Mute || head.Reset.Expired {
+				t.Fatalf("head %+v, want a reset for the connection's silence", head)
+			}
+		case <-time.After(patience):
+			t.Fatal("the request is still waited for")
+		}
+	}
+	s.free()
+	s.serves()
+}
+
+// A request that must run at most once was at work when its connection went silent.
+// Its answer is lost; its slot is given back, and it is waited for until its deadline.
+func TestSlotOfARequestOnASilentConnectionIsGivenBack(t *testing.T) {
+	s := newSilenceable(t, 1)
+	s.warm(1)
+	call := s.start("/once", func(r *wire.Request) { r.Repeatable = false })
+	s.running()
+	s.proxy.Silence()
+	s.release <- 200
+	s.free()
+	s.serves()
+	select {
+	case head := <-call.Head():
+		t.Errorf("head %+v before the deadline", head)
+	default:
+	}
+}
+
+// A request that takes much longer than usual is waited for while its server says that
+// it works on it.
+func TestLongWorkIsNotTakenForSilence(t *testing.T) {
+	s := newSilenceable(t, 2)
+	s.warm(2)
+	call := s.start("/long", nil)
+	s.running()
+	const enough = 100 // Questions; at least 5 ms lie between two.
+	for until := time.Now().Add(patience); s.asked.Load() < enough; time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatalf("asked %d times", s.asked.Load())
+		}
+		s.serves() // There is demand, so that the gate asks.
+	}
+	close(s.long)
+	if head := s.head(call); head.Response == nil {
+		t.Errorf("head %+v, want an answer", head)
+	}
+}
+
+// What other connections of the host have shown holds for those to the server too.
+func TestRenewedGateDoesNotUseOldConnections(t *testing.T) {
+	s := newSilenceable(t, 2)
+	s.warm(2)
+	s.proxy.Silence()
+	s.gate.Renew()
+	s.serves()
+	if n := s.gate.Counters.Severed.Load(); n != 0 {
+		t.Errorf("%d requests were lost", n)
+	}
+}
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -45,6 +45,11 @@
 	s.end(&wire.Reset{ID: s.Request.ID, Message: message, Load: load})
 }
 
+// Sever is Reset because the connection to the server was silent, and not the server.
+func (s *Stream) Sever(message string, load wire.Load) {
+	s.end(&wire.Reset{ID: s.Request.ID, Message: message, Load: load, Mute: true})
+}
+
 // Expire is Reset because the request's time was up.
 func (s *Stream) Expire(message string, load wire.Load) {
 	s.end(&wire.Reset{ID: s.Request.ID, Message: message, Load: load, Expired: true})
--- a/wire/message.go
+++ b/wire/message.go
@@ -141,6 +141,9 @@
 	// gate whose server turns out to be clearly slower refuses the request, so that
 	// its entry can choose again; 0 means that it does not matter.
 	Slowness int
+	// Again says that the request may have reached a server before, so that this one's
+	// gate should not trust a connection that was kept.
+	Again bool
 }
 
 // Data carries a part of a body in either direction.
@@ -282,6 +285,8 @@
 	Load    Load
 	// Expired says that the request's time was up.
 	Expired bool
+	// Mute says that the connection to the server was silent, and not the server.
+	Mute bool
 }
 
 // Ping asks for a Pong with the same number.
