gate: what the server names as at work is waited for, also on a suspected connection

Cause, found in a review: Renew suspects every connection with work although nothing was seen on them. A request of long work, alone among older connections, was given up after twice the usual time while the server said that it worked on it. A request for which the last report has room is no longer ended by time.

Left: a server that names more at work than is true, whose connections have gone silent, holds these requests until their deadline, as all did before.

Measured: TestLongWorkIsNotTakenForSilence, with Renew added, failed in 2 of 2 before and passes 5 of 5 with the package; the reproduction's case to servers, with -race, passes 20 of 20.

--- a/gate/silence.go
+++ b/gate/silence.go
@@ -177,13 +177,17 @@
 		}
 		waited := now.Sub(j.began)
 		denied := j.short >= reportsShort && s.wrong <= wrongMost
-		if (s.newer && g.suspects(j) && waited >= suspected) || (denied && waited >= alone) {
+		if (s.newer && g.suspects(j) && !j.named() && waited >= suspected) || (denied && waited >= alone) {
 			lost = append(lost, j)
 		}
 	}
 	g.severAll(now, lost)
 }
 
+// named reports whether the server's last report has room for the request among what it
+// works on. It is called with the gate's lock held.
+func (j *job) named() bool { return j.reports > 0 && j.short == 0 }
+
 // usual is how long requests take at the server now. It is called with the lock held.
 func (g *Gate) usual(now time.Time) time.Duration {
 	return g.queue.Service() * time.Duration(max(g.slownessNow(now), usualSlowness)) / usualSlowness
--- a/gate/silence_test.go
+++ b/gate/silence_test.go
@@ -177,12 +177,13 @@
 }
 
 // A request that takes much longer than usual is waited for while its server says that
-// it works on it.
+// it works on it, also when other connections of the host have gone silent.
 func TestLongWorkIsNotTakenForSilence(t *testing.T) {
 	s := newSilenceable(t, 2)
 	s.warm(2)
 	call := s.start("/long", nil)
 	s.running()
+	s.gate.Renew()
 	const enough = 100 // Questions; at least 5 ms lie between two.
 	for until := time.Now().Add(patience); s.asked.Load() < enough; time.Sleep(time.Millisecond) {
 		if time.Now().After(until) {
