--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -38,23 +38,50 @@
 
 	pool    *Pool
 	conn    *conn
+	origin  Origin
 	aborted atomic.Bool
 	ended   bool
 	// written is closed when the request was written or that has failed.
 	written  chan struct{}
+	sent     atomic.Bool
 	writeErr error
 }
 
 // Open takes a connection. After an error nothing was sent. With fresh the
-// connection has never carried a request.
+// connection is made now.
 func (p *Pool) Open(fresh bool) (*Exchange, error) {
 	c, err := p.get(fresh)
 	if err != nil {
 		return nil, err
 	}
-	return &Exchange{pool: p, conn: c}, nil
+	return newExchange(p, c), nil
 }
 
+// Opened is when the exchange's connection was made.
+func (e *Exchange) Opened() time.Time { return e.conn.opened }
+
+// Origin tells where the exchange's connection comes from.
+func (e *Exchange) Origin() Origin { return e.origin }
+
+func newExchange(p *Pool, c *conn) *Exchange {
+	origin := Fresh
+	if c.used {
+		origin = Kept
+	}
+	return &Exchange{pool: p, conn: c, origin: origin}
+}
+
+// Origin is where the connection of an exchange comes from.
+type Origin string
+
+// The origins.
+const (
+	// Kept connections have carried requests before.
+	Kept Origin = "kept"
+	// Fresh ones were made for the exchange.
+	Fresh Origin = "fresh"
+)
+
 // Send writes the request and reads the answer's head until the deadline.
 // After an error it is not known whether the request ran.
 func (e *Exchange) Send(r *fasthttp.Request, deadline time.Time) error {
@@ -68,6 +95,9 @@
 	e.Response.SkipBody = r.Header.IsHead()
 	e.startWrite(r)
 	readErr := e.readOwn()
+	if readErr == nil {
+		e.pool.heard(e.conn)
+	}
 	if readErr == nil || eris.Is(readErr, ErrNotOurs) {
 		return readErr
 	}
@@ -126,8 +156,12 @@
 	if e.writeErr == nil {
 		e.writeErr = e.conn.writer.Flush()
 	}
+	e.sent.Store(e.writeErr == nil)
 }
 
+// Sent reports whether all of the request was written.
+func (e *Exchange) Sent() bool { return e.sent.Load() }
+
 // wholeSent reports whether the writing has ended.
 func (e *Exchange) wholeSent() bool {
 	select {
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,10 +24,10 @@
 const (
 	readBuffer  = 8 << 10
 	writeBuffer = 8 << 10
-	// spareLimit is how long a connection opened ahead is kept, and maxSpares
-	// how many there are at most.
-	spareLimit = time.Second
-	maxSpares  = 16
+	// maxUnheard bounds what one silence of all open connections takes of a burst: so
+	// many go out on kept ones within unheardFor before one of these is heard.
+	maxUnheard = 3
+	unheardFor = 25 * time.Millisecond
 )
 
 // Pool is the connections to one backend server. Set the exported fields
@@ -40,11 +41,11 @@
 	IdleLimit time.Duration
 	DialLimit time.Duration
 
-	mu     sync.Mutex
-	idle   []*conn
-	spares []*conn
-	// opening counts the spares that are being opened.
-	opening int
+	mu   sync.Mutex
+	idle []*conn
+	// unheard are kept connections that were lately taken for a request since anything
+	// was heard on one as old.
+	unheard []*conn
 	open    int
 	closed  bool
 
@@ -56,19 +57,20 @@
 	net.Conn
 	reader *bufio.Reader
 	writer *bufio.Writer
+	// opened is when the connection was made.
+	opened time.Time
 	since  time.Time
-	used   bool
+	// sent is when a kept connection was last taken for a request.
+	sent time.Time
+	used bool
 }
 
-// get returns a connection; fresh asks for one that never carried a request.
+// get returns a connection; fresh asks for one that is made now.
 func (p *Pool) get(fresh bool) (*conn, error) {
-	now := time.Now()
 	if fresh {
-		if c := p.takeSpare(now); c != nil {
-			return c, nil
-		}
 		return p.dial()
 	}
+	now := time.Now()
 	for {
 		c := p.takeIdle(now)
 		if c == nil {
@@ -82,55 +84,43 @@
 	}
 }
 
-// takeSpare takes the newest spare that is still good, or nil, and has another
-// opened in its place.
-func (p *Pool) takeSpare(now time.Time) *conn {
-	p.mu.Lock()
-	if len(p.spares)+p.opening < maxSpares && p.open < p.MaxConns && !p.closed {
-		p.opening++
-		go p.openSpare()
-	}
-	var c *conn
-	if n := len(p.spares); n > 0 {
-		c = p.spares[n-1]
-		p.spares = p.spares[:n-1]
-	}
-	p.mu.Unlock()
-	if c != nil && (now.Sub(c.since) > spareLimit || !sock.Quiet(c.Conn)) {
-		p.drop(c)
-		return nil
-	}
-	return c
-}
-
-func (p *Pool) openSpare() {
-	c, err := p.dial()
-	p.mu.Lock()
-	p.opening--
-	keep := err == nil && !p.closed
-	if keep {
-		p.spares = append(p.spares, c)
-	}
-	p.mu.Unlock()
-	if err == nil && !keep {
-		p.drop(c)
-	}
-}
-
 // takeIdle takes the connection used last, which the server is least likely
 // to have closed.
 func (p *Pool) takeIdle(now time.Time) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := len(p.idle)
-	if n == 0 || now.Sub(p.idle[n-1].since) > p.IdleLimit {
+	if n == 0 || p.burst(now) || now.Sub(p.idle[n-1].since) > p.IdleLimit {
 		return nil
 	}
 	c := p.idle[n-1]
 	p.idle = p.idle[:n-1]
+	c.sent = now
+	p.unheard = append(p.unheard, c)
 	return c
 }
 
+// burst reports whether enough is out on kept connections of which nothing was heard
+// yet. It is called with the lock held.
+func (p *Pool) burst(now time.Time) bool {
+	p.unheard = slices.DeleteFunc(p.unheard, func(c *conn) bool { return now.Sub(c.sent) > unheardFor })
+	return len(p.unheard) >= maxUnheard
+}
+
+// heard takes note that a connection speaks: what was opened as early or later has not
+// gone silent.
+func (p *Pool) heard(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unheard = slices.DeleteFunc(p.unheard, func(other *conn) bool { return !other.opened.Before(c.opened) })
+}
+
+// gone forgets a connection. It is called with the lock held.
+func (p *Pool) gone(c *conn) {
+	p.open--
+	p.unheard = slices.DeleteFunc(p.unheard, func(other *conn) bool { return other == c })
+}
+
 func (p *Pool) dial() (*conn, error) {
 	p.mu.Lock()
 	if p.open >= p.MaxConns && !p.dropIdle() {
@@ -147,11 +137,13 @@
 		return nil, eris.Wrapf(ErrConnect, "%s: %v", p.Address, err)
 	}
 	p.Dials.Add(1)
+	now := time.Now()
 	return &conn{
 		Conn:   nc,
 		reader: bufio.NewReaderSize(nc, readBuffer),
 		writer: bufio.NewWriterSize(nc, writeBuffer),
-		since:  time.Now(),
+		opened: now,
+		since:  now,
 	}, nil
 }
 
@@ -185,7 +177,7 @@
 func (p *Pool) drop(c *conn) {
 	c.Close()
 	p.mu.Lock()
-	p.open--
+	p.gone(c)
 	p.mu.Unlock()
 }
 
@@ -196,16 +188,26 @@
 	for len(p.idle) > 0 && now.Sub(p.idle[0].since) > p.IdleLimit {
 		p.dropIdle()
 	}
-	for len(p.spares) > 0 && now.Sub(p.spares[0].since) > spareLimit {
-		p.dropSpare()
-	}
 }
 
-// dropSpare closes the oldest spare. It is called with the lock held.
-func (p *Pool) dropSpare() {
-	p.spares[0].Close()
-	p.spares = p.spares[1:]
-	p.open--
+// Renew closes the idle connections that were opened before a time, and returns how
+// many there were. They may have gone silent; new ones work.
+func (p *Pool) Renew(before time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if c.opened.Before(before) {
+			c.Close()
+			p.open--
+			continue
+		}
+		kept = append(kept, c)
+	}
+	dropped := len(p.idle) - len(kept)
+	clear(p.idle[len(kept):])
+	p.idle = kept
+	return dropped
 }
 
 // Close closes what is idle; connections in use close when their exchange
@@ -216,7 +218,4 @@
 	p.closed = true
 	for p.dropIdle() {
 	}
-	for len(p.spares) > 0 {
-		p.dropSpare()
-	}
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -97,6 +97,11 @@
 	Measured, MeasureFailed atomic.Int64
 	// BadReports counts reports of a server that could not be read.
 	BadReports atomic.Int64
+	// Mute counts connections to the server that stayed silent while it answered on a
+	// new one, and Silent questions that it answered on no connection.
+	Mute, Silent atomic.Int64
+	// Severed counts requests on such connections that were no longer waited for.
+	Severed atomic.Int64
 	// Checked counts those that were made before a request was handed over.
 	Checked atomic.Int64
 }
@@ -128,8 +133,9 @@
 	toldAt   time.Time
 	cold     coldness
 	// asked is when the last request came.
-	asked time.Time
-	check check
+	asked   time.Time
+	check   check
+	silence silence
 }
 
 // New returns a gate for a row.
@@ -357,6 +363,9 @@
 
 		BeganSlowness: j.slowness,
 	}
+	if j.exchange != nil {
+		e.Connection = string(j.exchange.Origin())
+	}
 	if !j.began.IsZero() {
 		e.Waited = j.began.Sub(j.stream.Received)
 		e.Took = now.Sub(j.began)
@@ -389,6 +398,7 @@
 			g.settle(g.queue.Flush())
 		}
 	}
+	g.sever(now)
 	g.mu.Unlock()
 	g.server.Tidy(now)
 }
