spread: what ended a watch, and how old the table's confirmation is

Cause: a watch that ended without an answer left one line ("store lost") whatever ended it, and the confirmation's age stood in the status only. So "the watch hung on a silent connection", "the kernel gave it up" and "the store refused" could not be told apart, nor an old table from one that the store had just confirmed.

The store's clients keep the cause of a call without an answer (store.Unanswered, EndingOf); three counters and a line "watch ended" tell it; table_confirmed_ms is the age.

Calls are as before.

--- a/node/metrics.go
+++ b/node/metrics.go
@@ -4,6 +4,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"github.com/ryehaven/ryehaven/event"
 	"github.com/ryehaven/ryehaven/gate"
@@ -133,6 +134,16 @@
 		metric.Count("evacuations_taken", "changes", "changes of the evacuated availability zones", &c.EvacuationsTaken),
 		metric.Count("evacuations_bad", "states", "states of evacuations that did not pass their checks", &c.BadEvacuations),
 		metric.Count("platform_errors", "calls", "reads and watches that failed", &c.PlatformErrors),
+		metric.Count("watch_ended_by_limit", "calls", "watches at the platform without an answer within their time limit", &c.WatchLimits),
+		metric.Count("watch_ended_by_keep_alive", "calls", "watches whose connection the kernel found silent", &c.WatchKeepAlives),
+		metric.Count("watch_ended_by_error", "calls", "watches that ended in another error", &c.WatchErrors),
+		{Name: "table_confirmed_ms", Unit: "milliseconds", Meaning: "how long ago any node known to this one confirmed the table with the platform; -1 for never", Value: func() int64 {
+			age, ok := n.spread.ConfirmedAge(time.Now())
+			if !ok {
+				return -1
+			}
+			return age.Milliseconds()
+		}},
 		{Name: "table_generation", Unit: "generation", Meaning: "generation in force", Value: func() int64 {
 			generation, _ := n.holder.Generation()
 			return int64(generation)
--- a/spread/evacuate.go
+++ b/spread/evacuate.go
@@ -49,9 +49,7 @@
 	if tag == "" {
 		wait = 0
 	}
-	s.Counters.PlatformReads.Add(1)
-	o, changed, err := s.platform.Watch(ctx, store.EvacuationsKey, tag, wait)
-	s.noteStore(ctx, err)
+	o, changed, err := s.watch(ctx, store.EvacuationsKey, tag, wait)
 	if errors.Is(err, store.ErrNotFound) {
 		sleep(ctx, s.jitter(s.settings.WatchWait)) // Nobody has ever evacuated a zone.
 		return "", nil
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -64,6 +64,10 @@
 	// PlatformReads counts reads and watches, PlatformErrors those that
 	// failed.
 	PlatformReads, PlatformErrors atomic.Int64
+	// WatchLimits, WatchKeepAlives and WatchErrors count watches that ended without
+	// an answer: by their own time limit, by the kernel that found the platform
+	// silent, or in another error.
+	WatchLimits, WatchKeepAlives, WatchErrors atomic.Int64
 }
 
 // Spread is one node's part in spreading tables and records.
--- a/spread/watch.go
+++ b/spread/watch.go
@@ -7,6 +7,8 @@
 	"errors"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/ryehaven/ryehaven/store"
 )
 
@@ -120,12 +122,10 @@
 // readTable reads the table's object if it is not at tag, and returns the tag
 // that it is at.
 func (s *Spread) readTable(ctx context.Context, tag string, wait time.Duration) (string, error) {
-	s.Counters.PlatformReads.Add(1)
 	if tag == "" {
 		wait = 0
 	}
-	o, changed, err := s.platform.Watch(ctx, store.TableKey, tag, wait)
-	s.noteStore(ctx, err)
+	o, changed, err := s.watch(ctx, store.TableKey, tag, wait)
 	if errors.Is(err, store.ErrNotFound) && o.Tag != "" && s.holder.Current() == nil {
 		// Nobody has applied a table yet, and the store says from where on to watch.
 		s.confirm()
@@ -148,6 +148,36 @@
 	return tag, nil
 }
 
+// watch makes one call to the platform, which waits unless wait is 0, and tells how it
+// ended.
+func (s *Spread) watch(ctx context.Context, key, tag string, wait time.Duration) (store.Object, bool, error) {
+	s.Counters.PlatformReads.Add(1)
+	began := time.Now()
+	o, changed, err := s.platform.Watch(ctx, key, tag, wait)
+	s.noteStore(ctx, err)
+	if wait > 0 && isLost(err) && ctx.Err() == nil {
+		s.noteWatchEnd(key, store.EndingOf(err), time.Since(began), err)
+	}
+	return o, changed, err
+}
+
+// noteWatchEnd takes note of what ended a watch that failed.
+func (s *Spread) noteWatchEnd(key string, ending store.Ending, after time.Duration, err error) {
+	switch ending {
+	case store.EndedByLimit:
+		s.Counters.WatchLimits.Add(1)
+	case store.EndedByKeepAlive:
+		s.Counters.WatchKeepAlives.Add(1)
+	default:
+		s.Counters.WatchErrors.Add(1)
+	}
+	s.log.Info("watch ended",
+		zap.String("key", key),
+		zap.String("by", string(ending)),
+		zap.Duration("after", after),
+		zap.Error(err))
+}
+
 // confirm takes note that the store has just told what table there is, if any.
 func (s *Spread) confirm() {
 	s.mu.Lock()
--- a/store/http.go
+++ b/store/http.go
@@ -98,6 +98,10 @@
 	if errors.Is(err, ErrNotFound) || errors.Is(err, ErrUnavailable) {
 		return err
 	}
+	var unanswered *Unanswered
+	if errors.As(err, &unanswered) {
+		return &Unanswered{Meaning: ErrUnavailable, Cause: unanswered.Cause}
+	}
 	return eris.Wrap(ErrUnavailable, err.Error())
 }
 
@@ -146,7 +150,7 @@
 	case err := <-done:
 		return err
 	case <-ctx.Done():
-		return eris.Wrap(ErrUnknown, ctx.Err().Error())
+		return &Unanswered{Meaning: ErrUnknown, Cause: ctx.Err()}
 	}
 }
 
@@ -159,9 +163,9 @@
 	if err := h.client.DoDeadline(request, response, deadline); err != nil {
 		var dial *net.OpError
 		if errors.As(err, &dial) && dial.Op == "dial" {
-			return eris.Wrap(ErrUnavailable, err.Error())
+			return &Unanswered{Meaning: ErrUnavailable, Cause: err}
 		}
-		return eris.Wrap(ErrUnknown, err.Error())
+		return &Unanswered{Meaning: ErrUnknown, Cause: err}
 	}
 	return read(response)
 }
--- /dev/null
+++ b/store/unanswered_test.go
@@ -0,0 +1,63 @@
+// SPDX-License-Identifier: MIT
+
+package store_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"github.com/ryehaven/ryehaven/store"
+)
+
+// Every way in which a call can fail is told apart, whichever error it comes wrapped in.
+func TestEndings(t *testing.T) {
+	unanswered := func(cause error) error {
+		return eris.Wrap(&store.Unanswered{Meaning: store.ErrUnavailable, Cause: cause}, "call")
+	}
+	for _, test := range []struct {
+		err  error
+		want store.Ending
+	}{
+		{unanswered(fasthttp.ErrTimeout), store.EndedByLimit},
+		{unanswered(context.DeadlineExceeded), store.EndedByLimit},
+		{unanswered(&net.OpError{Op: "read", Err: os.ErrDeadlineExceeded}), store.EndedByLimit},
+		{unanswered(&net.OpError{Op: "read", Err: os.NewSyscallError("read", syscall.ETIMEDOUT)}), store.EndedByKeepAlive},
+		{unanswered(&net.OpError{Op: "read", Err: os.NewSyscallError("read", syscall.ECONNRESET)}), store.EndedByError},
+		{eris.Wrap(store.ErrUnavailable, "status 503"), store.EndedByAnswer},
+	} {
+		if got := store.EndingOf(test.err); got != test.want {
+			t.Errorf("%v: %q, want %q", test.err, got, test.want)
+		}
+	}
+	if err := unanswered(syscall.ETIMEDOUT); !errors.Is(err, store.ErrUnavailable) {
+		t.Errorf("%v has lost its meaning", err)
+	}
+}
+
+// A platform that takes a call and says nothing ends it by the call's limit, one that
+// nobody listens for by an error.
+func TestEndingsOverHTTP(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	c := store.NewHTTP(listener.Addr().String(), 50*time.Millisecond)
+	_, _, err = c.Watch(ctx, "k", "tag", time.Millisecond)
+	if got := store.EndingOf(err); got != store.EndedByLimit {
+		t.Errorf("silent: %v ended by %q", err, got)
+	}
+	listener.Close()
+	_, _, err = store.NewHTTP(listener.Addr().String(), time.Second).Watch(ctx, "k", "tag", time.Millisecond)
+	if got := store.EndingOf(err); got != store.EndedByError {
+		t.Errorf("nobody there: %v ended by %q", err, got)
+	}
+}
