spread, platform: silent connections to the store, failing

Cause: a watch hangs on a connection that went silent until its own limit of 27 s, and a call is put on a kept connection that has gone silent since.

--- /dev/null
+++ b/spread/silence_test.go
@@ -0,0 +1,292 @@
+// SPDX-License-Identifier: MIT
+
+package spread
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/ryehaven/ryehaven/store"
+	"github.com/ryehaven/ryehaven/table"
+)
+
+// lineStore is a store whose open connections can go silent for good, and nothing but
+// the end of a caller's patience shows it. Each call comes on a connection of its own.
+type lineStore struct {
+	// answer is what the store takes for each answer.
+	answer time.Duration
+
+	mu       sync.Mutex
+	changed  chan struct{}
+	open     map[*line]bool
+	revision uint64
+	objects  map[string]store.Object
+	down     bool
+	calls    int
+}
+
+// line is one connection.
+type line struct{ silent bool }
+
+func newLineStore() *lineStore {
+	return &lineStore{answer: 4 * time.Millisecond, changed: make(chan struct{}), open: map[*line]bool{}, objects: map[string]store.Object{}}
+}
+
+// wake is called with the lock held.
+func (s *lineStore) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *lineStore) put(key string, body []byte) {
+	s.revision++
+	s.objects[key] = store.Object{Body: body, Tag: strconv.FormatUint(s.revision, 10)}
+	s.wake()
+}
+
+// putTable accepts a version of the table.
+func (s *lineStore) putTable(t *testing.T, generation table.Generation) {
+	text := snapshot(t, generation, fmt.Sprint(generation)).Text
+	e := store.Envelope{Generation: generation, WriteID: "w", Hash: table.HashText(text), Table: string(text)}
+	body, err := e.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(store.TableKey, body)
+}
+
+// putEvacuations accepts a state of the evacuations and returns its version.
+func (s *lineStore) putEvacuations(t *testing.T, zones ...string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	version := s.revision + 1
+	e := evacuations(version, zones...)
+	body, err := e.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.put(store.EvacuationsKey, body)
+	return version
+}
+
+// silence makes all connections silent that are open now.
+func (s *lineStore) silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for l := range s.open {
+		l.silent = true
+	}
+	s.wake()
+}
+
+func (s *lineStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	s.wake()
+}
+
+// callCount returns how many calls came.
+func (s *lineStore) callCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+func (s *lineStore) connect() *line {
+	l := new(line)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open[l] = true
+	return l
+}
+
+func (s *lineStore) disconnect(l *line) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, l)
+}
+
+// Get implements store.Client.
+func (s *lineStore) Get(ctx context.Context, key string) (store.Object, error) {
+	o, _, err := s.Watch(ctx, key, "", 0)
+	return o, err
+}
+
+// Put implements store.Client.
+func (s *lineStore) Put(context.Context, string, string, []byte) (string, error) {
+	return "", store.ErrUnavailable
+}
+
+// Watch implements store.Client.
+func (s *lineStore) Watch(ctx context.Context, key, tag string, wait time.Duration) (store.Object, bool, error) {
+	l := s.connect()
+	defer s.disconnect(l)
+	s.mu.Lock()
+	s.calls++
+	s.mu.Unlock()
+	return s.ask(ctx, l, key, tag, wait)
+}
+
+// ask puts a question on a connection and waits for an answer, as long as a client does.
+func (s *lineStore) ask(ctx context.Context, l *line, key, tag string, wait time.Duration) (store.Object, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+callLimit)
+	defer cancel()
+	sleep(ctx, s.answer)
+	waited := time.NewTimer(wait)
+	defer waited.Stop()
+	for waiting := wait > 0; ; {
+		s.mu.Lock()
+		o, silent, down, changed := s.objects[key], l.silent, s.down, s.changed
+		s.mu.Unlock()
+		switch {
+		case silent || ctx.Err() != nil:
+		case down:
+			return store.Object{}, false, store.ErrUnavailable
+		case o.Tag == "":
+			return store.Object{}, false, store.ErrNotFound
+		case o.Tag != tag || !waiting:
+			return o, o.Tag != tag, nil
+		}
+		select {
+		case <-ctx.Done():
+			return store.Object{}, false, &store.Unanswered{Meaning: store.ErrUnavailable, Cause: ctx.Err()}
+		case <-changed:
+		case <-waited.C:
+			waiting = false
+		}
+	}
+}
+
+// inForce is how soon after its acceptance every node must have a change.
+const inForce = 2 * time.Second
+
+// startWatching returns a fleet whose nodes exchange and watch one store, which has a
+// table and evacuations that all have heard of.
+func startWatching(t *testing.T, nodes, zones int) (f *fleet, s *lineStore, wait *sync.WaitGroup) {
+	t.Helper()
+	f, s, wait = newFleet(nodes, zones), newLineStore(), new(sync.WaitGroup)
+	s.putTable(t, 1)
+	version := s.putEvacuations(t)
+	for _, n := range f.nodes {
+		n.spread.platform = s
+		n.spread.settings.Evacuations = true
+		n.spread.settings.WatchWait = 25 * time.Second
+		n.spread.settings.StaleAfter = 31 * time.Second
+		n.spread.settings.PollEvery = 5 * time.Minute
+		n.run(wait)
+		watching, cancel := context.WithCancel(context.Background())
+		exchanging := n.cancel
+		n.cancel = func() { exchanging(); cancel() }
+		wait.Go(func() { n.spread.runWatch(watching) })
+		wait.Go(func() { n.spread.runEvacuations(watching) })
+	}
+	time.Sleep(10 * time.Second)
+	if late := f.behind(1, version); len(late) > 0 {
+		t.Fatalf("before any silence %v had not heard of the store", late)
+	}
+	return f, s, wait
+}
+
+// behind returns the nodes that hold an older table or older evacuations.
+func (f *fleet) behind(generation table.Generation, version uint64) (late []string) {
+	for _, n := range f.nodes {
+		if g, _ := n.spread.holder.Generation(); g < generation || n.spread.Evacuations().Version < version {
+			late = append(late, n.record.Host)
+		}
+	}
+	return late
+}
+
+// heard waits until all have a change, and fails if that takes longer than inForce.
+func (f *fleet) heard(t *testing.T, what string, generation table.Generation, version uint64) time.Duration {
+	t.Helper()
+	began := time.Now()
+	for time.Since(began) < inForce {
+		if len(f.behind(generation, version)) == 0 {
+			return time.Since(began)
+		}
+		time.Sleep(time.Millisecond)
+	}
+	late := f.behind(generation, version)
+	t.Errorf("%s: %d of %d nodes have not heard of it within %v", what, len(late), len(f.nodes), inForce)
+	return inForce
+}
+
+// fleets are the sizes that the tests below run.
+var fleets = []struct{ nodes, zones int }{{13, 3}, {fleetNodes, fleetZones}}
+
+// eachFleet runs a test on each size of fleet.
+func eachFleet(t *testing.T, test func(t *testing.T, f *fleet, s *lineStore)) {
+	for _, size := range fleets {
+		t.Run(fmt.Sprint(size.nodes), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, s, wait := startWatching(t, size.nodes, size.zones)
+				test(t, f, s)
+				f.stop(wait)
+			})
+		})
+	}
+}
+
+// offsets are how long after a silence a change is accepted.
+var offsets = []time.Duration{0, time.Millisecond, 300 * time.Millisecond, time.Second, 1700 * time.Millisecond, 3 * time.Second}
+
+// All connections to the store went silent and nothing but a caller's own patience
+// showed it: the watches hung for up to 27 s, so that a table accepted in that time was
+// unknown to every node for more than 20 s, and requests that it allows were refused.
+func TestTableIsHeardOfThroughSilence(t *testing.T) {
+	eachFleet(t, func(t *testing.T, f *fleet, s *lineStore) {
+		for i, offset := range offsets {
+			s.silence()
+			time.Sleep(offset)
+			generation := table.Generation(i + 2)
+			s.putTable(t, generation)
+			t.Logf("%v after a silence: in force after %v", offset, f.heard(t, fmt.Sprint("a table ", offset, " after a silence"), generation, 0))
+			time.Sleep(4 * time.Second)
+		}
+	})
+}
+
+// The same holds for evacuations.
+func TestEvacuationsAreHeardOfThroughSilence(t *testing.T) {
+	eachFleet(t, func(t *testing.T, f *fleet, s *lineStore) {
+		for i, offset := range offsets {
+			s.silence()
+			time.Sleep(offset)
+			version := s.putEvacuations(t, fmt.Sprint("zone-", i%2))
+			t.Logf("%v after a silence: in force after %v", offset, f.heard(t, fmt.Sprint("an evacuation ", offset, " after a silence"), 0, version))
+			time.Sleep(4 * time.Second)
+		}
+	})
+}
+
+// Silences in series, one each 0.7 s: whatever is opened goes silent soon after.
+func TestChangesAreHeardOfThroughSeriesOfSilences(t *testing.T) {
+	eachFleet(t, func(t *testing.T, f *fleet, s *lineStore) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var wait sync.WaitGroup
+		wait.Go(func() {
+			for ctx.Err() == nil {
+				s.silence()
+				sleep(ctx, 700*time.Millisecond)
+			}
+		})
+		for i := range 6 {
+			time.Sleep(time.Duration(i) * 230 * time.Millisecond)
+			generation := table.Generation(i + 2)
+			s.putTable(t, generation)
+			version := s.putEvacuations(t, fmt.Sprint("zone-", i%2))
+			t.Logf("change %d: in force after %v", i, f.heard(t, fmt.Sprint("change ", i), generation, version))
+		}
+		cancel()
+		wait.Wait()
+	})
+}
