store, platform: every call to the store has a connection of its own

Cause: the HTTP clients kept a connection for 5 s (10 s in store) and put the next call on it. Once it had gone silent that call failed by its whole limit. A call given up by its caller went on by itself until its limit, its watch waiting at the store. Both shown by tests that failed before: 5 of 5 calls after a silence failed by the limit of 2 s; the connection was still open 10 s after.

The last is kept. A call ends with its context, and its connection with it.

The test of calls that are given up counted connections by making them silent, which kept them: it could not pass. It now looks for the connection's end at the store's side; with the clients as before it fails (i/o timeout in place of the end).

--- a/internal/sock/keepalive.go
+++ b/internal/sock/keepalive.go
@@ -3,6 +3,7 @@
 package sock
 
 import (
+	"context"
 	"net"
 	"syscall"
 	"time"
@@ -30,8 +31,15 @@
 
 // Dial connects to an address and bounds how long the connection may be silent.
 func Dial(address string, limit time.Duration) (net.Conn, error) {
-	d := net.Dialer{Timeout: limit, KeepAliveConfig: keepAlive, Control: boundUnacked}
-	return d.Dial("tcp", address)
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	return DialContext(ctx, address)
+}
+
+// DialContext is Dial with a limit that is the context's.
+func DialContext(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{KeepAliveConfig: keepAlive, Control: boundUnacked}
+	return d.DialContext(ctx, "tcp", address)
 }
 
 // boundUnacked sets the bound for connections with bytes under way. A system that does
--- a/store/http.go
+++ b/store/http.go
@@ -7,13 +7,10 @@
 	"errors"
 	"fmt"
 	"math"
-	"net"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
-
-	"github.com/ryehaven/ryehaven/internal/sock"
 )
 
 // PathPrefix begins the path of every object.
@@ -21,29 +18,15 @@
 
 // HTTP is a Client over HTTP. Make it with NewHTTP.
 type HTTP struct {
-	base   string
-	limit  time.Duration
-	client *fasthttp.Client
+	address string
+	base    string
+	limit   time.Duration
 }
 
 // NewHTTP returns a client of the platform at an address such as
 // 127.0.0.1:8500. limit bounds each call, beyond the wait of a Watch.
 func NewHTTP(address string, limit time.Duration) *HTTP {
-	return &HTTP{
-		base:  "http://" + address + PathPrefix,
-		limit: limit,
-		client: &fasthttp.Client{
-			Name:                      "ryehaven",
-			MaxIdemponentCallAttempts: 1,
-			RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) {
-				return false, false
-			},
-			MaxResponseBodySize: 2 * MaxBody,
-			Dial: func(address string) (net.Conn, error) {
-				return sock.Dial(address, limit)
-			},
-		},
-	}
+	return &HTTP{address: address, base: "http://" + address + PathPrefix, limit: limit}
 }
 
 // Get implements Client.
@@ -58,11 +41,8 @@
 }
 
 func (h *HTTP) read(ctx context.Context, key, tag string, wait time.Duration) (Object, bool, error) {
-	// The answer is a value of its own, which nobody reads once ctx has ended.
-	answer := &struct {
-		object  Object
-		changed bool
-	}{}
+	var o Object
+	changed := false
 	err := h.do(ctx, h.limit+wait,
 		func(r *fasthttp.Request) {
 			r.SetRequestURI(h.base + key)
@@ -76,9 +56,9 @@
 		func(r *fasthttp.Response) error {
 			switch r.StatusCode() {
 			case fasthttp.StatusOK:
-				answer.changed = true
-				answer.object.Body = append([]byte(nil), r.Body()...)
-				answer.object.Tag = string(r.Header.Peek(fasthttp.HeaderETag))
+				changed = true
+				o.Body = append([]byte(nil), r.Body()...)
+				o.Tag = string(r.Header.Peek(fasthttp.HeaderETag))
 				return nil
 			case fasthttp.StatusNotModified:
 				return nil
@@ -90,7 +70,7 @@
 	if err != nil {
 		return Object{}, false, asUnavailable(err)
 	}
-	return answer.object, answer.changed, nil
+	return o, changed, nil
 }
 
 // asUnavailable gives a failed read its meaning: reading again is safe.
@@ -107,7 +87,7 @@
 
 // Put implements Client.
 func (h *HTTP) Put(ctx context.Context, key, tag string, body []byte) (string, error) {
-	newTag := new(string) // Nobody reads it once ctx has ended.
+	newTag := ""
 	err := h.do(ctx, h.limit,
 		func(r *fasthttp.Request) {
 			r.SetRequestURI(h.base + key)
@@ -123,7 +103,7 @@
 		func(r *fasthttp.Response) error {
 			switch status := r.StatusCode(); {
 			case status == fasthttp.StatusOK, status == fasthttp.StatusCreated, status == fasthttp.StatusNoContent:
-				*newTag = string(r.Header.Peek(fasthttp.HeaderETag))
+				newTag = string(r.Header.Peek(fasthttp.HeaderETag))
 				return nil
 			case status == fasthttp.StatusPreconditionFailed:
 				return ErrConflict
@@ -138,33 +118,22 @@
 	if err != nil {
 		return "", err
 	}
-	return *newTag, nil
+	return newTag, nil
 }
 
-// do sends one request and reads its answer. When ctx ends first the call goes
-// on by itself until its limit, and nobody hears of its end.
+// do sends one request and reads its answer.
 func (h *HTTP) do(ctx context.Context, limit time.Duration, fill func(*fasthttp.Request), read func(*fasthttp.Response) error) error {
-	done := make(chan error, 1)
-	go func() { done <- h.doUntil(time.Now().Add(limit), fill, read) }()
-	select {
-	case err := <-done:
-		return err
-	case <-ctx.Done():
-		return &Unanswered{Meaning: ErrUnknown, Cause: ctx.Err()}
-	}
-}
-
-func (h *HTTP) doUntil(deadline time.Time, fill func(*fasthttp.Request), read func(*fasthttp.Response) error) error {
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
 	fill(request)
-	if err := h.client.DoDeadline(request, response, deadline); err != nil {
-		var dial *net.OpError
-		if errors.As(err, &dial) && dial.Op == "dial" {
-			return &Unanswered{Meaning: ErrUnavailable, Cause: err}
-		}
+	request.Header.SetUserAgent("ryehaven")
+	err := CallOnce(ctx, h.address, limit, 2*MaxBody, request, response)
+	switch {
+	case errors.Is(err, errNotSent):
+		return &Unanswered{Meaning: ErrUnavailable, Cause: err}
+	case err != nil:
 		return &Unanswered{Meaning: ErrUnknown, Cause: err}
 	}
 	return read(response)
