--- a/settings/settings.go
+++ b/settings/settings.go
@@ -115,6 +115,8 @@
 	Address string
 	// Limit bounds each call.
 	Limit time.Duration
+	// InForce is how soon after its acceptance a change must be in force everywhere.
+	InForce time.Duration
 	// Evacuations says that availability zones may be evacuated, which is watched by
 	// calls of its own.
 	Evacuations bool
@@ -175,7 +177,7 @@
 func Default() Settings {
 	return Settings{
 		Peers:    Peers{PingAfter: 20 * time.Millisecond, SuspectAfter: 60 * time.Millisecond},
-		Platform: Platform{Limit: 2 * time.Second, Evacuations: true},
+		Platform: Platform{Limit: 2 * time.Second, InForce: 2 * time.Second, Evacuations: true},
 		Limits: Limits{
 			HeaderBytes: 16 << 10,
 			BodyBytes:   128 << 20,
