spread: news from the platform is told to every zone, and again

Cause: who heard a table told four nodes of its zone and others by chance. Of 12 nodes one was missed by about one change in twelve and heard with its own next round, a second late; another zone by chance only. After a silence there is no time for that.

Who hears news from the platform tells one node of each other zone at once; whoever takes news tells four of its zone in two more rounds, which come within a quarter of the interval.

--- a/spread/round.go
+++ b/spread/round.go
@@ -11,8 +11,11 @@
 )
 
 const (
-	// announceTo is how many nodes of the own zone are told of news at once.
-	announceTo = 4
+	// announceTo is how many nodes of the own zone are told of news at once, and again
+	// in retellRounds that come sooner: of 12 nodes that each tell four others at random
+	// one is missed by one change in twelve, and would hear a second late.
+	announceTo   = 4
+	retellRounds = 2
 	// farPerRound is how many exchanges with other zones the nodes of one zone
 	// begin in a round, all together: each begins one with a chance of its part
 	// of this. Nobody is chosen for it, so that nobody's loss is felt, and what
@@ -46,6 +49,7 @@
 }
 
 func (s *Spread) runRounds(ctx context.Context) {
+	due, retell := time.Now(), 0
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for number := 0; ; number++ {
@@ -54,17 +58,37 @@
 			return
 		case <-s.news:
 			s.exchangeAll(s.targets(announceTo))
+			due, retell = s.sooner(due), retellRounds
+		case <-s.storeNews:
+			s.exchangeAll(s.tellTargets())
+			due, retell = s.sooner(due), retellRounds
 		case <-s.ownNews:
 			s.tellAll(s.tellTargets())
 			s.hasten()
-			timer.Reset(s.untilNext())
+			due = time.Now().Add(s.untilNext())
 		case <-timer.C:
-			s.round(number)
-			timer.Reset(s.untilNext())
+			if retell > 0 {
+				s.round(number, announceTo)
+				due, retell = s.sooner(time.Now().Add(s.settings.Interval)), retell-1
+				break
+			}
+			s.round(number, 1)
+			due = time.Now().Add(s.untilNext())
 		}
+		timer.Reset(time.Until(due))
 	}
 }
 
+// sooner returns when the next round comes after news: as if hastened, or when it was
+// due.
+func (s *Spread) sooner(due time.Time) time.Time {
+	s.hasten()
+	if next := time.Now().Add(s.untilNext()); next.Before(due) {
+		return next
+	}
+	return due
+}
+
 // untilNext is the time to the next round with a jitter of a fifth, so that nodes
 // that started together do not stay in step.
 func (s *Spread) untilNext() time.Duration {
@@ -107,9 +131,10 @@
 	return time.Duration(float64(d) * (0.8 + 0.4*s.rng.Float64()))
 }
 
-func (s *Spread) round(number int) {
+// round compares with some nodes of the own zone and at times one of another.
+func (s *Spread) round(number, near int) {
 	s.View(func(v *member.View) { v.Tidy(time.Now()) })
-	targets := s.targets(1)
+	targets := s.targets(near)
 	if len(targets) == 0 || number%seedEvery == 0 {
 		targets = append(targets, s.seeds(len(targets) == 0)...)
 	}
@@ -131,7 +156,7 @@
 	return targets
 }
 
-// tellTargets returns the nodes that are told of this node's own record at once:
+// tellTargets returns the nodes that are told at once of what only this node may know:
 // some of its own zone, and one of each other.
 func (s *Spread) tellTargets() []member.Record {
 	now := time.Now()
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -90,8 +90,8 @@
 	served *rate.Limiter
 	// connect returns a connection to the node at an address.
 	connect func(address string, limit time.Duration) (link, error)
-	// news and ownNews wake the rounds.
-	news, ownNews chan struct{}
+	// news, storeNews and ownNews wake the rounds.
+	news, storeNews, ownNews chan struct{}
 	// recheck wakes the probe.
 	recheck chan struct{}
 	watches openWatches
@@ -145,6 +145,7 @@
 		onView:     onView,
 		served:     rate.NewLimiter(rate.Limit(perSecond), perSecond*tableBurst),
 		news:       make(chan struct{}, 1),
+		storeNews:  make(chan struct{}, 1),
 		ownNews:    make(chan struct{}, 1),
 		recheck:    make(chan struct{}, 1),
 		pulls:      make(chan string, 1),
@@ -194,13 +195,16 @@
 	}
 }
 
-// tellNews has others told of an object's change. To who heard it from a node, a watch
+// tellNews has others told of an object's change. Who heard it from the platform tells
+// every zone, since nobody else may have heard it; to who heard it from a node, a watch
 // of its own should tell it too.
 func (s *Spread) tellNews(key, source string) {
-	s.hasNews()
-	if source != fromPlatform {
-		s.watches.outpaced(key)
+	if source == fromPlatform {
+		wake(s.storeNews)
+		return
 	}
+	s.hasNews()
+	s.watches.outpaced(key)
 }
 
 func (s *Spread) digest(now time.Time) digest {
