spread, store: checks take a limit, tests of silence run with the race detector

It was not a data race: single tests pass, and so does the package with fewer goroutines. Ruled out: contexts ended by timers (replaced, no change); the checks' limit is a duration now, as with Watch, so that fakes need no such context.

What abandons a watch late is a goroutine that ends with the watch; a timer outlived it.

--- a/spread/open.go
+++ b/spread/open.go
@@ -23,6 +23,19 @@
 	key     string
 	began   time.Time
 	abandon context.CancelCauseFunc
+	// ended is closed at its end.
+	ended <-chan struct{}
+}
+
+// abandonLate abandons the watch unless it ends soon.
+func (w *openWatch) abandonLate() {
+	timer := time.NewTimer(outpacedAfter)
+	defer timer.Stop()
+	select {
+	case <-w.ended:
+	case <-timer.C:
+		w.abandon(errAbandoned)
+	}
 }
 
 // openWatches are those of this node. The zero value has none.
@@ -35,7 +48,7 @@
 // what must be called at its end.
 func (o *openWatches) begin(ctx context.Context, key string) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	w := &openWatch{key: key, began: time.Now(), abandon: cancel}
+	w := &openWatch{key: key, began: time.Now(), abandon: cancel, ended: ctx.Done()}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.open == nil {
@@ -75,7 +88,7 @@
 	defer o.mu.Unlock()
 	for w := range o.open {
 		if w.key == key {
-			time.AfterFunc(outpacedAfter, func() { w.abandon(errAbandoned) })
+			go w.abandonLate() // Ends with the watch.
 		}
 	}
 }
--- a/spread/probe.go
+++ b/spread/probe.go
@@ -142,23 +142,19 @@
 // open connects a probe. A connection that takes longer has lost its first packet,
 // which the kernel sends again only after a second.
 func (c *checking) open(ctx context.Context) (store.Probe, error) {
-	limited, cancel := context.WithTimeout(ctx, c.spread.settings.InForce/overdueAfter)
-	defer cancel()
-	return c.prober.Probe(limited)
+	return c.prober.Probe(ctx, c.spread.settings.InForce/overdueAfter)
 }
 
 // check asks once whether the platform is heard.
 func (c *checking) check(ctx context.Context, probe store.Probe) error {
 	s := c.spread
-	limited, cancel := context.WithTimeout(ctx, c.overdue())
-	defer cancel()
 	tag := s.tableTag()
 	if tag == "" {
 		return nil // There is no table whose changes could be asked for.
 	}
 	s.Counters.Probes.Add(1)
 	began := time.Now()
-	changed, err := probe.Check(limited, tag)
+	changed, err := probe.Check(ctx, tag, c.overdue())
 	if err != nil {
 		return err
 	}
