--- a/spread/spread.go
+++ b/spread/spread.go
@@ -27,6 +27,8 @@
 	AskLimit time.Duration
 	// WatchWait is how long a watch at the platform waits.
 	WatchWait time.Duration
+	// InForce is how soon after its acceptance every node must have a change.
+	InForce time.Duration
 	// StaleAfter is the confirmation's age at which nodes without a watch
 	// begin to poll.
 	StaleAfter time.Duration
@@ -64,6 +66,15 @@
 	// PlatformReads counts reads and watches, PlatformErrors those that
 	// failed.
 	PlatformReads, PlatformErrors atomic.Int64
+	// WatchLimits, WatchKeepAlives and WatchErrors count watches that ended without
+	// an answer: by their own time limit, by the kernel that found the platform
+	// silent, or in another error.
+	WatchLimits, WatchKeepAlives, WatchErrors atomic.Int64
+	// WatchesAbandoned counts watches begun anew since they may have been silent.
+	WatchesAbandoned atomic.Int64
+	// Probes counts checks that the platform is heard, ProbesSilent those that had no
+	// answer.
+	Probes, ProbesSilent atomic.Int64
 }
 
 // Spread is one node's part in spreading tables and records.
@@ -79,11 +90,16 @@
 	served *rate.Limiter
 	// connect returns a connection to the node at an address.
 	connect func(address string, limit time.Duration) (link, error)
-	// news and ownNews wake the rounds.
-	news, ownNews chan struct{}
-	pulls         chan string
+	// news, storeNews and ownNews wake the rounds.
+	news, storeNews, ownNews chan struct{}
+	// recheck wakes the probe.
+	recheck chan struct{}
+	watches openWatches
+	pulls   chan string
 	// registered is closed once the node is known in the store.
 	registered chan struct{}
+	// joined is closed once the node knows others, or has waited for them.
+	joined chan struct{}
 	// reached tells when the store is lost and regained.
 	reached dependency
 
@@ -100,6 +116,12 @@
 	exchanged time.Time
 	// greeted is when a greeting node was last accepted to compare all records.
 	greeted time.Time
+	// tag is the version of the table's object that the watch goes on from.
+	tag string
+	// probed says that a probe is open, and rechecked when watches were last
+	// abandoned by evidence from elsewhere.
+	probed    bool
+	rechecked time.Time
 	// hastened says that the next round should come sooner.
 	hastened bool
 	deflated tableReply
@@ -123,9 +145,12 @@
 		onView:     onView,
 		served:     rate.NewLimiter(rate.Limit(perSecond), perSecond*tableBurst),
 		news:       make(chan struct{}, 1),
+		storeNews:  make(chan struct{}, 1),
 		ownNews:    make(chan struct{}, 1),
+		recheck:    make(chan struct{}, 1),
 		pulls:      make(chan string, 1),
 		registered: make(chan struct{}),
+		joined:     make(chan struct{}),
 		view:       view,
 		exchanged:  time.Now(),
 		rng:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -160,11 +185,26 @@
 	}
 }
 
+// fromPlatform is the source of what this node heard from the platform itself.
+const fromPlatform = "platform"
+
 // offer takes a table and tells others if it is news.
 func (s *Spread) offer(snapshot *table.Snapshot, source string) {
 	if s.holder.Offer(snapshot, source) == Taken {
-		s.hasNews()
+		s.tellNews(store.TableKey, source)
+	}
+}
+
+// tellNews has others told of an object's change. Who heard it from the platform tells
+// every zone, since nobody else may have heard it; to who heard it from a node, a watch
+// of its own should tell it too.
+func (s *Spread) tellNews(key, source string) {
+	if source == fromPlatform {
+		wake(s.storeNews)
+		return
 	}
+	s.hasNews()
+	s.watches.outpaced(key)
 }
 
 func (s *Spread) digest(now time.Time) digest {
