--- a/internal/soak/regression.go
+++ b/internal/soak/regression.go
@@ -2,7 +2,11 @@
 
 package soak
 
-import "time"
+import (
+	"time"
+
+	"github.com/ryehaven/ryehaven/internal/faultproxy"
+)
 
 // Regression is a run that broke a promise once. It keeps its steps, since a seed draws
 // others once there are more kinds of step.
@@ -34,5 +38,32 @@
 			},
 			Cause: "the emulated server kept the body of the request before on the same connection, so that requests seemed to bring bodies that nobody had sent",
 		},
+		{
+			Seed: 4, Hosts: 8, Length: 8 * time.Second,
+			Steps: []Step{
+				{At: 1078 * ms, For: 1916 * ms, Kind: ForgetAll, Links: []Link{ToPeers, ToStore, ToServers}, Way: faultproxy.BothWays},
+				{At: 1297 * ms, For: 6000 * ms, Kind: Evacuate, Hosts: []int{0}},
+				{At: 3473 * ms, For: 512 * ms, Kind: Reload, Hosts: []int{7, 0}},
+				{At: 5739 * ms, For: 321 * ms, Kind: Reload, Hosts: []int{2}},
+				{At: 6002 * ms, For: 2876 * ms, Kind: ForgetAll, Links: []Link{ToServers}, Way: faultproxy.BothWays},
+				{At: 6018 * ms, For: 1824 * ms, Kind: Forget, Hosts: []int{3, 1}, Links: []Link{ToPeers, ToStore, ToServers}, Way: faultproxy.Backward},
+				{At: 7658 * ms, For: 1777 * ms, Kind: Change},
+				{At: 7813 * ms, For: 2224 * ms, Kind: Reload, Hosts: []int{0, 6}},
+			},
+			Cause: "watches on the store hung on silent connections, and nobody asked again: versions and evacuations were not heard of for more than 15 s",
+		},
+		{
+			Seed: 24, Hosts: 4, Length: 8 * time.Second,
+			Steps: []Step{
+				{At: 550 * ms, For: 204 * ms, Kind: Change},
+				{At: 2931 * ms, For: 1833 * ms, Kind: Reload, Hosts: []int{3}},
+				{At: 2970 * ms, For: 1633 * ms, Kind: Storm},
+				{At: 3168 * ms, For: 1262 * ms, Kind: ForgetAll, Links: []Link{ToPeers}, Way: faultproxy.BothWays, Twice: true},
+				{At: 4614 * ms, For: 4000 * ms, Kind: Release, Hosts: []int{0}},
+				{At: 4973 * ms, For: 2579 * ms, Kind: Change},
+				{At: 5291 * ms, For: 1313 * ms, Kind: Change},
+			},
+			Cause: "requests on silent connections between nodes were lost until the nodes had new ones: 7 to 20% of those sent in the 1.3 s between two silences were served",
+		},
 	}
 }
