spread, member: others watch where a zone's watchers have lost the store

Cause: two nodes of each zone watch the store, the rest go by what these confirm and ask themselves after 31 s. A store that turns away just those (cut off, 503, silence) while it serves others leaves the whole fleet with the old table.

A node that loses the store says so in its record, pushed at once; the next four of its zone then watch beside the first two until these have it again. The check of a node beside its watch tells of a store that refuses, too.

--- a/member/member_test.go
+++ b/member/member_test.go
@@ -297,6 +297,29 @@
 	}
 }
 
+// Who comes later in rank hears which of those before it have lost the store.
+func TestLostStoreIsToldInTheRecord(t *testing.T) {
+	a, b := NewView(record(0)), NewView(record(2))
+	a.Merge(start, []Record{b.Self()})
+	b.Merge(start, []Record{a.Self()})
+	first, second := a, b
+	if a.Rank("watch") > 0 {
+		first, second = b, a
+	}
+	for _, lost := range []bool{true, false} {
+		if !first.SetStoreLost(lost) || first.SetStoreLost(lost) {
+			t.Errorf("lost %v: it is news once", lost)
+		}
+		second.Merge(start, []Record{first.Self()})
+		if got := second.LostBefore("watch") == 1; got != lost {
+			t.Errorf("lost %v: the second hears %v", lost, got)
+		}
+		if first.LostBefore("watch") != 0 {
+			t.Error("the first counts itself or who comes after it")
+		}
+	}
+}
+
 func TestNodesThatGoAreForgottenLate(t *testing.T) {
 	v := NewView(record(0))
 	v.Merge(start, []Record{record(1)})
--- a/member/record.go
+++ b/member/record.go
@@ -47,6 +47,8 @@
 	Version uint64
 	// Server is the backend server that announced itself to the node.
 	Server Server
+	// StoreLost says that the node's calls to the platform's store fail.
+	StoreLost bool
 }
 
 // Server is what a node says of the backend server beside it.
--- a/member/view.go
+++ b/member/view.go
@@ -210,6 +210,19 @@
 	v.put(self)
 }
 
+// SetStoreLost changes whether the node says that its calls to the store fail, and
+// reports whether that is news.
+func (v *View) SetStoreLost(lost bool) bool {
+	self := v.Self()
+	if self.StoreLost == lost {
+		return false
+	}
+	self.StoreLost = lost
+	self.Version++
+	v.put(self)
+	return true
+}
+
 // SetSelfState raises the node's own state.
 func (v *View) SetSelfState(s State) {
 	self := v.Self()
@@ -292,19 +305,36 @@
 // take work, by rendezvous hashing of their names with a purpose. Nodes with
 // the same view agree on it.
 func (v *View) Rank(purpose string) int {
+	return len(v.before(purpose))
+}
+
+// LostBefore returns how many of the nodes that come before this one in rank say that
+// they have lost the store.
+func (v *View) LostBefore(purpose string) int {
+	lost := 0
+	for _, e := range v.before(purpose) {
+		if e.StoreLost {
+			lost++
+		}
+	}
+	return lost
+}
+
+// before returns the nodes of the own zone that take work and come before this one.
+func (v *View) before(purpose string) []*entry {
 	self := v.Self()
 	own := rendezvous(purpose, self.Host)
-	rank := 0
+	var before []*entry
 	for host, e := range v.entries {
 		if host == v.self || e.Zone != self.Zone || e.State != Live {
 			continue
 		}
 		weight := rendezvous(purpose, host)
 		if weight > own || (weight == own && host < self.Host) {
-			rank++
+			before = append(before, e)
 		}
 	}
-	return rank
+	return before
 }
 
 func rendezvous(purpose, host string) uint64 {
--- a/spread/directory.go
+++ b/spread/directory.go
@@ -137,13 +137,6 @@
 	}
 }
 
-// noteStore takes how a call to the store ended, unless the node is ending.
-func (s *Spread) noteStore(ctx context.Context, err error) {
-	if ctx.Err() == nil {
-		s.reached.note(s.log, time.Now(), err)
-	}
-}
-
 // register makes one call. One that is not answered in time is made again; what
 // it says is the same, so that it does no harm if it takes effect late.
 func register(ctx context.Context, directory store.Directory, host store.Host) error {
--- a/spread/evacuate.go
+++ b/spread/evacuate.go
@@ -27,14 +27,14 @@
 	tag := ""
 	var again retry
 	for ctx.Err() == nil {
-		if s.rank() >= watchers && !s.isolated(time.Now()) {
+		if s.duty() == noDuty && !s.isolated(time.Now()) {
 			tag = "" // What it missed meanwhile may be out of the history.
 			sleep(ctx, s.jitter(checkEvery))
 			continue
 		}
 		next, err := s.readEvacuations(ctx, tag)
 		if err != nil {
-			sleep(ctx, s.jitter(again.pause(err, backoffWatcher)))
+			sleep(ctx, s.jitter(again.pause(err, s.backoffOnDuty())))
 			continue
 		}
 		tag, again = next, retry{}
--- a/spread/probe.go
+++ b/spread/probe.go
@@ -47,11 +47,13 @@
 }
 
 // checks reports whether this node checks that the platform's connections are heard:
-// the first of each zone does, and whoever watches although it is none of the few,
-// since it knows of no other that hears from the platform.
+// the first of each zone does, whoever watches although it is none of the few, since it
+// knows of no other that hears from the platform, and while the first has lost it the
+// others of the few.
 func (s *Spread) checks(now time.Time) bool {
 	rank := s.rank()
-	return rank == 0 || s.isolated(now) || (rank >= watchers && s.watches.any())
+	return rank == 0 || s.isolated(now) || s.saysLost() || (rank < watchers && s.lostBefore()) ||
+		(rank >= watchers && s.watches.any())
 }
 
 // runProbes has this node, if it checks, begin its watches anew as soon as the
@@ -104,6 +106,7 @@
 	probe, err := c.open(ctx)
 	if err != nil {
 		c.silences++
+		s.noteStore(ctx, err)
 		return // A watch that still hears is worth more than one that cannot connect.
 	}
 	defer probe.Close()
@@ -111,13 +114,18 @@
 	s.setProbed(true)
 	defer s.setProbed(false)
 	for ctx.Err() == nil && s.checks(time.Now()) {
-		if err := c.check(ctx, probe); err != nil {
+		err := c.check(ctx, probe)
+		s.noteStore(ctx, err)
+		switch {
+		case err == nil:
+			// Watches that are older than the probe may have gone silent before it was
+			// there. Not sooner than it is answered: a store that answers nobody is left
+			// alone.
+			s.watches.abandon(opened)
+		case store.EndingOf(err) != store.EndedByAnswer:
 			c.noteSilence(ctx, err)
 			return
 		}
-		// Watches that are older than the probe may have gone silent before it was there.
-		// Not sooner than it is answered: a store that answers nobody is left alone.
-		s.watches.abandon(opened)
 		s.untilCheck(ctx)
 	}
 }
--- a/spread/silence_test.go
+++ b/spread/silence_test.go
@@ -158,9 +158,6 @@
 	p.store.checks++
 	p.store.mu.Unlock()
 	_, changed, err := p.store.ask(ctx, p.line, store.TableKey, tag, time.Millisecond)
-	if !isLost(err) || store.EndingOf(err) == store.EndedByAnswer {
-		return changed, nil
-	}
 	return changed, err
 }
 
@@ -211,12 +208,18 @@
 
 // beginWatching is startWatching that does not wait until anybody has heard of anything.
 func beginWatching(t *testing.T, nodes, zones int) (f *fleet, s *lineStore, wait *sync.WaitGroup) {
+	t.Helper()
+	return beginWatchingBy(t, nodes, zones, func(s *lineStore) store.Client { return s })
+}
+
+// beginWatchingBy is beginWatching with a client of the store for each node.
+func beginWatchingBy(t *testing.T, nodes, zones int, client func(s *lineStore) store.Client) (f *fleet, s *lineStore, wait *sync.WaitGroup) {
 	t.Helper()
 	f, s, wait = newFleet(nodes, zones), newLineStore(), new(sync.WaitGroup)
 	s.putTable(t, 1)
 	s.putEvacuations(t)
 	for _, n := range f.nodes {
-		n.spread.platform = s
+		n.spread.platform = client(s)
 		n.spread.settings.Evacuations = true
 		n.spread.settings.InForce = inForce
 		n.spread.settings.WatchWait = 25 * time.Second
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -122,6 +122,8 @@
 	// abandoned by evidence from elsewhere.
 	probed    bool
 	rechecked time.Time
+	// storeFailed is when a call to the store last failed.
+	storeFailed time.Time
 	// hastened says that the next round should come sooner.
 	hastened bool
 	deflated tableReply
--- a/spread/watch.go
+++ b/spread/watch.go
@@ -63,7 +63,7 @@
 	s.waitForProbe(ctx)
 	for ctx.Err() == nil {
 		rank := s.rank()
-		watching := rank < watchers || w.acting || s.isolated(time.Now())
+		watching := s.duty() != noDuty || w.acting || s.isolated(time.Now())
 		if !watching && !s.pollDue(rank, w.nextPoll) {
 			sleep(ctx, s.jitter(checkEvery))
 			continue
@@ -72,6 +72,14 @@
 	}
 }
 
+// backoffOnDuty bounds the wait of a node that watches after a failed call.
+func (s *Spread) backoffOnDuty() time.Duration {
+	if s.duty() == standIn {
+		return standInMost
+	}
+	return backoffWatcher
+}
+
 // waitForOthers waits until the node knows another one, for decideLimit at most.
 func (s *Spread) waitForOthers(ctx context.Context) {
 	until := time.Now().Add(decideLimit)
@@ -85,7 +93,7 @@
 func (s *Spread) watchOnce(ctx context.Context, w *watchState, watching bool, rank int) {
 	wait, most := time.Duration(0), backoffMost
 	if watching {
-		wait, most = s.settings.WatchWait, backoffWatcher
+		wait, most = s.settings.WatchWait, s.backoffOnDuty()
 	}
 	tag, err := s.readTable(ctx, w.tag, wait)
 	w.nextPoll = time.Now().Add(s.jitter(s.settings.PollEvery))
--- a/store/probe.go
+++ b/store/probe.go
@@ -14,7 +14,8 @@
 // watch's. It makes one check at a time.
 type Probe interface {
 	// Check asks whether the object at TableKey has changed since tag. An answer may
-	// be some seconds old. An error means that none came.
+	// be some seconds old. An error means that none came, or that the platform turns the
+	// node away; EndingOf tells which.
 	Check(ctx context.Context, tag string) (changed bool, err error)
 	// Close ends the connection.
 	Close()
