node: one silent connection has the others looked at

Silences mostly strike all connections of a host at once. What shows one between nodes (by the dialing or the accepting side) now has all other connections to nodes looked at, the store's watches checked and the resting connections to the servers renewed, the latter once a second at most. Before, each kind found its own, the servers' by a request that waited.

--- a/node/node.go
+++ b/node/node.go
@@ -86,6 +86,7 @@
 	openConns atomic.Int64
 	// acceptFailures counts connections that could not be accepted.
 	acceptFailures atomic.Int64
+	silences       silences
 
 	dialect  header.Dialect
 	recorder *event.Recorder
@@ -153,7 +154,8 @@
 		HandshakeLimit: handshakeLimit,
 		MaxConns:       maxPeerConns,
 	}
-	n.peerServer.OnSilent = n.dialer.Recheck
+	n.peerServer.OnSilent = n.foundSilent
+	n.dialer.OnSilent = n.foundSilent
 	n.entry = entry.New(n.entrySettings(), n.dialer)
 	n.dialer.OnNotice = n.entry.Notice
 	n.dialer.OnSlowness = n.entry.Slowness
