spread, entry: a table is doubted while the store is lost

The age of the confirmation alone cannot tell an old table: a calm watch confirms every 25 s, a change must be in force in 2 s. What tells it is that those who watch have lost the store. So a table is doubted when a watcher of the zone, or the node itself, says so, or when nobody has confirmed it for longer than a watch waits. A route that a doubtful table does not know is then refused for now (503, not run) in place of 404.

The entry's test keeps its cases by a function in place of an age.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -52,9 +52,9 @@
 	// Confirmed returns how long before now the table in force was confirmed as the
 	// newest; ok is false if it never was. It may be nil.
 	Confirmed func(now time.Time) (age time.Duration, ok bool)
-	// DoubtAfter is how long after its confirmation a table may no longer be the newest
-	// one; 0 takes every table for the newest.
-	DoubtAfter time.Duration
+	// Doubts reports whether the table in force may no longer be the newest one; nil
+	// takes every table for the newest.
+	Doubts func(now time.Time) bool
 	// NoTableRetryAfter is when to come back while the node has no table, or may have
 	// an old one.
 	NoTableRetryAfter time.Duration
--- a/entry/reject_test.go
+++ b/entry/reject_test.go
@@ -56,22 +56,19 @@
 // newest one does not say that a route does not exist.
 func TestUnknownRouteOfADoubtfulTableIsNotRejectedAsWrong(t *testing.T) {
 	for _, test := range []struct {
-		name      string
-		age       time.Duration
-		confirmed bool
-		service   string
-		want      int
+		name   string
+		doubts func(time.Time) bool
+		want   int
 	}{
-		{"unknown, confirmed of late", time.Second, true, "unknown", fasthttp.StatusNotFound},
-		{"unknown, confirmed long ago", 3 * time.Second, true, "unknown", fasthttp.StatusServiceUnavailable},
-		{"unknown, never confirmed", 0, false, "unknown", fasthttp.StatusServiceUnavailable},
+		{"never doubted", nil, fasthttp.StatusNotFound},
+		{"the newest", func(time.Time) bool { return false }, fasthttp.StatusNotFound},
+		{"doubtful", func(time.Time) bool { return true }, fasthttp.StatusServiceUnavailable},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			e, _ := newEntry(t, "127.0.0.1:1", "127.0.0.1:2")
-			e.settings.DoubtAfter = 2 * time.Second
+			e.settings.Doubts = test.doubts
 			e.settings.NoTableRetryAfter = 250 * time.Millisecond
-			e.settings.Confirmed = func(time.Time) (time.Duration, bool) { return test.age, test.confirmed }
-			response := ask(e, test.service)
+			response := ask(e, "unknown")
 			if got := response.StatusCode(); got != test.want {
 				t.Errorf("status %d, want %d", got, test.want)
 			}
--- a/entry/reply.go
+++ b/entry/reply.go
@@ -185,22 +185,13 @@
 // refuseUnknown answers a request for which the table has no service. An old table may
 // not know what the newest allows, and 404 would tell the caller not to come back.
 func (e *Entry) refuseUnknown(ctx *fasthttp.RequestCtx) {
-	if e.doubtsTable(time.Now()) {
+	if e.settings.Doubts != nil && e.settings.Doubts(time.Now()) {
 		e.refuseForNow(ctx, "the table in force does not know the route, and may be an old one")
 		return
 	}
 	e.refuseBad(ctx, fasthttp.StatusNotFound, "no service of the table is meant by the Host field and the path")
 }
 
-// doubtsTable reports whether the table in force may no longer be the newest one.
-func (e *Entry) doubtsTable(now time.Time) bool {
-	if e.settings.DoubtAfter == 0 {
-		return false
-	}
-	age := e.confirmed(now)
-	return age < 0 || age > e.settings.DoubtAfter
-}
-
 // refuseForNow answers a request that this node cannot judge by the table that it has.
 func (e *Entry) refuseForNow(ctx *fasthttp.RequestCtx, detail string) {
 	f := failure{
--- a/spread/handover.go
+++ b/spread/handover.go
@@ -82,3 +82,11 @@
 	s.View(func(v *member.View) { lost = v.LostBefore(rankPurpose) > 0 })
 	return lost
 }
+
+// Doubts reports whether the table in force may no longer be the newest one: nobody has
+// confirmed it for longer than a watch waits, or this node or another of those of its
+// zone that watch has lost the store, so that news may have been missed.
+func (s *Spread) Doubts(now time.Time) bool {
+	age, confirmed := s.ConfirmedAge(now)
+	return !confirmed || age > s.settings.WatchWait+regainedAfter || s.saysLost() || s.lostBefore()
+}
--- a/spread/handover_test.go
+++ b/spread/handover_test.go
@@ -200,3 +200,39 @@
 	time.Sleep(10 * time.Second)
 	return f, s, parts, wait
 }
+
+// A table is doubted while news may have been missed, and at no other time.
+func TestTableIsDoubtedWhileTheStoreIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, _, parts, wait := startParted(t, 13, 3)
+		defer f.stop(wait)
+		doubting := func() (n int) {
+			for _, node := range f.nodes {
+				if node.spread.Doubts(time.Now()) {
+					n++
+				}
+			}
+			return n
+		}
+		for range 60 {
+			time.Sleep(time.Second)
+			if n := doubting(); n > 0 {
+				t.Fatalf("%d nodes doubt the table on a calm day", n)
+			}
+		}
+		for _, p := range parts {
+			p.turn(refused)
+		}
+		time.Sleep(3 * time.Second)
+		if n := doubting(); n != len(f.nodes) {
+			t.Errorf("%d of %d nodes doubt the table while nobody hears from the store", n, len(f.nodes))
+		}
+		for _, p := range parts {
+			p.turn(served)
+		}
+		time.Sleep(40 * time.Second)
+		if n := doubting(); n > 0 {
+			t.Errorf("%d nodes doubt the table after the store's return", n)
+		}
+	})
+}
