entry: an upload leaves the silent connection that it stays on

Cause, found in a review: a race asked the dialer for the connection to its node. Once a second one has taken the silent one's place, that is a healthy one, though a call whose body is under way stays on the old; so a repeatable upload waited for that one's end. The call now tells which connection it is on.

Ruled out: keeping the yielded connection findable by address; there may be several, and the call knows its own. Hedges and what clears a suspicion ask for the node, and keep Peek.

--- a/entry/race.go
+++ b/entry/race.go
@@ -171,7 +171,7 @@
 	if !w.request.message.Repeatable || w.hedge != nil {
 		return nil
 	}
-	if conn := w.entry.dialer.Peek(w.first.node); conn != nil && !conn.IsSuspected() {
+	if conn := w.first.call.Conn(); !conn.IsSuspected() {
 		w.suspected, w.awaited = conn.Suspected(), false // It speaks again, or on another connection.
 		return nil
 	}
--- a/peer/call.go
+++ b/peer/call.go
@@ -49,6 +49,9 @@
 // Head returns the channel on which the answer's Head arrives once.
 func (c *Call) Head() <-chan Head { return c.head }
 
+// Conn returns the connection that the call is on now.
+func (c *Call) Conn() *Conn { return c.conn.Load() }
+
 // Cancel tells the gate that the answer is no longer wanted. The gate's word
 // on whether the request ran still arrives on Head.
 func (c *Call) Cancel() {
