peer: a node that is away has no connection beside

Cause, found in a review: a try to connect that timed out told its waiters first and noted the node as away after. A request between the two dialed again; then the node was away with a connection that worked, the try to reach it overwrote that, and nobody closed it any more.

--- a/peer/away.go
+++ b/peer/away.go
@@ -42,27 +42,22 @@
 func (d *Dialer) Silent(address string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.away[address] != nil {
-		return true
-	}
 	s := d.slots[address]
-	if s == nil {
-		return false
+	if s == nil || s.opened() == nil {
+		return d.away[address] != nil
 	}
 	conn := s.opened()
-	if conn == nil {
-		return false
-	}
 	if conn.closed() {
 		return conn.silentSince.Load() != 0
 	}
 	return conn.IsSuspected()
 }
 
-// retire takes note of a connection that has ended. It is called with the lock held.
+// retire takes note of a connection that has ended or could not be opened. It is called
+// with the lock held.
 func (d *Dialer) retire(now time.Time, address string, s *slot) {
 	delete(d.slots, address)
-	if s.conn != nil && s.conn.silentSince.Load() != 0 {
+	if timedOut(s.err) || (s.conn != nil && s.conn.silentSince.Load() != 0) {
 		d.noteAway(now, address)
 	}
 }
@@ -104,11 +99,13 @@
 	a.trying = false
 	a.next = time.Now().Add(a.pause)
 	a.pause = min(2*a.pause, awayMost)
-	back := s.err == nil && !d.closed
+	there := d.slots[address]
+	taken := there != nil && !there.ended()
+	back := s.err == nil && !d.closed && !taken
 	if back {
 		d.slots[address] = s
 	}
-	if back || !timedOut(s.err) {
+	if back || taken || !timedOut(s.err) {
 		// Whoever is refused is told so at once: its host is there.
 		delete(d.away, address)
 		d.changes.Add(1)
--- a/peer/dialer.go
+++ b/peer/dialer.go
@@ -153,10 +153,16 @@
 // openFor opens the connection that somebody has asked for.
 func (d *Dialer) openFor(address string, s *slot) {
 	d.open(address, s, d.Limit)
-	if timedOut(s.err) {
-		d.mu.Lock()
-		d.noteAway(time.Now(), address)
-		d.mu.Unlock()
+	d.tried(address, s)
+}
+
+// tried notes the node as away if nothing was heard of it, unless another request has
+// found that before.
+func (d *Dialer) tried(address string, s *slot) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.slots[address] == s && timedOut(s.err) {
+		d.retire(time.Now(), address, s)
 	}
 }
 
