peer, node: a resting node finds silent connections, and sends one probe

Cause, found in a review: the watch takes a gap of 30 ms between two looks for its own node being held up, and forgets the ping under way then. A node without work looks each 100 ms, so each look forgot the last one's probe and sent another. The node now tells the dialer when it rests and how long, and held up is what comes later than that.

Weighed: judging by the gaps seen before (not taken: a node that its quota stops for 100 ms at a time shows the same gaps as one that rests, and would suspect others), and looking each 10 ms while a probe is under way (not taken, not measured: it needs the node's ticks to know the watch, and an idle node wakes ten times as often for as long as a node is silent). Left: on a resting node a silence is found two looks after the probe is due, not after 80 ms.

Measured: the test in synthetic time: 50 pings on a healthy connection and on a silent one, which is not found, before; one ping and found after, and 50 and not found still if each look comes 200 ms late; 5 of 5 with -race.

--- a/node/node.go
+++ b/node/node.go
@@ -320,6 +320,7 @@
 		if busy {
 			timer.Reset(tickEvery)
 		} else {
+			n.dialer.Rest(idleEvery)
 			timer.Reset(idleEvery)
 		}
 	}
--- a/peer/dialer.go
+++ b/peer/dialer.go
@@ -45,6 +45,8 @@
 	// away are nodes that fell silent and have no connection.
 	away      map[string]*away
 	lastCheck time.Time
+	// rest is how long it may be until the next one.
+	rest      time.Duration
 	lastSweep time.Time
 	closed    bool
 	// yielded are silent connections whose place another has taken, for what is still
@@ -186,13 +188,14 @@
 const sweepEvery = 250 * time.Millisecond
 
 // Check watches silent peers and closes idle connections. Call it every few
-// milliseconds; a gap of PingAfter or more between calls means that this
-// node itself was held up, and then it suspects nobody in that round.
+// milliseconds, or after as long as Rest was told; a call that comes later by
+// PingAfter or more means that this node itself was held up, and then it
+// suspects nobody in that round.
 func (d *Dialer) Check(now time.Time) {
 	d.mu.Lock()
 	pingAfter, suspectAfter := d.watchTimes()
-	heldUp := !d.lastCheck.IsZero() && now.Sub(d.lastCheck) >= pingAfter+pingAfter/2
-	d.lastCheck = now
+	heldUp := !d.lastCheck.IsZero() && now.Sub(d.lastCheck) >= d.rest+pingAfter+pingAfter/2
+	d.lastCheck, d.rest = now, 0
 	if now.Sub(d.lastSweep) >= sweepEvery {
 		d.lastSweep = now
 		d.sweep(now)
@@ -209,6 +212,13 @@
 	}
 }
 
+// Rest tells how long it is at most until the next Check.
+func (d *Dialer) Rest(most time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.rest = most
+}
+
 // sweep forgets connections that have ended and closes those that have carried
 // nothing for long. It is called with the lock held.
 func (d *Dialer) sweep(now time.Time) {
--- a/peer/watch_test.go
+++ b/peer/watch_test.go
@@ -59,3 +59,40 @@
 		t.Errorf("%d changes after the connection's end, want 3", d.Changes())
 	}
 }
+
+// A node without work looks after its connections each 100 ms, and took itself for held
+// up each time: in 50 looks a probe of a healthy connection was sent 50 times, and a
+// silent connection was never found. Only a look that comes later than was said is.
+func TestProbeOfARestingNode(t *testing.T) {
+	const rest = 100 * time.Millisecond
+	for _, test := range []struct {
+		name      string
+		healthy   bool
+		gap       time.Duration
+		pings     uint64
+		suspected bool
+	}{
+		{"healthy", true, rest, 1, false},
+		{"silent", false, rest, 1, true},
+		{"silent, but this node is held up", false, 3 * rest, 50, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			address := rawPeer(t, func(_ net.Conn, r *wire.Reader) { nextRequest(r) })
+			d := newDialer(t, testKey)
+			c := connect(t, d, address)
+			d.Recheck()
+			now := time.Now()
+			for range 50 {
+				d.Check(now)
+				d.Rest(rest)
+				if test.healthy {
+					c.lastReceived.Store(int64(now.Sub(c.opened))) // The pong, in the time of this test.
+				}
+				now = now.Add(test.gap)
+			}
+			if c.pings != test.pings || c.IsSuspected() != test.suspected {
+				t.Errorf("%d pings, suspected %v, want %d, %v", c.pings, c.IsSuspected(), test.pings, test.suspected)
+			}
+		})
+	}
+}
