peer: a connection that was only late has no others looked at

Cause, found in a review: each connection that another took the place of had all connections looked at again. Where a link loses segments, a look at many connections finds some that only seem silent, so it fed itself, on both sides. All are now looked at when the peer says that requests had not arrived, and when a connection has stayed silent for a second; so one with nothing under way is kept for that second, after its peer was told. The pause between two looks doubles from 1 s to 30 s until a connection stays silent. The accepting side goes by requests that had not arrived alone.

Weighed: waiting out the second before any second connection is tried (not taken: what is under way would wait for it), and the doubled pause alone (not taken: the first looks still come after each late pong).

--- a/peer/conn.go
+++ b/peer/conn.go
@@ -45,6 +45,8 @@
 	// of. unsure are calls moved from there until the peer has said what became of them.
 	next, prev *Conn
 	unsure     map[uint64]struct{}
+	// told says that the peer knows that nothing stays here.
+	told bool
 	// lastUsed is when the last call or question began or ended.
 	lastUsed time.Time
 	// busySince is when the first of the calls under way began.
@@ -68,6 +70,9 @@
 type connHooks struct {
 	onNotice   func(n *wire.Notice)
 	onSlowness func(percent int)
+	// onNotArrived is called when the peer says that requests had not arrived on the
+	// connection that this one took the place of.
+	onNotArrived func()
 	// onWork is called when the connection gets work and was not watched.
 	onWork func(c *Conn)
 	// onChange is called when the peer becomes suspected or speaks again, and
--- a/peer/dialer.go
+++ b/peer/dialer.go
@@ -36,8 +36,9 @@
 	OnNotice func(n *wire.Notice)
 	// OnSlowness is called likewise with the address of the gate's node.
 	OnSlowness func(address string, percent int)
-	// OnSilent is called, in a goroutine of its own, when a connection went silent
-	// while its node answers on another; it may be nil.
+	// OnSilent is called, in a goroutine of its own, when requests had not arrived on a
+	// connection whose node answers on another, and when such a connection has stayed
+	// silent; it may be nil.
 	OnSilent func()
 
 	mu    sync.Mutex
@@ -52,9 +53,11 @@
 	// yielded are silent connections whose place another has taken, for what is still
 	// under way on them.
 	yielded map[*Conn]struct{}
-	// rechecked is when all connections were last looked at.
-	rechecked  time.Time
-	recheckDue atomic.Bool
+	// rechecked is when all connections were last looked at, and recheckPause how long
+	// they are not again.
+	rechecked    time.Time
+	recheckPause time.Duration
+	recheckDue   atomic.Bool
 
 	watched watchList
 	changes atomic.Uint64
@@ -236,15 +239,19 @@
 		}
 	}
 	for conn := range d.yielded {
-		if conn.over(now) {
+		ended, silent := conn.over(now)
+		if ended {
 			delete(d.yielded, conn)
 		}
+		if silent {
+			d.provedSilent()
+		}
 	}
 }
 
 // hooksOf returns what the connection to an address calls.
 func (d *Dialer) hooksOf(address string) connHooks {
-	hooks := connHooks{onNotice: d.OnNotice, onWork: d.watched.add, onChange: func() { d.changes.Add(1) }}
+	hooks := connHooks{onNotice: d.OnNotice, onNotArrived: d.foundSilent, onWork: d.watched.add, onChange: func() { d.changes.Add(1) }}
 	if d.OnSlowness != nil {
 		hooks.onSlowness = func(percent int) { d.OnSlowness(address, percent) }
 	}
--- a/peer/fence.go
+++ b/peer/fence.go
@@ -87,6 +87,9 @@
 			call.fail(ErrNotArrived)
 		}
 	}
+	if len(m.NotArrived) > 0 && c.hooks.onNotArrived != nil {
+		c.hooks.onNotArrived()
+	}
 	for _, id := range m.Lost {
 		if call := c.take(id); call != nil {
 			c.counters.MovedLost.Add(1)
@@ -95,17 +98,25 @@
 	}
 }
 
-// over ends a connection that has yielded once nothing is under way on it, or once it
-// is sure to be silent, and reports whether it has ended.
-func (c *Conn) over(now time.Time) bool {
-	if !c.closed() && c.idleSince().IsZero() && c.silentFor(now) < replaceAfter {
-		return false
-	}
-	// Nothing stays: without this word, what callers have left would run on, since
-	// neither their cancels nor the connection's end may have got through.
-	_ = c.newest().w.send(&wire.Fence{Conn: []byte(c.id)})
-	c.end(ErrSilent)
-	return true
+// over ends a connection that has yielded once it is sure to be silent, or to speak with
+// nothing under way. It reports whether it has ended, and whether it was silent. It is
+// called by one goroutine at a time.
+func (c *Conn) over(now time.Time) (ended, silent bool) {
+	idle := !c.idleSince().IsZero()
+	closed := c.closed()
+	silent = !closed && c.silentFor(now) >= replaceAfter
+	speaks := c.silentSince.Load() == 0
+	ended = closed || silent || (idle && speaks)
+	if (ended || idle) && !c.told {
+		// Nothing stays: without this word, what callers have left would run on, since
+		// neither their cancels nor the connection's end may have got through.
+		c.told = true
+		_ = c.newest().w.send(&wire.Fence{Conn: []byte(c.id)})
+	}
+	if ended {
+		c.end(ErrSilent)
+	}
+	return ended, silent
 }
 
 // newest returns the connection that has taken this one's place in the end.
@@ -130,14 +141,13 @@
 		return a.w.send(&wire.Fenced{Lost: m.Move})
 	}
 	old.turn.Lock() // No frame from there is half taken.
-	news := !old.fenced
 	fenced, gone := a.moveFrom(old, m)
 	old.turn.Unlock()
 	err := a.w.send(fenced)
 	for _, s := range gone {
 		s.lose(ErrSilent)
 	}
-	if news && a.server.OnSilent != nil {
+	if len(fenced.NotArrived) > 0 && a.server.OnSilent != nil {
 		go a.server.OnSilent()
 	}
 	return err
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -43,24 +43,29 @@
 // start serves a handler and returns its address and counters.
 func start(t *testing.T, h Handler) (string, *Counters) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	counters := new(Counters)
-	s := &Server{
+	return serve(t, &Server{
 		Self:           Identity{Host: "gate", Incarnation: 7, Key: testKey},
 		Counters:       counters,
 		Handler:        h,
 		HandshakeLimit: time.Second,
 		MaxConns:       10,
+	}), counters
+}
+
+// serve has a server accept connections and returns its address.
+func serve(t *testing.T, s *Server) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
 	}
 	go s.Serve(listener)
 	t.Cleanup(func() {
 		listener.Close()
 		s.Close()
 	})
-	return listener.Addr().String(), counters
+	return listener.Addr().String()
 }
 
 func newDialer(t *testing.T, key []byte) *Dialer {
--- a/peer/replace.go
+++ b/peer/replace.go
@@ -22,8 +22,11 @@
 	// replaceEvery is the time between two tries. Each lasts as long: a node may stand
 	// still for a moment while its connection is silent.
 	replaceEvery = time.Second
-	// recheckEvery is the least time between two looks at all connections.
+	// recheckEvery is the least time between two looks at all connections. It doubles up
+	// to recheckMost until a connection proves silent: where 3% of what is sent is late,
+	// each look has second connections opened to some nodes that only seem silent.
 	recheckEvery = time.Second
+	recheckMost  = 30 * time.Second
 )
 
 // Errors of what is under way on a connection that went silent while its node answers
@@ -58,11 +61,12 @@
 // recheck has all connections looked at if that is due. It is called with the lock
 // held.
 func (d *Dialer) recheck(now time.Time) {
-	if !d.recheckDue.Load() || now.Sub(d.rechecked) < recheckEvery {
+	if !d.recheckDue.Load() || now.Sub(d.rechecked) < d.recheckPause {
 		return
 	}
 	d.recheckDue.Store(false)
 	d.rechecked = now
+	d.recheckPause = max(recheckEvery, min(2*d.recheckPause, recheckMost))
 	for _, s := range d.slots {
 		if conn := s.opened(); conn != nil {
 			conn.lookAt()
@@ -70,6 +74,13 @@
 	}
 }
 
+// provedSilent takes note of a connection that has stayed silent. It is called with the
+// lock held.
+func (d *Dialer) provedSilent() {
+	d.recheckPause = min(d.recheckPause, recheckEvery)
+	d.foundSilent()
+}
+
 // replaceSilent tries another connection in place of one whose peer is suspected.
 func (d *Dialer) replaceSilent(now time.Time, conn *Conn) {
 	silent := conn.silentFor(now)
@@ -101,9 +112,14 @@
 		next.conn.Close()
 		return
 	}
+}
+
+// foundSilent takes note of a connection that seems to have been silent, and not only
+// late.
+func (d *Dialer) foundSilent() {
 	d.Recheck()
 	if d.OnSilent != nil {
-		d.OnSilent()
+		go d.OnSilent()
 	}
 }
 
@@ -141,6 +157,9 @@
 	d.Counters.SilentRequests.Add(int64(underWay))
 	if !knows {
 		old.conn.end(ErrSilent) // Who answers can't say what arrived there.
+		if !old.conn.fences {
+			d.provedSilent() // It was waited for.
+		}
 		return true
 	}
 	if d.yielded == nil {
--- a/peer/server.go
+++ b/peer/server.go
@@ -40,8 +40,8 @@
 	// OnPeer is called, in a goroutine of its own, with each node that opened a
 	// connection; it may be nil.
 	OnPeer func(who Identity)
-	// OnSilent is called, in a goroutine of its own, when a node says that one of its
-	// connections here has gone silent; it may be nil.
+	// OnSilent is called, in a goroutine of its own, when requests of a node had not
+	// arrived on one of its connections that it says has gone silent; it may be nil.
 	OnSilent func()
 
 	sent   sentList
