peer, node: who is heard of is tried at once, and told of on its new connection

Cause, found in a review: a node that was away and opened a connection here was tried again only after the pause, up to a second, though it plainly lived. And who is told of a node's new connection asked the dialer for one before the new one was in its place: gossip with a restarted node went to the silent connection, or got ErrAway after a try that had succeeded. The node now tells the dialer of nodes that connect, by the address in their records, and the dialer tells of a node once its connection is in place.

Weighed, by reading: passing the connection along with the address (not taken: gossip asks the dialer by address wherever it exchanges, and would need a second way for this case).

--- /dev/null
+++ b/node/heard_test.go
@@ -0,0 +1,48 @@
+// SPDX-License-Identifier: MIT
+
+package node
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ryehaven/ryehaven/member"
+	"github.com/ryehaven/ryehaven/peer"
+)
+
+// A node that was silent opened a connection to this one, and requests here passed it
+// over until the pause between two tries to reach it had passed. It is tried at once.
+func TestNodeThatIsHeardIsUsedAgain(t *testing.T) {
+	s := lone()
+	n, err := New(s, zap.NewNop(), Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer n.closeListeners()
+	defer n.dialer.Close()
+	other, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	address := other.Addr().String()
+	who := peer.Identity{Host: "other", Incarnation: 3, Key: []byte(s.Peers.Key)}
+	n.spread.View(func(v *member.View) {
+		v.Merge(time.Now(), []member.Record{{Host: who.Host, Incarnation: who.Incarnation, Address: address}})
+	})
+	if _, err := n.dialer.Get(address, time.Minute); err == nil || !n.dialer.Silent(address) {
+		t.Fatalf("error %v, silent %v, want a node that is away", err, n.dialer.Silent(address))
+	}
+	server := &peer.Server{Self: who, Counters: new(peer.Counters), Handler: n, HandshakeLimit: time.Second, MaxConns: 10}
+	go server.Serve(other)
+	defer server.Close()
+	n.peerServer.OnPeer(who)
+	for until := time.Now().Add(20 * time.Second); n.dialer.Silent(address); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("it was not tried")
+		}
+	}
+}
--- a/node/members.go
+++ b/node/members.go
@@ -5,8 +5,17 @@
 import (
 	"github.com/ryehaven/ryehaven/event"
 	"github.com/ryehaven/ryehaven/member"
+	"github.com/ryehaven/ryehaven/peer"
 )
 
+// heard takes note of a node that opened a connection to this one.
+func (n *Node) heard(who peer.Identity) {
+	var record member.Record
+	n.spread.View(func(v *member.View) { record, _ = v.Record(who.Host) })
+	n.dialer.Heard(record.Address) // Nothing is away at no address.
+	n.spread.Heard(who)
+}
+
 // memberLines is how many changed members get a line each; of more, one line tells
 // how many. A node that starts among 300 others would write a second's worth of lines
 // about them, and none about requests.
--- a/node/node.go
+++ b/node/node.go
@@ -161,7 +161,7 @@
 	n.holder = &spread.Holder{Log: n.log, OnTaken: n.apply}
 	n.spread = spread.New(spreadSettings(s), n.log, n.holder, member.NewView(n.record(incarnation)), n.dialer, options.Store, n.viewChanged)
 	n.dialer.OnPeer = n.spread.Met
-	n.peerServer.OnPeer = n.spread.Heard
+	n.peerServer.OnPeer = n.heard
 	n.metrics = n.describe()
 	return n, nil
 }
--- a/peer/away.go
+++ b/peer/away.go
@@ -33,8 +33,8 @@
 	since time.Time
 	next  time.Time
 	pause time.Duration
-	// trying says that a try is under way.
-	trying bool
+	// trying says that a try is under way, and heard that the node has spoken since.
+	trying, heard bool
 }
 
 // Silent reports whether the node at an address is silent: it is suspected, or its
@@ -86,8 +86,28 @@
 			d.changes.Add(1)
 			continue
 		}
-		a.trying = true
-		go d.reach(address, a)
+		d.try(address, a)
+	}
+}
+
+// try is called with the lock held.
+func (d *Dialer) try(address string, a *away) {
+	a.trying, a.heard = true, false
+	go d.reach(address, a)
+}
+
+// Heard takes note of a node that has opened a connection to this one: if it is away it
+// is tried at once, since it lives.
+func (d *Dialer) Heard(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	a := d.away[address]
+	switch {
+	case a == nil || d.closed:
+	case a.trying:
+		a.heard = true
+	default:
+		d.try(address, a)
 	}
 }
 
@@ -99,6 +119,9 @@
 	a.trying = false
 	a.next = time.Now().Add(a.pause)
 	a.pause = min(2*a.pause, awayMost)
+	if a.heard {
+		a.next = time.Now()
+	}
 	there := d.slots[address]
 	taken := there != nil && !there.ended()
 	back := s.err == nil && !d.closed && !taken
@@ -111,7 +134,10 @@
 		d.changes.Add(1)
 	}
 	d.mu.Unlock()
-	if s.err == nil && !back {
+	switch {
+	case back:
+		d.met(address, s.conn)
+	case s.err == nil:
 		s.conn.Close()
 	}
 }
--- a/peer/away_test.go
+++ b/peer/away_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"net"
 	"os"
 	"testing"
 	"time"
@@ -61,3 +62,73 @@
 		t.Errorf("%d connections open, %d nodes away, want 1 and 0", n, len(d.away))
 	}
 }
+
+// A node that is away and opens a connection to this one lives: it is tried at once, and
+// not after the pause.
+func TestHeardNodeIsTriedAtOnce(t *testing.T) {
+	address, _ := start(t, newGate())
+	d := newDialer(t, testKey)
+	later := time.Now().Add(time.Hour)
+	d.away = map[string]*away{address: {since: time.Now(), next: later, pause: time.Hour}}
+	d.slots = map[string]*slot{}
+	d.Heard("127.0.0.1:1") // Another's address.
+	d.Heard(address)
+	d.Heard(address)
+	eventually(t, "its return", func() bool { return !d.Silent(address) })
+	connect(t, d, address)
+	if n := d.Counters.Dials.Load(); n != 1 {
+		t.Errorf("%d tries, want 1", n)
+	}
+}
+
+// One that was heard of while a try was under way which failed is tried again at once.
+func TestHeardDuringATry(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0") // Nobody answers there.
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	mute := listener.Addr().String()
+	d := newDialer(t, testKey)
+	d.Limit = 20 * time.Millisecond
+	a := &away{since: time.Now(), pause: time.Hour, trying: true}
+	d.away = map[string]*away{mute: a}
+	d.Heard(mute)
+	d.reach(mute, a)
+	if a.next.After(time.Now()) {
+		t.Errorf("the next try is %v away", time.Until(a.next))
+	}
+}
+
+// Whoever is told of a node finds the connection to it that was opened, and neither the
+// silent one before it nor none.
+func TestNodeIsToldOnceItsConnectionIsInPlace(t *testing.T) {
+	address, counters := start(t, newGate())
+	proxy := through(t, address)
+	d := watched(t)
+	type found struct {
+		conn *Conn
+		err  error
+	}
+	told := make(chan found, 10)
+	d.OnPeer = func(_ Identity, address string) {
+		conn, err := d.Get(address, time.Second)
+		told <- found{conn, err}
+	}
+	first := connect(t, d, proxy.Address())
+	if f := <-told; f.err != nil || f.conn != first {
+		t.Fatalf("at first: error %v, the connection %v", f.err, f.conn == first)
+	}
+	eventually(t, "the end of the handshake", func() bool { return counters.Accepted.Load() == 1 })
+	proxy.Silence()
+	startCall(t, first, "/")
+	second := <-told
+	if second.err != nil || second.conn == first {
+		t.Fatalf("after a silence: error %v, the silent connection %v", second.err, second.conn == first)
+	}
+	second.conn.silentSince.Store(1)
+	second.conn.Close()
+	if f := <-told; f.err != nil || f.conn == second.conn {
+		t.Errorf("back after it was away: error %v, the old connection %v", f.err, f.conn == second.conn)
+	}
+}
--- a/peer/dialer.go
+++ b/peer/dialer.go
@@ -29,7 +29,7 @@
 	// PingAfter and SuspectAfter replace the constants of that name unless 0.
 	PingAfter, SuspectAfter time.Duration
 	// OnPeer is called, in a goroutine of its own, with each node to which a
-	// connection was opened; it may be nil.
+	// connection was opened, once Get returns that; it may be nil.
 	OnPeer func(who Identity, address string)
 	// OnNotice is called with what gates tell unasked; it must not wait and
 	// may be nil.
@@ -158,9 +158,20 @@
 // openFor opens the connection that somebody has asked for.
 func (d *Dialer) openFor(address string, s *slot) {
 	d.open(address, s, d.Limit)
+	if s.err == nil {
+		d.met(address, s.conn)
+	}
 	d.tried(address, s)
 }
 
+// met tells of the node on a connection that is in its place, so that who is told finds
+// that one and no silent one.
+func (d *Dialer) met(address string, conn *Conn) {
+	if d.OnPeer != nil {
+		go d.OnPeer(conn.Peer, address)
+	}
+}
+
 // tried notes the node as away if nothing was heard of it, unless another request has
 // found that before.
 func (d *Dialer) tried(address string, s *slot) {
@@ -178,9 +189,6 @@
 	if err == nil {
 		s.conn, err = openConn(nc, address, d.Self, d.Counters, limit, d.hooksOf(address))
 	}
-	if err == nil && d.OnPeer != nil {
-		go d.OnPeer(s.conn.Peer, address)
-	}
 	if err != nil {
 		d.Counters.DialFailures.Add(1)
 		s.err = eris.Wrapf(err, "connect to node at %s", address)
--- a/peer/replace.go
+++ b/peer/replace.go
@@ -112,6 +112,7 @@
 		next.conn.Close()
 		return
 	}
+	d.met(address, next.conn)
 }
 
 // foundSilent takes note of a connection that seems to have been silent, and not only
