peer, node: accepted connections that carry nothing are closed

Cause, found in a review: the accepting side ends a silent connection when it is told that another has taken its place. Where that word was lost with the next connection, its dialer gone or started again, nothing ended it: 3 of 560 silences in a row left one for good. A connection that had no frame and no request under way for 60 s, twice what its dialer keeps it, is closed, by eight looks in a row, so that a node which stood still closes none with requests unread.

Weighed, by reading: a read deadline set with each frame (not taken: it costs each frame, this one store), and keep-alive (it does not end what something between acknowledges).

The review's series of silences was not played again.

--- a/node/node.go
+++ b/node/node.go
@@ -152,6 +152,7 @@
 		Handler:        n,
 		HandshakeLimit: handshakeLimit,
 		MaxConns:       maxPeerConns,
+		IdleLimit:      2 * peerIdleLimit,
 	}
 	n.peerServer.OnSilent = n.dialer.Recheck
 	n.entry = entry.New(n.entrySettings(), n.dialer)
@@ -375,6 +376,7 @@
 
 func (n *Node) tick(now time.Time) {
 	n.dialer.Check(now)
+	n.peerServer.Check(now)
 	n.entry.Tick(now)
 	for _, g := range n.everyGate() {
 		g.Tick(now)
--- a/peer/server.go
+++ b/peer/server.go
@@ -37,6 +37,9 @@
 	HandshakeLimit time.Duration
 	// MaxConns bounds the open connections.
 	MaxConns int
+	// IdleLimit is how long a connection is kept that carries nothing, if Check is
+	// called; 0 keeps it until it ends.
+	IdleLimit time.Duration
 	// OnPeer is called, in a goroutine of its own, with each node that opened a
 	// connection; it may be nil.
 	OnPeer func(who Identity)
@@ -50,7 +53,9 @@
 	mu     sync.Mutex
 	conns  map[*accepted]struct{}
 	closed bool
-	wait   sync.WaitGroup
+	// lastSweep is when all connections were last looked at.
+	lastSweep time.Time
+	wait      sync.WaitGroup
 }
 
 // Serve accepts connections until the listener is closed.
@@ -94,6 +99,38 @@
 	s.mu.Unlock()
 }
 
+// idleLooks is how many looks in a row, over Server.IdleLimit, must find a connection to
+// carry nothing: a node that stood still for longer finds so once, with all of it unread.
+const idleLooks = 8
+
+// Check closes connections that have carried nothing for long: the end of one that its
+// dialer gave up may never have come through.
+func (s *Server) Check(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.IdleLimit == 0 || now.Sub(s.lastSweep) < s.IdleLimit/idleLooks {
+		return
+	}
+	s.lastSweep = now
+	for a := range s.conns {
+		if a.ready.Load() && a.rests() > idleLooks {
+			a.nc.Close()
+		}
+	}
+}
+
+// rests returns how many looks in a row, with this one, found that nothing is carried. It
+// is called by one goroutine at a time.
+func (a *accepted) rests() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.idle++
+	if a.used.Swap(false) || len(a.streams) > 0 {
+		a.idle = 0
+	}
+	return a.idle
+}
+
 func (s *Server) serveConn(nc net.Conn) {
 	defer nc.Close()
 	a := &accepted{server: s, nc: nc, w: newWriter(nc, s.Counters), streams: map[uint64]*Stream{}}
@@ -138,8 +175,9 @@
 	// turn is held while a frame is taken, a newer connection's before an older one's.
 	turn sync.Mutex
 
-	// ready says that the handshake has ended.
-	ready atomic.Bool
+	// ready says that the handshake has ended, and used that a frame came since the
+	// last look.
+	ready, used atomic.Bool
 
 	mu      sync.Mutex
 	streams map[uint64]*Stream
@@ -148,6 +186,8 @@
 	// fenced says that no request is taken any more, and over that nothing is under way
 	// any more either.
 	fenced, over bool
+	// idle counts looks in a row that found nothing carried.
+	idle int
 	// lastRequest is when the newest request came.
 	lastRequest time.Time
 }
@@ -198,6 +238,7 @@
 		if err != nil {
 			return err
 		}
+		a.used.Store(true)
 		a.server.Counters.countReceived(m.Kind(), r.LastSize())
 		a.turn.Lock()
 		err = a.receive(m)
