--- a/node/node.go
+++ b/node/node.go
@@ -153,6 +153,7 @@
 		Handler:        n,
 		HandshakeLimit: handshakeLimit,
 		MaxConns:       maxPeerConns,
+		IdleLimit:      2 * peerIdleLimit,
 	}
 	n.peerServer.OnSilent = n.foundSilent
 	n.dialer.OnSilent = n.foundSilent
@@ -163,7 +164,7 @@
 	n.holder = &spread.Holder{Log: n.log, OnTaken: n.apply}
 	n.spread = spread.New(spreadSettings(s), n.log, n.holder, member.NewView(n.record(incarnation)), n.dialer, options.Store, n.viewChanged)
 	n.dialer.OnPeer = n.spread.Met
-	n.peerServer.OnPeer = n.spread.Heard
+	n.peerServer.OnPeer = n.heard
 	n.metrics = n.describe()
 	return n, nil
 }
@@ -322,6 +323,7 @@
 		if busy {
 			timer.Reset(tickEvery)
 		} else {
+			n.dialer.Rest(idleEvery)
 			timer.Reset(idleEvery)
 		}
 	}
@@ -376,6 +378,7 @@
 
 func (n *Node) tick(now time.Time) {
 	n.dialer.Check(now)
+	n.peerServer.Check(now)
 	n.entry.Tick(now)
 	for _, g := range n.everyGate() {
 		g.Tick(now)
--- a/peer/away.go
+++ b/peer/away.go
@@ -33,8 +33,8 @@
 	since time.Time
 	next  time.Time
 	pause time.Duration
-	// trying says that a try is under way.
-	trying bool
+	// trying says that a try is under way, and heard that the node has spoken since.
+	trying, heard bool
 }
 
 // Silent reports whether the node at an address is silent: it is suspected, or its
@@ -42,27 +42,22 @@
 func (d *Dialer) Silent(address string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.away[address] != nil {
-		return true
-	}
 	s := d.slots[address]
-	if s == nil {
-		return false
+	if s == nil || s.opened() == nil {
+		return d.away[address] != nil
 	}
 	conn := s.opened()
-	if conn == nil {
-		return false
-	}
 	if conn.closed() {
 		return conn.silentSince.Load() != 0
 	}
 	return conn.IsSuspected()
 }
 
-// retire takes note of a connection that has ended. It is called with the lock held.
+// retire takes note of a connection that has ended or could not be opened. It is called
+// with the lock held.
 func (d *Dialer) retire(now time.Time, address string, s *slot) {
 	delete(d.slots, address)
-	if s.conn != nil && s.conn.silentSince.Load() != 0 {
+	if timedOut(s.err) || (s.conn != nil && s.conn.silentSince.Load() != 0) {
 		d.noteAway(now, address)
 	}
 }
@@ -91,8 +86,28 @@
 			d.changes.Add(1)
 			continue
 		}
-		a.trying = true
-		go d.reach(address, a)
+		d.try(address, a)
+	}
+}
+
+// try is called with the lock held.
+func (d *Dialer) try(address string, a *away) {
+	a.trying, a.heard = true, false
+	go d.reach(address, a)
+}
+
+// Heard takes note of a node that has opened a connection to this one: if it is away it
+// is tried at once, since it lives.
+func (d *Dialer) Heard(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	a := d.away[address]
+	switch {
+	case a == nil || d.closed:
+	case a.trying:
+		a.heard = true
+	default:
+		d.try(address, a)
 	}
 }
 
@@ -104,17 +119,25 @@
 	a.trying = false
 	a.next = time.Now().Add(a.pause)
 	a.pause = min(2*a.pause, awayMost)
-	back := s.err == nil && !d.closed
+	if a.heard {
+		a.next = time.Now()
+	}
+	there := d.slots[address]
+	taken := there != nil && !there.ended()
+	back := s.err == nil && !d.closed && !taken
 	if back {
 		d.slots[address] = s
 	}
-	if back || !timedOut(s.err) {
+	if back || taken || !timedOut(s.err) {
 		// Whoever is refused is told so at once: its host is there.
 		delete(d.away, address)
 		d.changes.Add(1)
 	}
 	d.mu.Unlock()
-	if s.err == nil && !back {
+	switch {
+	case back:
+		d.met(address, s.conn)
+	case s.err == nil:
 		s.conn.Close()
 	}
 }
