entry, retry: a request lost on a silent connection costs a whole try

Cause: such a request was priced at half a try, since it might not have come to its server. It mostly had, and each arrival past the first counts, so 290 to 400 went out again where the terms allow 258.

Four requests of a service may wait, and they get half of the budget's income at most.

Ruled out: a price below 1 by whether the connection had been heard (an arrival is not known at the gate either). Weighed: waiters only from a full budget; of 20 nodes or more the budget holds hardly one try, so that waiters would get nothing or all of it.

--- a/entry/handle.go
+++ b/entry/handle.go
@@ -187,15 +187,21 @@
 	// budgetShare the part of its time for which it does.
 	budgetEvery = 20 * time.Millisecond
 	budgetShare = 0.5
+	// maxWaiters bounds the requests of a service that look so: a budget takes in a few
+	// in the time that these have.
+	maxWaiters = 4
+	// waitersShare is the most of the budget's income that they get.
+	waitersShare = 0.5
 )
 
 // awaitBudget waits until the budget pays for sending a request again whose connection
 // to the server was silent, and reports whether it did: one silence takes many requests
 // at the same moment, and none of them has another way to be answered.
 func (e *Entry) awaitBudget(r *request, a *attempt) bool {
-	if !a.mute || !a.denied {
+	if !a.mute || !a.denied || !r.service.startWait() {
 		return false
 	}
+	defer r.service.endWait()
 	until := r.began.Add(time.Duration(budgetShare * float64(r.deadline.Sub(r.began))))
 	look := time.NewTicker(budgetEvery)
 	defer look.Stop()
@@ -212,14 +218,33 @@
 	return false
 }
 
-// payAgain has the budget pay for sending a request again.
+// startWait takes a place among those that wait for the budget, if there is one.
+func (s *service) startWait() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.waiters >= maxWaiters {
+		return false
+	}
+	s.waiters++
+	return true
+}
+
+func (s *service) endWait() {
+	s.mu.Lock()
+	s.waiters--
+	s.mu.Unlock()
+}
+
+// payAgain has the budget pay for sending a request again that waits for that.
 func (e *Entry) payAgain(r *request, a *attempt) bool {
 	s := r.service
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.budget.Take(time.Now(), a.cost(&s.terms)) {
+	now, cost := time.Now(), a.cost(&s.terms)
+	if !s.waits.Has(now, cost) || !s.budget.Take(now, cost) {
 		return false
 	}
+	s.waits.Take(now, cost)
 	r.denied = false
 	e.Counters.Retries.Add(1)
 	return true
@@ -272,30 +297,19 @@
 	return a.outcome.MayHaveRun() || a.reason == wire.ReasonShed
 }
 
-// muteCost is what a request on a silent connection to its server costs that is sent
-// again: it has come there once only if it did so before the silence.
-const muteCost = 0.5
-
-// cost is what sending the request again takes from the budget. Under terms
-// that count what reaches servers, a refusal before that is free.
+// cost is what sending the request again takes from the budget.
 func (a *attempt) cost(terms *retry.Terms) float64 {
-	switch {
-	case a.notArrived:
+	if a.notArrived {
 		return 0
-	case !terms.Counted():
-		return a.outcome.Cost()
-	case a.mute:
-		return muteCost
-	case a.reached():
-		return 1
 	}
-	return 0
+	return terms.Cost(a.outcome, a.reached())
 }
 
 func (s *service) fresh(now time.Time) {
 	s.mu.Lock()
 	s.used = now
 	s.budget.Fresh(now)
+	s.waits.Fresh(now)
 	s.hedges.Fresh(now)
 	s.mu.Unlock()
 }
--- a/entry/service.go
+++ b/entry/service.go
@@ -29,9 +29,13 @@
 	pool      *balance.Pool
 	budget    retry.Budget
 	hedges    retry.Budget
-	delay     retry.Delay
-	meter     burn.Meter
-	rng       *rand.Rand
+	// waits is the part of the budget that those get who wait for it, and waiters how
+	// many do.
+	waits   retry.Budget
+	waiters int
+	delay   retry.Delay
+	meter   burn.Meter
+	rng     *rand.Rand
 	// news is of the service's servers and their speed.
 	news broadcast
 }
@@ -62,6 +66,7 @@
 	s.budget.Share = row.RetryShare
 	s.terms = from.Terms
 	s.budget.Bound = from.Terms.Split(from.Nodes)
+	s.waits.Bound = s.budget.Part(waitersShare)
 	s.hedges.Share = min(retry.HedgeShare, row.RetryShare)
 	s.pool.Update(now, specs)
 	s.peersSeen = 0
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -73,6 +73,19 @@
 // Counted reports whether the terms count what reaches servers.
 func (t Terms) Counted() bool { return t.Window > 0 }
 
+// Cost is what another attempt takes from the budget after one with this outcome, which
+// had reached a server or not. Under terms that count what reaches servers, a refusal
+// before that is free, and whatever may have reached one counts in full.
+func (t Terms) Cost(o Outcome, reached bool) float64 {
+	switch {
+	case !t.Counted():
+		return o.Cost()
+	case reached:
+		return 1
+	}
+	return 0
+}
+
 // margin is the part of the terms that is used: nodes come and go, each knows
 // only its own requests, and the calls of a run that was itself a repeat count as
 // repeats at the services that it calls.
@@ -176,10 +189,21 @@
 
 const refusedCost = 0.1
 
+// Part returns the bound of a budget that gets a part of what this one gets.
+func (b *Budget) Part(part float64) Bound {
+	share, perSecond, most := b.rates()
+	return Bound{Share: part * share, PerSecond: part * perSecond, Most: max(part*most, 1)}
+}
+
+// Has reports whether there is enough for one retry.
+func (b *Budget) Has(now time.Time, cost float64) bool {
+	b.fill(now)
+	return b.tokens >= cost
+}
+
 // Take pays for one retry and reports whether there was enough.
 func (b *Budget) Take(now time.Time, cost float64) bool {
-	b.fill(now)
-	if b.tokens < cost {
+	if !b.Has(now, cost) {
 		return false
 	}
 	b.tokens -= cost
--- a/retry/terms_test.go
+++ b/retry/terms_test.go
@@ -9,8 +9,10 @@
 	"pgregory.net/rapid"
 )
 
-// However requests fall on nodes, what all of them send again within any window
-// stays within the terms.
+// However requests fall on nodes and whatever their attempts end in, what all of them
+// send again within any window to a second server stays within the terms. A request on
+// a silent connection was once taken for half an arrival, since it might not have come
+// there: 290 to 400 went out again where 258 were allowed.
 func TestTermsHoldOverAllNodes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		terms := Terms{Share: 0.2, Extra: 58, Window: 10 * time.Second}
@@ -34,7 +36,9 @@
 				m.fresh++
 			}
 			for range rapid.IntRange(0, 10).Draw(t, "wanted") {
-				if node.Take(now, 1) {
+				outcome := rapid.SampledFrom([]Outcome{NotRun, Overloaded, ServerError, Unknown, Silent}).Draw(t, "outcome")
+				reached := outcome.MayHaveRun() || rapid.Bool().Draw(t, "reached")
+				if node.Take(now, terms.Cost(outcome, reached)) && reached {
 					m.repeat++
 				}
 			}
