gate, backend: a run is ended only on a connection that was found silent

Now one rule: found mute (by a question answered on a new connection only, or by Renew), nothing heard on the connection since, max(2 x usual, 100 ms) since both the sending and the suspicion, and the server's report has no room for it. Hearing a connection ends its suspicion; a late answer to the question takes it back for all. Up to their deadlines no more runs are severed than the server has slots. A late request has the server asked on the connection that rested longest, out of the budget of checks. The states alive, newer, short, denied by count and wrong are gone.

Weighed: trusting the report where no connection is silent after more of them in a row (an understating server never corrects itself); severing without a bound for what may not be repeated (its deadline is when the server has surely ended it). Open: if the only kept connections are those with lost requests, nothing is left to compare with and these wait for their deadline.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -39,6 +39,7 @@
 	pool    *Pool
 	conn    *conn
 	origin  Origin
+	heard   time.Time
 	aborted atomic.Bool
 	ended   bool
 	// written is closed when the request was written or that has failed.
@@ -50,13 +51,27 @@
 // Open takes a connection. After an error nothing was sent. With fresh the
 // connection is made now.
 func (p *Pool) Open(fresh bool) (*Exchange, error) {
-	c, err := p.get(fresh)
+	if fresh {
+		return p.exchange(p.dial())
+	}
+	return p.exchange(p.get(p.takeIdle))
+}
+
+func (p *Pool) exchange(c *conn, err error) (*Exchange, error) {
 	if err != nil {
 		return nil, err
 	}
 	return newExchange(p, c), nil
 }
 
+// OpenRested is Open, but of the kept connections it takes the one on which the server
+// was heard the longest time ago.
+func (p *Pool) OpenRested() (*Exchange, error) { return p.exchange(p.get(p.takeRested)) }
+
+// Heard is when the server was last heard on the exchange's connection before the
+// exchange, or when the connection was made.
+func (e *Exchange) Heard() time.Time { return e.heard }
+
 // Opened is when the exchange's connection was made.
 func (e *Exchange) Opened() time.Time { return e.conn.opened }
 
@@ -68,7 +83,7 @@
 	if c.used {
 		origin = Kept
 	}
-	return &Exchange{pool: p, conn: c, origin: origin}
+	return &Exchange{pool: p, conn: c, origin: origin, heard: c.heard}
 }
 
 // Origin is where the connection of an exchange comes from.
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -68,14 +68,11 @@
 	used bool
 }
 
-// get returns a connection; fresh asks for one that is made now.
-func (p *Pool) get(fresh bool) (*conn, error) {
-	if fresh {
-		return p.dial()
-	}
+// get returns a kept connection, or a new one if there is none.
+func (p *Pool) get(take func(now time.Time) *conn) (*conn, error) {
 	now := time.Now()
 	for {
-		c := p.takeIdle(now)
+		c := take(now)
 		if c == nil {
 			return p.dial()
 		}
@@ -109,6 +106,18 @@
 	return c
 }
 
+// takeRested takes the connection on which the server was heard the longest time ago.
+func (p *Pool) takeRested(now time.Time) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) == 0 || now.Sub(p.idle[0].heard) > p.IdleLimit {
+		return nil
+	}
+	c := p.idle[0]
+	p.idle = p.idle[1:]
+	return c
+}
+
 // burst reports whether enough is out on kept connections of which nothing was heard
 // yet. It is called with the lock held.
 func (p *Pool) burst(now time.Time) bool {
@@ -199,14 +208,14 @@
 	}
 }
 
-// Renew closes the idle connections that were opened before a time, and returns how
-// many there were. They may have gone silent; new ones work.
+// Renew closes the idle connections on which nothing was heard since a time, and returns
+// how many there were. They may have gone silent; new ones work.
 func (p *Pool) Renew(before time.Time) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	kept := p.idle[:0]
 	for _, c := range p.idle {
-		if c.opened.Before(before) {
+		if c.heard.Before(before) {
 			c.Close()
 			p.open--
 			continue
--- a/gate/check.go
+++ b/gate/check.go
@@ -75,7 +75,7 @@
 	row := g.row
 	g.mu.Unlock()
 	g.Counters.Checked.Add(1)
-	_, ok := g.askReport(row, checkLimit)
+	_, ok := g.askReport(row, checkLimit, g.openKept)
 	g.mu.Lock()
 	if !ok {
 		g.check.pausedUntil = time.Now().Add(checkPause)
--- a/gate/check_test.go
+++ b/gate/check_test.go
@@ -21,6 +21,8 @@
 	slowness atomic.Int64
 	asked    atomic.Int64
 	silent   atomic.Bool
+	// lateOnce has the next answer come late, and no other.
+	lateOnce atomic.Bool
 }
 
 func startSpeedServer(t *testing.T) *speedServer {
@@ -33,7 +35,7 @@
 	s.slowness.Store(100)
 	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
 		s.asked.Add(1)
-		if s.silent.Load() {
+		if s.silent.Load() || s.lateOnce.Swap(false) {
 			time.Sleep(10 * checkLimit)
 		}
 		ctx.Response.Header.Set("Server-Load", fmt.Sprintf("0,0,8,%d", s.slowness.Load()))
--- a/gate/cold_test.go
+++ b/gate/cold_test.go
@@ -42,7 +42,7 @@
 	return g
 }
 
-func (g *Gate) ask() { g.askReport(g.row, time.Second) }
+func (g *Gate) ask() { g.askReport(g.row, time.Second, g.openKept) }
 
 // A server is cold until it has said otherwise, and again after each moment at which
 // it may have turned cold unseen.
--- a/gate/job.go
+++ b/gate/job.go
@@ -29,11 +29,14 @@
 	// answered says that the head of the answer came, and mute that its connection was
 	// found silent before.
 	answered, mute bool
-	// reports counts the server's reports while the request was out, and short those
-	// in a row by which it cannot be at work.
-	reports, short int
-	canceled       bool
-	exchange       *backend.Exchange
+	// suspected is since when its connection is suspected, zero if it is not, and denied
+	// says that by the server's report since it cannot be at work.
+	suspected time.Time
+	denied    bool
+	// asked is when the server was asked last because some request was late.
+	asked    time.Time
+	canceled bool
+	exchange *backend.Exchange
 
 	began time.Time
 	// slowness is the server's when the job began, in percent; 0 if not known.
--- a/gate/measure.go
+++ b/gate/measure.go
@@ -29,7 +29,7 @@
 	}
 	g.measuring = true
 	row := g.row
-	go g.measure(row, limit)
+	go g.measure(row, limit, g.openKept)
 }
 
 // demandFor is how long after a request there is demand for measuring.
@@ -67,14 +67,14 @@
 	}
 }
 
-func (g *Gate) measure(row table.Server, limit time.Duration) {
+func (g *Gate) measure(row table.Server, limit time.Duration, open opener) {
 	defer func() {
 		g.mu.Lock()
 		g.measuring = false
 		g.mu.Unlock()
 	}()
 	g.Counters.Measured.Add(1)
-	report, ok := g.askReport(row, limit)
+	report, ok := g.askReport(row, limit, open)
 	if !ok {
 		g.Counters.MeasureFailed.Add(1)
 		return
--- a/gate/mute.go
+++ b/gate/mute.go
@@ -33,7 +33,7 @@
 type question struct {
 	exchange *backend.Exchange
 	asked    time.Time
-	// out are the requests that the gate waited for when it was put, oldest first.
+	// out are the requests that the gate waited for when it was put.
 	out []*job
 	// done is closed when err is known.
 	done chan struct{}
@@ -77,10 +77,16 @@
 	q.exchange.Finish(false)
 }
 
+// opener opens an exchange with the server.
+type opener func() (*backend.Exchange, error)
+
+// openKept opens an exchange on the connection that a request would get.
+func (g *Gate) openKept() (*backend.Exchange, error) { return g.server.Open(false) }
+
 // askReport asks the server for its report and waits for it up to a limit.
-func (g *Gate) askReport(row table.Server, limit time.Duration) (measure.Report, bool) {
+func (g *Gate) askReport(row table.Server, limit time.Duration, open opener) (measure.Report, bool) {
 	out := g.waitedFor()
-	exchange, err := g.server.Open(false)
+	exchange, err := open()
 	if err != nil {
 		return measure.Report{}, false
 	}
@@ -116,15 +122,20 @@
 		return g.take(row, q)
 	case <-second.done:
 	}
-	if second.err != nil {
+	took := time.Since(second.asked)
+	switch {
+	case second.err != nil:
 		g.Counters.Silent.Add(1)
 		g.recordMute(q, false)
-	} else if took := time.Since(second.asked); !q.waitUntil(time.Since(q.asked) + max(took, muteGrace)) {
+		q.drop()
+	case q.waitUntil(time.Since(q.asked) + max(took, muteGrace)):
+		q.drop()
+	default:
 		g.Counters.Mute.Add(1)
 		g.recordMute(q, true)
 		g.renew(q.asked)
+		go g.recant(q)
 	}
-	q.drop()
 	return g.take(row, second)
 }
 
--- a/gate/mute_test.go
+++ b/gate/mute_test.go
@@ -21,7 +21,7 @@
 	s.address = p.Address()
 	g := s.gate(50)
 	t.Cleanup(g.Close)
-	if _, ok := g.askReport(g.row, longQuestion); g.Counters.Silent.Load() > 0 || !ok && s.asked.Load() == 0 {
+	if _, ok := g.askReport(g.row, longQuestion, g.openKept); g.Counters.Silent.Load() > 0 || !ok && s.asked.Load() == 0 {
 		t.Fatal("the server was not asked")
 	}
 	return g, p
@@ -47,7 +47,7 @@
 			g, p := proxied(t, s)
 			test.do(s, p)
 			before := s.asked.Load()
-			g.askReport(g.row, longQuestion)
+			g.askReport(g.row, longQuestion, g.openKept)
 			if got := g.Counters.Mute.Load(); got != test.mute {
 				t.Errorf("%d mute connections, want %d", got, test.mute)
 			}
@@ -57,3 +57,26 @@
 		})
 	}
 }
+
+// An answer that only came late on the kept connection takes the suspicion back: it was
+// the server, which was slower there than on a new one.
+func TestLateAnswerTakesTheSuspicionBack(t *testing.T) {
+	s := startSpeedServer(t)
+	g, _ := proxied(t, s)
+	s.lateOnce.Store(true)
+	g.askReport(g.row, longQuestion, g.openKept)
+	if got := g.Counters.Mute.Load(); got != 1 {
+		t.Fatalf("%d mute connections, want 1", got)
+	}
+	for until := time.Now().Add(longQuestion); ; time.Sleep(time.Millisecond) {
+		g.mu.Lock()
+		suspected := !g.silence.before.IsZero()
+		g.mu.Unlock()
+		if !suspected {
+			return
+		}
+		if time.Now().After(until) {
+			t.Fatal("connections are still suspected")
+		}
+	}
+}
--- a/gate/silence.go
+++ b/gate/silence.go
@@ -8,96 +8,85 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/ryehaven/ryehaven/backend"
 	"github.com/ryehaven/ryehaven/header"
 )
 
 // What is at work on a connection that has gone silent is lost, and its slot with it,
-// until it is known. Two things tell it from work that takes long: the server says that
-// it works on fewer requests than the gate waits for, or nothing is heard on any
-// connection as old while newer ones answer and the time that requests usually take has
-// passed.
+// until it is known. In one place then: a question that stays unanswered on a kept
+// connection while a new one is answered finds that connection mute; so does what Renew
+// is told of others of the host. Whatever was not heard since is suspected, and the
+// connections that rest are renewed. A request on a suspected one is severed, that is
+// no longer counted as at work, once it has had the time for an answer and the server
+// does not say that it may be at work. The server's word alone severs nothing, and
+// whatever is heard on a connection ends its suspicion.
 
 // errMute ends what was sent on a silent connection.
 var errMute = eris.New("the connection to the backend server has gone silent")
 
 const (
-	// severFactor is how many usual times of the server a request on a suspected
-	// connection is waited for; aloneFactor the same where others as old are heard,
-	// or where only the server's word on how much it works on stands against it.
-	severFactor = 2
-	aloneFactor = 4
-	// severLeast bounds that wait from below: a process may stand still for a
+	// patienceFactor is how many usual times of the server a request on a suspected
+	// connection is waited for, and how long one is waited for before it is asked why.
+	patienceFactor = 2
+	// patienceLeast bounds that wait from below: a process may stand still for a
 	// tenth of a second by its quota.
-	severLeast = 100 * time.Millisecond
+	patienceLeast = 100 * time.Millisecond
+	// askedShare is the part of its age for which a request that takes long is not
+	// asked about again.
+	askedShare = 0.5
 	// reportLeast is the least age of a request for which a server's report
 	// counts: it may be that much behind.
 	reportLeast = 25 * time.Millisecond
-	// reportsShort is how many reports in a row must fall short where no connection
-	// was found silent.
-	reportsShort = 2
-	// wrongShare is the weight of one answered request in how often the reports had
-	// denied it, and wrongMost from where on they are not believed.
-	wrongShare = 0.1
-	wrongMost  = 0.2
 )
 
 // silence is what a gate knows of silent connections, guarded by its lock.
 type silence struct {
-	// before is until when connections were opened that are suspected; zero if none
-	// are.
+	// before is since when nothing was heard on the connections that are suspected;
+	// zero if none are.
 	before time.Time
-	// alive says that one of these has been heard since, and newer that one opened
-	// later has.
-	alive, newer bool
-	// denied says that some request is not at work by the server's reports, and wrong
-	// how often that was not true.
-	denied bool
-	wrong  float64
+	// tells says that the server's last answer to a question told how much it works on.
+	tells bool
+	// severed are the deadlines of the requests that were severed: until then the
+	// server may work on them.
+	severed []time.Time
 }
 
 // Renew drops the connections to the server that rest, and suspects those with work:
 // something else on this host has shown that open connections have gone silent.
 func (g *Gate) Renew() { g.renew(time.Now()) }
 
-// renew drops and suspects what was opened before a time.
+// renew drops and suspects the connections on which nothing was heard since a time.
 func (g *Gate) renew(before time.Time) {
 	g.server.Renew(before)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if before.After(g.silence.before) {
-		g.silence.before, g.silence.alive, g.silence.newer = before, false, false
+		g.silence.before = before
 	}
 }
 
+// recant waits for the answer on a connection that was found mute and, if it comes
+// after all, takes the suspicion back.
+func (g *Gate) recant(q *question) {
+	if q.waitUntil(muteLimit) && q.err == nil {
+		g.mu.Lock()
+		if g.silence.before.Equal(q.asked) {
+			g.silence.before = time.Time{}
+		}
+		g.mu.Unlock()
+	}
+	q.drop()
+}
+
 // heard takes note that a request's answer has begun.
 func (g *Gate) heard(j *job) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	j.answered = true
-	g.heardOn(j.exchange)
-	if j.reports < reportsShort {
-		return
-	}
-	wrong := 0.0
-	if j.short >= reportsShort {
-		wrong = 1
-	}
-	g.silence.wrong += wrongShare * (wrong - g.silence.wrong)
-}
-
-// heardOn takes note that a connection is not silent. It is called with the lock held.
-func (g *Gate) heardOn(e *backend.Exchange) {
-	if e.Opened().Before(g.silence.before) {
-		g.silence.alive = true
-		return
-	}
-	g.silence.newer = true
 }
 
 // suspects reports whether a job's connection is one of those that may be silent. It
 // is called with the lock held.
-func (g *Gate) suspects(j *job) bool { return j.exchange.Opened().Before(g.silence.before) }
+func (g *Gate) suspects(j *job) bool { return j.exchange.Heard().Before(g.silence.before) }
 
 // isOut reports whether a whole request was sent and its answer is waited for. It is
 // called with the lock held.
@@ -106,7 +95,7 @@
 }
 
 // waitedFor returns the requests that a report of the server asked for now has to
-// count, oldest first.
+// count.
 func (g *Gate) waitedFor() []*job {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -117,76 +106,95 @@
 			out = append(out, j)
 		}
 	}
-	slices.SortFunc(out, func(a, b *job) int { return a.began.Compare(b.began) })
 	return out
 }
 
 // learnAtWork takes what the answer to a question tells of how much the server works
-// on.
+// on. What it says beyond the requests on connections that are well may be any of
+// those on suspected ones.
 func (g *Gate) learnAtWork(q *question) {
 	field := g.settings.Dialect.Load
 	load, ok := header.ParseLoad(string(q.exchange.Response.Header.Peek(field)))
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.heardOn(q.exchange)
-	if field == "" || !ok {
-		return
-	}
-	out := slices.DeleteFunc(q.out, func(j *job) bool { return !j.isOut() })
-	atWork := load.Running + load.Waiting
-	g.deny(out, len(out)-atWork)
-	old := slices.DeleteFunc(slices.Clone(out), func(j *job) bool { return !g.suspects(j) })
-	if g.silence.alive || g.silence.wrong > wrongMost || atWork > len(out)-len(old) {
-		return
-	}
-	g.severAll(time.Now(), old)
-}
-
-// deny takes note that the server works on so many fewer requests than are out; the
-// oldest are taken to be the missing ones. It is called with the lock held.
-func (g *Gate) deny(out []*job, missing int) {
-	for i, j := range out {
-		j.reports++
-		if i >= missing {
-			j.short = 0
-			continue
+	g.silence.tells = field != "" && ok
+	room := load.Running + load.Waiting
+	var old []*job
+	for _, j := range q.out {
+		switch {
+		case !j.isOut():
+		case g.suspects(j):
+			old = append(old, j)
+		default:
+			room--
 		}
-		j.short++
-		g.silence.denied = true
+	}
+	for _, j := range old {
+		j.denied = room <= 0
 	}
 }
 
-// sever ends what has waited too long on connections that are suspected, or although
-// the server says again and again that it is not at work. It is called with the lock
-// held.
+// sever ends what has waited too long on connections that are suspected, and asks the
+// server if anything else has. It is called with the lock held.
 func (g *Gate) sever(now time.Time) {
-	s := &g.silence
-	if len(g.jobs) == 0 || (s.before.IsZero() && !s.denied) {
+	if len(g.jobs) == 0 {
 		return
 	}
-	usual := g.usual(now)
-	alone := max(aloneFactor*usual, severLeast)
-	suspected := max(severFactor*usual, severLeast)
-	if s.alive {
-		suspected = alone
-	}
+	patience := max(patienceFactor*g.usual(now), patienceLeast)
 	var lost []*job
+	late := false
 	for _, j := range g.jobs {
 		if !j.isOut() {
 			continue
 		}
-		waited := now.Sub(j.began)
-		denied := j.short >= reportsShort && s.wrong <= wrongMost
-		if (s.newer && g.suspects(j) && !j.named() && waited >= suspected) || (denied && waited >= alone) {
+		j.suspect(now, g.suspects(j))
+		if !j.suspected.IsZero() && now.Sub(j.suspected) > patience && (j.denied || !g.silence.tells) {
 			lost = append(lost, j)
+			continue
 		}
+		late = late || j.late(now, patience)
 	}
 	g.severAll(now, lost)
+	if late {
+		g.askWhy(now)
+	}
 }
 
-// named reports whether the server's last report has room for the request among what it
-// works on. It is called with the gate's lock held.
-func (j *job) named() bool { return j.reports > 0 && j.short == 0 }
+// suspect takes note whether the job's connection is suspected, and since when. It is
+// called with the gate's lock held.
+func (j *job) suspect(now time.Time, suspected bool) {
+	switch {
+	case !suspected:
+		j.suspected, j.denied = time.Time{}, false
+	case j.suspected.IsZero():
+		j.suspected = now
+	}
+}
+
+// late reports whether the server must be asked why there is no answer. It is called
+// with the gate's lock held.
+func (j *job) late(now time.Time, patience time.Duration) bool {
+	age := now.Sub(j.began)
+	asked := j.began
+	if j.asked.After(asked) {
+		asked = j.asked
+	}
+	return now.Sub(asked) > max(patience, time.Duration(askedShare*float64(age)))
+}
+
+// askWhy asks the server for its report on the connection that has rested longest, if
+// the budget of checks allows it: answers on others tell nothing of a request that has
+// none. It is called with the lock held.
+func (g *Gate) askWhy(now time.Time) {
+	if g.measuring || !g.check.limiter.AllowN(now, 1) {
+		return
+	}
+	for _, j := range g.jobs {
+		j.asked = now
+	}
+	g.measuring = true
+	go g.measure(g.row, muteLimit, g.server.OpenRested)
+}
 
 // usual is how long requests take at the server now. It is called with the lock held.
 func (g *Gate) usual(now time.Time) time.Duration {
@@ -196,15 +204,20 @@
 // usualSlowness is the slowness in percent of a server at its usual speed.
 const usualSlowness = 100
 
-// severAll gives back the slots of requests whose answers cannot come any more. What
-// may be repeated ends at once, so that another server can be asked; the rest stays
-// until its deadline, since it may still be answered. It is called with the lock held.
+// severAll gives back the slots of requests whose answers cannot come any more, of no
+// more than the server has: it may still work on them. What may be repeated ends at
+// once, so that another server can be asked; the rest stays until its deadline, since
+// it may still be answered. It is called with the lock held.
 func (g *Gate) severAll(now time.Time, lost []*job) {
+	s := &g.silence
+	s.severed = slices.DeleteFunc(s.severed, func(deadline time.Time) bool { return !now.Before(deadline) })
+	lost = lost[:min(len(lost), max(g.row.Slots-len(s.severed), 0))]
 	if len(lost) == 0 {
 		return
 	}
 	for _, j := range lost {
 		j.mute = true
+		s.severed = append(s.severed, j.stream.Deadline)
 		g.Counters.Severed.Add(1)
 		g.queue.Done(now, &j.ticket, false)
 		if j.stream.Request.Repeatable {
