--- a/peer/dialer.go
+++ b/peer/dialer.go
@@ -29,15 +29,16 @@
 	// PingAfter and SuspectAfter replace the constants of that name unless 0.
 	PingAfter, SuspectAfter time.Duration
 	// OnPeer is called, in a goroutine of its own, with each node to which a
-	// connection was opened; it may be nil.
+	// connection was opened, once Get returns that; it may be nil.
 	OnPeer func(who Identity, address string)
 	// OnNotice is called with what gates tell unasked; it must not wait and
 	// may be nil.
 	OnNotice func(n *wire.Notice)
 	// OnSlowness is called likewise with the address of the gate's node.
 	OnSlowness func(address string, percent int)
-	// OnSilent is called, in a goroutine of its own, when a connection went silent
-	// while its node answers on another; it may be nil.
+	// OnSilent is called, in a goroutine of its own, when requests had not arrived on a
+	// connection whose node answers on another, and when such a connection has stayed
+	// silent; it may be nil.
 	OnSilent func()
 
 	mu    sync.Mutex
@@ -45,14 +46,18 @@
 	// away are nodes that fell silent and have no connection.
 	away      map[string]*away
 	lastCheck time.Time
+	// rest is how long it may be until the next one.
+	rest      time.Duration
 	lastSweep time.Time
 	closed    bool
 	// yielded are silent connections whose place another has taken, for what is still
 	// under way on them.
 	yielded map[*Conn]struct{}
-	// rechecked is when all connections were last looked at.
-	rechecked  time.Time
-	recheckDue atomic.Bool
+	// rechecked is when all connections were last looked at, and recheckPause how long
+	// they are not again.
+	rechecked    time.Time
+	recheckPause time.Duration
+	recheckDue   atomic.Bool
 
 	watched watchList
 	changes atomic.Uint64
@@ -153,10 +158,27 @@
 // openFor opens the connection that somebody has asked for.
 func (d *Dialer) openFor(address string, s *slot) {
 	d.open(address, s, d.Limit)
-	if timedOut(s.err) {
-		d.mu.Lock()
-		d.noteAway(time.Now(), address)
-		d.mu.Unlock()
+	if s.err == nil {
+		d.met(address, s.conn)
+	}
+	d.tried(address, s)
+}
+
+// met tells of the node on a connection that is in its place, so that who is told finds
+// that one and no silent one.
+func (d *Dialer) met(address string, conn *Conn) {
+	if d.OnPeer != nil {
+		go d.OnPeer(conn.Peer, address)
+	}
+}
+
+// tried notes the node as away if nothing was heard of it, unless another request has
+// found that before.
+func (d *Dialer) tried(address string, s *slot) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.slots[address] == s && timedOut(s.err) {
+		d.retire(time.Now(), address, s)
 	}
 }
 
@@ -167,9 +189,6 @@
 	if err == nil {
 		s.conn, err = openConn(nc, address, d.Self, d.Counters, limit, d.hooksOf(address))
 	}
-	if err == nil && d.OnPeer != nil {
-		go d.OnPeer(s.conn.Peer, address)
-	}
 	if err != nil {
 		d.Counters.DialFailures.Add(1)
 		s.err = eris.Wrapf(err, "connect to node at %s", address)
@@ -180,13 +199,14 @@
 const sweepEvery = 250 * time.Millisecond
 
 // Check watches silent peers and closes idle connections. Call it every few
-// milliseconds; a gap of PingAfter or more between calls means that this
-// node itself was held up, and then it suspects nobody in that round.
+// milliseconds, or after as long as Rest was told; a call that comes later by
+// PingAfter or more means that this node itself was held up, and then it
+// suspects nobody in that round.
 func (d *Dialer) Check(now time.Time) {
 	d.mu.Lock()
 	pingAfter, suspectAfter := d.watchTimes()
-	heldUp := !d.lastCheck.IsZero() && now.Sub(d.lastCheck) >= pingAfter+pingAfter/2
-	d.lastCheck = now
+	heldUp := !d.lastCheck.IsZero() && now.Sub(d.lastCheck) >= d.rest+pingAfter+pingAfter/2
+	d.lastCheck, d.rest = now, 0
 	if now.Sub(d.lastSweep) >= sweepEvery {
 		d.lastSweep = now
 		d.sweep(now)
@@ -203,6 +223,13 @@
 	}
 }
 
+// Rest tells how long it is at most until the next Check.
+func (d *Dialer) Rest(most time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.rest = most
+}
+
 // sweep forgets connections that have ended and closes those that have carried
 // nothing for long. It is called with the lock held.
 func (d *Dialer) sweep(now time.Time) {
@@ -220,15 +247,19 @@
 		}
 	}
 	for conn := range d.yielded {
-		if conn.over(now) {
+		ended, silent := conn.over(now)
+		if ended {
 			delete(d.yielded, conn)
 		}
+		if silent {
+			d.provedSilent()
+		}
 	}
 }
 
 // hooksOf returns what the connection to an address calls.
 func (d *Dialer) hooksOf(address string) connHooks {
-	hooks := connHooks{onNotice: d.OnNotice, onWork: d.watched.add, onChange: func() { d.changes.Add(1) }}
+	hooks := connHooks{onNotice: d.OnNotice, onNotArrived: d.foundSilent, onWork: d.watched.add, onChange: func() { d.changes.Add(1) }}
 	if d.OnSlowness != nil {
 		hooks.onSlowness = func(percent int) { d.OnSlowness(address, percent) }
 	}
