gate: what nobody waits for any more does not hold up a stop

Cause: a request that may not be repeated is waited for until its deadline and 30 s more. What was found mute and whose time is up no longer counts as under way.

Left: a silence within the tenth of a second before a stop, where nothing newer is heard that could show it.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -266,7 +266,14 @@
 func (g *Gate) Busy() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return len(g.jobs)
+	now := time.Now()
+	busy := 0
+	for _, j := range g.jobs {
+		if !j.isOver(now) {
+			busy++
+		}
+	}
+	return busy
 }
 
 // Request takes a request from an entry.
