spread: a probe that asks nothing abandons nothing

Cause: without a table there is no version to ask for changes of. The check then returned no error without a call, which was taken for an answer: the store counted as heard, and the watches older than the probe were begun anew, also of a store that answered nobody. Found by the test first: a watch was abandoned with no call made.

Now such a probe waits until there is a table. Weighed: asking for changes since nothing; that is a full read, which costs ten times a stale one.

--- a/spread/probe.go
+++ b/spread/probe.go
@@ -113,7 +113,12 @@
 	s.setProbed(true)
 	defer s.setProbed(false)
 	for ctx.Err() == nil && s.checks(time.Now()) {
-		err := c.check(ctx, probe)
+		tag := s.tableTag()
+		if tag == "" { // There is no table whose changes could be asked for.
+			s.untilCheck(ctx)
+			continue
+		}
+		err := c.check(ctx, probe, tag)
 		s.noteStore(ctx, err)
 		switch {
 		case err == nil:
@@ -157,12 +162,8 @@
 }
 
 // check asks once whether the platform is heard.
-func (c *checking) check(ctx context.Context, probe store.Probe) error {
+func (c *checking) check(ctx context.Context, probe store.Probe, tag string) error {
 	s := c.spread
-	tag := s.tableTag()
-	if tag == "" {
-		return nil // There is no table whose changes could be asked for.
-	}
 	s.Counters.Probes.Add(1)
 	began := time.Now()
 	changed, err := probe.Check(ctx, tag, c.overdue())
