spread: a check outpaces the watch of a version once

Cause: a stale read that finds its history gone says that the table has changed, each second anew. The watch was begun anew each time and told nothing, since nothing had changed.

Now a version is outpaced once: the new watch goes on from it and tells at once of a change that there is. Weighed: having the check say that its history is gone, which leaves a watch that hears nothing after a change and a trimmed history.

--- a/spread/probe.go
+++ b/spread/probe.go
@@ -96,6 +96,9 @@
 	took time.Duration
 	// silences counts the probes in a row that answered nothing.
 	silences int
+	// outpaced is the last version that a check said is changed. The watch that was
+	// begun anew for it knows better.
+	outpaced string
 }
 
 // run keeps one probe until it is silent or the node no longer checks.
@@ -172,7 +175,8 @@
 	}
 	c.took = time.Since(began)
 	c.silences = 0
-	if changed {
+	if changed && tag != c.outpaced {
+		c.outpaced = tag
 		s.watches.outpaced(store.TableKey)
 	}
 	return nil
