spread: overdue rounds pause for a millisecond

Purpose: news in a row made rounds whose time had passed follow each other at once, each by a timer that was due when it was set. With it go the crashes of the race detector in this package: a timer channel that is due while a select looks at it, in synthetic time, is what the stacks show (runtime.(*timer).maybeRunChan).

--- a/spread/round.go
+++ b/spread/round.go
@@ -26,6 +26,8 @@
 	hastenFactor = 4
 	// hurry is the time between rounds while the node lacks a table.
 	hurry = 100 * time.Millisecond
+	// leastPause keeps rounds that are overdue from following each other without a pause.
+	leastPause = time.Millisecond
 	// seedEvery is how many rounds pass between questions to a seed, so that
 	// parts that lost sight of each other meet again.
 	seedEvery = 30
@@ -50,7 +52,7 @@
 
 func (s *Spread) runRounds(ctx context.Context) {
 	due, retell := time.Now(), 0
-	timer := time.NewTimer(0)
+	timer := time.NewTimer(leastPause)
 	defer timer.Stop()
 	for number := 0; ; number++ {
 		select {
@@ -75,7 +77,7 @@
 			s.round(number, 1)
 			due = time.Now().Add(s.untilNext())
 		}
-		timer.Reset(time.Until(due))
+		timer.Reset(max(time.Until(due), leastPause))
 	}
 }
 
--- a/spread/watch.go
+++ b/spread/watch.go
@@ -248,6 +248,9 @@
 }
 
 func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return // A timer that is due at once costs a waking.
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
