spread: a bound of 0 for changes stands for two seconds

Cause: emulated sites set no InForce, so a check of the store's connections was overdue at once and its connection never had time to open: 25 calls in 20 s that were "not sent", and the node said that it had lost the store. Ruled out: a node that has just started and has no confirmation yet.

--- a/spread/spread.go
+++ b/spread/spread.go
@@ -17,6 +17,9 @@
 	"github.com/ryehaven/ryehaven/table"
 )
 
+// DefaultInForce is the shortest bound that the users' sheets give for a change.
+const DefaultInForce = 2 * time.Second
+
 // Settings of a Spread.
 type Settings struct {
 	// Seeds are addresses of peer ports to ask while no node is known.
@@ -27,7 +30,8 @@
 	AskLimit time.Duration
 	// WatchWait is how long a watch at the platform waits.
 	WatchWait time.Duration
-	// InForce is how soon after its acceptance every node must have a change.
+	// InForce is how soon after its acceptance every node must have a change;
+	// DefaultInForce if 0.
 	InForce time.Duration
 	// StaleAfter is the confirmation's age at which nodes without a watch
 	// begin to poll.
@@ -137,6 +141,9 @@
 	if onView == nil {
 		onView = func() {}
 	}
+	if settings.InForce == 0 {
+		settings.InForce = DefaultInForce
+	}
 	perSecond := settings.TableBytesPerSecond
 	return &Spread{
 		settings:   settings,
