peer: the fence's test waits until its connections are taken in order

Cause: the accepting side numbers connections once its half of the handshake ends, in a goroutine of each, so that two that are opened at once may be numbered the other way round; a fence then does not close what it takes for the newer one, and says "lost", which is unknown to callers. A node dials a second connection 0.15 s after the first at the least.

--- a/peer/fence_test.go
+++ b/peer/fence_test.go
@@ -504,6 +504,7 @@
 	}
 	c.id = met.id
 	nc.SetReadDeadline(time.Now().Add(10 * time.Second))
+	c.sync(t) // The node has taken it, so that the next one is newer there too.
 	return c
 }
 
