--- a/entry/away_test.go
+++ b/entry/away_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/ryehaven/ryehaven/event"
+	"github.com/ryehaven/ryehaven/header"
 	"github.com/ryehaven/ryehaven/internal/faultproxy"
 	"github.com/ryehaven/ryehaven/peer"
 	"github.com/ryehaven/ryehaven/wire"
@@ -69,7 +70,7 @@
 	until("the node's return", func() bool { return beliefs(string(event.Regained)) == 1 })
 }
 
-// get sends a request and returns the status of the answer.
+// get sends a request that may take five seconds and returns the status of the answer.
 func get(t *testing.T, address string) int {
 	t.Helper()
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
@@ -78,6 +79,7 @@
 	request.SetRequestURI("http://" + address + "/x")
 	request.Header.SetHost("s")
 	request.UseHostHeader = true
+	request.Header.Set(header.Deadline, "5000")
 	client := &fasthttp.HostClient{Addr: address}
 	if err := client.Do(request, response); err != nil {
 		t.Fatal(err)
--- a/entry/silent_test.go
+++ b/entry/silent_test.go
@@ -162,17 +162,7 @@
 	proxy.SetTarget(near)
 	address := startEntry(t, proxy.Address(), far)
 
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.SetRequestURI("http://" + address + "/x")
-	request.Header.SetHost("s")
-	request.UseHostHeader = true
-	request.Header.Set(header.Deadline, "5000")
-	if err := (&fasthttp.Client{Dial: func(string) (net.Conn, error) { return net.Dial("tcp", address) }}).Do(request, response); err != nil {
-		t.Fatal(err)
-	}
-	if response.StatusCode() != 200 {
-		t.Errorf("answered %d: %s", response.StatusCode(), response.Body())
+	if status := get(t, address); status != 200 {
+		t.Errorf("answered %d", status)
 	}
 }
