gate: what the server denies after its deadline holds up no stop

The server, asked why there is no answer, says that it works on nothing; that alone severs no run, rightly. But past its deadline the entry has been told, so a planned stop need not wait for it.

Ruled out: not waiting for anything past its deadline (a server that goes on with an order would be cut off by the stop). The test's third case fails before (under way after 20 s) and passes; package gate passes twice with -race.

--- a/gate/silence.go
+++ b/gate/silence.go
@@ -117,13 +117,14 @@
 	load, ok := header.ParseLoad(string(q.exchange.Response.Header.Peek(field)))
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := time.Now()
 	g.silence.tells = field != "" && ok
 	room := load.Running + load.Waiting
 	var old []*job
 	for _, j := range q.out {
 		switch {
 		case !j.isOut():
-		case g.suspects(j):
+		case g.suspects(j), !now.Before(j.stream.Deadline):
 			old = append(old, j)
 		default:
 			room--
@@ -165,7 +166,8 @@
 func (j *job) suspect(now time.Time, suspected bool) {
 	switch {
 	case !suspected:
-		j.suspected, j.denied = time.Time{}, false
+		j.suspected = time.Time{}
+		j.denied = j.denied && !now.Before(j.stream.Deadline)
 	case j.suspected.IsZero():
 		j.suspected = now
 	}
@@ -228,11 +230,15 @@
 }
 
 // isOver reports whether nobody waits for the job any more, although it may be at work:
-// its connection is suspected or was found mute, and its time is up, so that its entry
-// was told. A planned stop that waits for it runs to its bound and ends as if it had cut
-// it off. It is called with the lock held.
+// its time is up, so that its entry was told, and its connection is suspected or was
+// found mute, or the server says since then that it is not at work. A planned stop that
+// waits for it runs to its bound and ends as if it had cut it off. It is called with the
+// lock held.
 func (g *Gate) isOver(j *job, now time.Time) bool {
-	return (j.mute || (j.isOut() && g.suspects(j))) && !now.Before(j.stream.Deadline)
+	if now.Before(j.stream.Deadline) {
+		return false
+	}
+	return j.mute || (j.isOut() && (j.denied || g.suspects(j)))
 }
 
 // isMute reports whether the job's connection was found silent.
--- a/gate/stop_silence_test.go
+++ b/gate/stop_silence_test.go
@@ -18,16 +18,21 @@
 func TestRequestOnASilentConnectionIsNotUnderWayAfterItsDeadline(t *testing.T) {
 	for _, test := range []struct {
 		name string
+		// kept says that another connection rests when the silence comes.
+		kept bool
 		// silenced is what happens after the silence.
 		silenced func(s *silenceable)
 	}{
-		{"found mute", func(s *silenceable) { s.release <- 200; s.free() }},
-		{"told of elsewhere, and the server says that it may be at work", func(s *silenceable) { s.gate.Renew() }},
+		{"found mute", true, func(s *silenceable) { s.release <- 200; s.free() }},
+		{"told of elsewhere, and the server says that it may be at work", true, func(s *silenceable) { s.gate.Renew() }},
+		{"nothing to find it by, and the server says that it is not at work", false, func(s *silenceable) { s.release <- 200 }},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			const budget = 500 * time.Millisecond
 			s := newSilenceable(t, 1)
-			s.warm(1)
+			if test.kept {
+				s.warm(1)
+			}
 			call := s.start("/once", func(r *wire.Request) {
 				r.Repeatable = false
 				r.BudgetMicros = budget.Microseconds()
