gate, blame: an ended server is told from a broken connection, tries by their print

Where a request ends without an answer the gate now asks, by connecting, whether the server still takes connections, and writes one line that names what was at work there, each request with its print: a hash of service, method, path, caller and body. Counter gate_server_ended. Nothing is decided by it yet.

--- a/backend/pool.go
+++ b/backend/pool.go
@@ -4,10 +4,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -223,6 +225,17 @@
 	return dropped
 }
 
+// Refuses reports whether nobody takes connections at the address: the server has ended.
+// It asks by connecting, for up to a limit.
+func (p *Pool) Refuses(limit time.Duration) bool {
+	nc, err := sock.Dial(p.Address, limit)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	nc.Close()
+	return false
+}
+
 // Close closes what is idle; connections in use close when their exchange
 // ends.
 func (p *Pool) Close() {
--- /dev/null
+++ b/blame/print_test.go
@@ -0,0 +1,77 @@
+// SPDX-License-Identifier: MIT
+
+package blame
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/ryehaven/ryehaven/peer"
+	"github.com/ryehaven/ryehaven/wire"
+)
+
+func order() *wire.Request {
+	return &wire.Request{
+		Service: "a", Method: "POST", URI: "/orders/x?y=1", Length: 4, Body: []byte("body"), Last: true,
+		Header: wire.Fields{{Name: "Host", Value: "h"}, {Name: "Authorization", Value: "me"}, {Name: "Accept", Value: "*/*"}},
+	}
+}
+
+func TestPrintIsWhatTriesHaveInCommon(t *testing.T) {
+	want := PrintOf(order())
+	same := map[string]func(r *wire.Request){
+		"nothing":        func(r *wire.Request) {},
+		"number":         func(r *wire.Request) { r.ID, r.Tag = 7, "other" },
+		"entry":          func(r *wire.Request) { r.Caller = "b" },
+		"server":         func(r *wire.Request) { r.Server = "i-2" },
+		"budget":         func(r *wire.Request) { r.BudgetMicros, r.WaitMicros = 1, 2 },
+		"another field":  func(r *wire.Request) { r.Header[2].Value = "text/html" },
+		"case of a name": func(r *wire.Request) { r.Header[0].Name = "host" },
+	}
+	for name, change := range same {
+		r := order()
+		change(r)
+		if PrintOf(r) != want {
+			t.Errorf("%s: another print, want the same", name)
+		}
+	}
+	other := map[string]func(r *wire.Request){
+		"service": func(r *wire.Request) { r.Service = "b" },
+		"method":  func(r *wire.Request) { r.Method = "PUT" },
+		"path":    func(r *wire.Request) { r.URI = "/orders/z?y=1" },
+		"query":   func(r *wire.Request) { r.URI = "/orders/x?y=2" },
+		"host":    func(r *wire.Request) { r.Header[0].Value = "i" },
+		"caller":  func(r *wire.Request) { r.Header[1].Value = "you" },
+		"body":    func(r *wire.Request) { r.Body = []byte("bodz") },
+		"length":  func(r *wire.Request) { r.Length = 5 },
+		"a part moved to the next": func(r *wire.Request) {
+			r.Method, r.URI = "POS", "T"+r.URI
+		},
+	}
+	for name, change := range other {
+		r := order()
+		change(r)
+		if PrintOf(r) == want {
+			t.Errorf("%s: the same print, want another", name)
+		}
+	}
+}
+
+// How much of a long body has been read by the time of a try is chance.
+func TestPrintOfALongBodyIsOfItsStart(t *testing.T) {
+	if BodyStart > peer.MaxChunk {
+		t.Fatalf("%d bytes of a body are asked for, an entry has read only %d of them for sure", BodyStart, peer.MaxChunk)
+	}
+	long := order()
+	long.Length, long.Last = 1<<20, false
+	long.Body = []byte(strings.Repeat("x", BodyStart))
+	longer := *long
+	longer.Body = append(long.Body, "and more"...)
+	if PrintOf(long) != PrintOf(&longer) {
+		t.Error("a body read further gives another print")
+	}
+	longer.Body = append([]byte("y"), long.Body[1:]...)
+	if PrintOf(long) == PrintOf(&longer) {
+		t.Error("a body with another start gives the same print")
+	}
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -100,6 +100,8 @@
 	// Mute counts connections to the server that stayed silent while it answered on a
 	// new one, and Silent questions that it answered on no connection.
 	Mute, Silent atomic.Int64
+	// Ended counts ends of the server that left requests without an answer.
+	Ended atomic.Int64
 	// Severed counts requests on such connections that were no longer waited for.
 	Severed atomic.Int64
 	// Checked counts those that were made before a request was handed over.
@@ -136,6 +138,7 @@
 	asked   time.Time
 	check   check
 	silence silence
+	end     end
 }
 
 // New returns a gate for a row.
--- a/gate/job.go
+++ b/gate/job.go
@@ -135,6 +135,7 @@
 	}
 	j.handedOver = true
 	j.exchange = exchange
+	j.gate.end.is = false
 	j.gate.Counters.Dispatched.Add(1)
 	return exchange, 0
 }
@@ -373,6 +374,9 @@
 
 func (j *job) finishReset(err error) {
 	mute := j.isMute()
+	if !mute && j.gate.hasEnded(j) {
+		err = errEnded
+	}
 	if now := time.Now(); now.Before(j.stream.Deadline) && !mute {
 		j.gate.Doubt(now)
 	}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -89,6 +89,7 @@
 		n.sumGates("gate_mute", "connections", "connections to the backend server that stayed silent while it answered on a new one", func(c *counters) *atomic.Int64 { return &c.Mute }),
 		n.sumGates("gate_silent", "questions", "questions that the backend server answered neither on a kept nor on a new connection", func(c *counters) *atomic.Int64 { return &c.Silent }),
 		n.sumGates("gate_severed", "requests", "requests on silent connections to the backend server that were no longer waited for", func(c *counters) *atomic.Int64 { return &c.Severed }),
+		n.sumGates("gate_server_ended", "ends", "ends of the backend server that left requests without an answer", func(c *counters) *atomic.Int64 { return &c.Ended }),
 		n.sumGates("gate_measure_failed", "calls", "measuring calls without an answer", func(c *counters) *atomic.Int64 { return &c.MeasureFailed }),
 	}
 	for reason := wire.ReasonOverload; reason < wire.Reasons; reason++ {
