blame, gate, entry, spread: requests that crash their servers are found and not run

Each try of a request began with no knowledge of what the same request had done before, elsewhere; the bounds on retries hold within one try only.

When a server ends, its gate makes suspects of all that was at work there. A suspect is sent to one server, the same for all nodes, and runs there alone among suspects, without hedges. The next end under it tells which one it was: two ends, one of them as the only suspect, blame it, and it is refused as not run at every entry and gate for a minute, four times longer after each further end. Whatever a server answers clears. Records name ends, so that they merge in any order; they go to the other nodes at once and with each exchange, and cost nothing while there are none. A new topic, no change of a message: a node that doesn't know it answers with an error.

Weighed: blaming all that was at work at two ends (innocent ones meet the culprit again in their second attempt), a flag on each request (a change of the frame; nodes of two builds would not understand each other), a count of ends without epochs (an answer could not clear what two nodes had counted).

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -215,6 +215,9 @@
 	}
 }
 
+// Aborted reports whether Abort was called.
+func (e *Exchange) Aborted() bool { return e.aborted.Load() }
+
 // Finish ends the exchange. whole says that the answer was read to its end,
 // so that the connection can carry another request.
 func (e *Exchange) Finish(whole bool) {
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -110,6 +110,19 @@
 	})
 }
 
+// PickFirst chooses of the servers that were not tried, and have the least trouble, the
+// one that comes first in an order of their names, or returns nil when none is left. All
+// nodes that know the same servers choose the same one.
+func (p *Pool) PickFirst(now time.Time, tried Tried, order func(name string) uint64) *Server {
+	var first *Server
+	for _, s := range p.candidates(now, tried) {
+		if first == nil || order(s.Name) < order(first.Name) {
+			first = s
+		}
+	}
+	return first
+}
+
 // Others counts the servers that were not tried and are not known to be
 // unable to take the request: of those in use, or of the spares if there are none.
 func (p *Pool) Others(now time.Time, tried Tried) int {
--- /dev/null
+++ b/blame/record.go
@@ -0,0 +1,101 @@
+// SPDX-License-Identifier: MIT
+
+package blame
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Record is what is known of one request under which servers have ended.
+type Record struct {
+	Print Print
+	// Epoch counts how often the request was answered, or the blame lifted, after a
+	// server had ended under it. A higher one replaces what was known before.
+	Epoch uint32
+	// Ends names the ends of servers that were at work on it, in order.
+	Ends []uint64
+	// Alone says that at one of these ends it was the only one there that had been at
+	// work at an end before: there is nobody else to blame.
+	Alone bool
+	// AgeMillis is how long ago the last end was heard of.
+	AgeMillis int64
+}
+
+// maxEnds bounds the ends that a record names; so many give the longest sentence.
+const maxEnds = 8
+
+// add takes the names of ends and reports whether that changed the record. Of too many it
+// keeps the lowest, so that all nodes keep the same.
+func (r *Record) add(ends ...uint64) (news bool) {
+	for _, end := range ends {
+		at, known := slices.BinarySearch(r.Ends, end)
+		if known || at >= maxEnds {
+			continue
+		}
+		r.Ends = slices.Insert(r.Ends, at, end)
+		r.Ends = r.Ends[:min(len(r.Ends), maxEnds)]
+		news = true
+	}
+	return news
+}
+
+// merge takes what another record of the same request tells, and reports whether that
+// was news.
+func (r *Record) merge(other *Record) (news bool) {
+	switch {
+	case other.Epoch < r.Epoch:
+		return false
+	case other.Epoch > r.Epoch:
+		*r = *other
+		r.Ends = slices.Clone(other.Ends)
+		return true
+	}
+	news = r.add(other.Ends...)
+	if other.Alone && !r.Alone {
+		r.Alone, news = true, true
+	}
+	r.AgeMillis = min(r.AgeMillis, other.AgeMillis)
+	return news
+}
+
+// sum is a number for the record's content; its age, which differs between nodes, is
+// left out.
+func (r *Record) sum() uint64 {
+	b := slices.Clone(r.Print[:])
+	b = binary.BigEndian.AppendUint32(b, r.Epoch)
+	for _, end := range r.Ends {
+		b = binary.BigEndian.AppendUint64(b, end)
+	}
+	if r.Alone {
+		b = append(b, 1)
+	}
+	return xxhash.Sum64(b)
+}
+
+// Two ends, one of them alone, can hardly be chance. What was blamed wrongly all the
+// same is back after a minute, and a request that does crash servers costs one more of
+// them then, and after each longer sentence.
+const (
+	convictingEnds  = 2
+	firstSentence   = time.Minute
+	sentenceFactor  = 4
+	longestSentence = time.Hour
+	// keptFor is how long a request is remembered beyond its sentence.
+	keptFor = 10 * time.Minute
+)
+
+// sentence is for how long after its last end the request is not run.
+func (r *Record) sentence() time.Duration {
+	if !r.Alone || len(r.Ends) < convictingEnds {
+		return 0
+	}
+	sentence := firstSentence
+	for range len(r.Ends) - convictingEnds {
+		sentence = min(sentence*sentenceFactor, longestSentence)
+	}
+	return sentence
+}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -54,7 +54,9 @@
 // attempt sends the request to one server and waits for the head of the
 // answer. It returns nil when there is no server to send to.
 func (e *Entry) attempt(r *request) *attempt {
-	e.awaitSpeed(r)
+	if !r.suspect {
+		e.awaitSpeed(r)
+	}
 	a := r.pick(time.Now())
 	if a == nil {
 		return nil
@@ -72,6 +74,13 @@
 	s := r.service
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if r.suspect {
+		server := r.pickSuspect(now)
+		if server == nil {
+			return nil
+		}
+		return r.begin(now, server)
+	}
 	demand := r.demand(now)
 	server := s.pool.PickFor(now, s.rng, r.tried, demand)
 	if !r.waiting {
@@ -123,6 +132,9 @@
 		e.endUnreachable(r, a)
 		return nil
 	}
+	if r.suspect {
+		e.settings.Blame.Compare(a.node) // Its gate must know, to run it alone.
+	}
 	left := time.Until(r.deadline)
 	if left <= 0 || !callerOpen(r.caller) {
 		a.outcome, a.reason, a.final = retry.NotRun, wire.ReasonDeadline, true
@@ -191,13 +203,16 @@
 		if a.reason.Full() && a.reason != wire.ReasonShed && !r.waiting {
 			r.full = append(r.full, a.server)
 		}
-		a.final = a.reason == wire.ReasonDeadline
+		a.final = a.reason == wire.ReasonDeadline || a.reason == wire.ReasonBlamed
 		a.retryAfter = time.Duration(head.Refusal.RetryAfterMicros) * time.Microsecond
 		e.end(r, a, balance.Result{Refused: a.reason, RetryAfter: a.retryAfter, Load: &head.Refusal.Load})
 	case head.Reset != nil:
 		a.outcome = retry.Unknown
 		a.final = head.Reset.Expired
 		a.mute = head.Reset.Mute
+		if head.Reset.Message == wire.ServerEnded {
+			e.settings.Blame.Compare(a.node)
+		}
 		e.end(r, a, balance.Result{Latency: took, Failed: !a.mute, Abandoned: a.mute, Load: &head.Reset.Load})
 	case eris.Is(head.Err, peer.ErrNotArrived):
 		a.outcome, a.reason, a.notArrived = retry.NotRun, wire.ReasonConnect, true
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -55,6 +55,9 @@
 	// Doubts reports whether the table in force may no longer be the newest one; nil
 	// takes every table for the newest.
 	Doubts func(now time.Time) bool
+	// Blame is what the node knows of requests under which servers have ended; nil
+	// blames none.
+	Blame Blame
 	// NoTableRetryAfter is when to come back while the node has no table, or may have
 	// an old one.
 	NoTableRetryAfter time.Duration
@@ -76,6 +79,8 @@
 	CallerGone atomic.Int64
 	// AwaitedSpeed counts requests that waited for the end of a slow spell.
 	AwaitedSpeed atomic.Int64
+	// Blamed counts requests that were not sent since servers have ended under them.
+	Blamed atomic.Int64
 	// TurnedAway counts requests that came too late for a stopping node; they
 	// are among NotRun.
 	TurnedAway atomic.Int64
@@ -108,6 +113,9 @@
 // New returns an entry without a table; it refuses every request until
 // Update.
 func New(settings Settings, dialer *peer.Dialer) *Entry {
+	if settings.Blame == nil {
+		settings.Blame = nobody{}
+	}
 	return &Entry{
 		settings: settings,
 		dialer:   dialer,
--- a/entry/handle.go
+++ b/entry/handle.go
@@ -110,6 +110,8 @@
 	last *attempt
 	// mayHaveRun says that some attempt may have run the request.
 	mayHaveRun bool
+	// blamedFor is for how long it is not run since servers have ended under it.
+	blamedFor time.Duration
 }
 
 // run makes attempts until one is final or the rules or the budget end them.
@@ -118,6 +120,11 @@
 	var res result
 	var answered *attempt
 	for {
+		if !e.judge(r) {
+			e.Counters.Blamed.Add(1)
+			res.blamedFor = r.blamedFor
+			break
+		}
 		a := e.attempt(r)
 		if a == nil {
 			break
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -30,7 +30,7 @@
 
 // hedgePlan returns when the request may be hedged; ok is false when never.
 func (e *Entry) hedgePlan(r *request) (plan hedgePlan, ok bool) {
-	if e.settings.NoHedges || r.hedged || !r.message.Repeatable || !r.message.Last {
+	if e.settings.NoHedges || r.hedged || r.suspect || !r.message.Repeatable || !r.message.Last {
 		return hedgePlan{}, false
 	}
 	if r.traits != nil {
--- a/entry/race.go
+++ b/entry/race.go
@@ -168,7 +168,7 @@
 // node may still answer, and is the only one to do so if the other refuses.
 func (w *race) firstSuspected() *attempt {
 	w.suspected, w.lookAgain = nil, nil
-	if !w.request.message.Repeatable || w.hedge != nil {
+	if !w.request.message.Repeatable || w.request.suspect || w.hedge != nil {
 		return nil
 	}
 	if conn := w.first.call.Conn(); !conn.IsSuspected() {
--- a/entry/reply.go
+++ b/entry/reply.go
@@ -95,6 +95,9 @@
 
 // failureOf says what a request without an answer ended in.
 func failureOf(res result) failure {
+	if res.blamedFor > 0 && !res.mayHaveRun {
+		return blamed(res.blamedFor)
+	}
 	if res.last == nil {
 		return failure{
 			status:     fasthttp.StatusServiceUnavailable,
@@ -135,6 +138,8 @@
 		retryAfter: max(a.retryAfter, time.Millisecond),
 	}
 	switch {
+	case a.reason == wire.ReasonBlamed:
+		return blamed(a.retryAfter)
 	case a.reason.Full():
 		f.proxyError = statusLimited
 		f.noRetry = true
--- a/entry/request.go
+++ b/entry/request.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/ryehaven/ryehaven/balance"
+	"github.com/ryehaven/ryehaven/blame"
 	"github.com/ryehaven/ryehaven/event"
 	"github.com/ryehaven/ryehaven/header"
 	"github.com/ryehaven/ryehaven/table"
@@ -60,6 +61,14 @@
 	reached, most int
 	// mayHaveRun says that some attempt may have run the request.
 	mayHaveRun bool
+
+	// print is what the request's tries have in common, once hasPrint says so.
+	print    blame.Print
+	hasPrint bool
+	// suspect says that servers have ended under the request, and blamedFor is for how
+	// long it is not run.
+	suspect   bool
+	blamedFor time.Duration
 }
 
 // demand is what the request asks of a server.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -77,6 +77,9 @@
 	MeasureAfter time.Duration
 	// ClockStep moves the time of day that the gate reads, for tests.
 	ClockStep time.Duration
+	// Blame is what the node knows of requests under which servers have ended; nil
+	// blames none.
+	Blame Blame
 	// FailedBelow reports whether a request that this host sent on to another
 	// service has failed since a time; it may be nil. A server error is then
 	// taken for the echo of that failure, which was retried already.
@@ -143,6 +146,9 @@
 
 // New returns a gate for a row.
 func New(row table.Server, settings Settings) *Gate {
+	if settings.Blame == nil {
+		settings.Blame = nobody{}
+	}
 	g := &Gate{
 		settings: settings,
 		name:     row.Name,
@@ -295,6 +301,11 @@
 	j.ticket.Value = j
 	g.jobs[s] = j
 	g.asked = s.Received
+	if reason, retryAfter := g.judge(j, time.Now()); reason != 0 {
+		g.refuseFor(j, reason, retryAfter)
+		g.mu.Unlock()
+		return
+	}
 	evicted := g.queue.Offer(time.Now(), &j.ticket)
 	left := []*admit.Ticket{&j.ticket}
 	if evicted != nil {
@@ -341,12 +352,17 @@
 
 // refuse answers a job that was not run. It is called with the lock held.
 func (g *Gate) refuse(j *job, reason wire.Reason) {
+	g.refuseFor(j, reason, g.queue.RetryAfter(time.Now()))
+}
+
+// refuseFor is refuse with the time after which to come back.
+func (g *Gate) refuseFor(j *job, reason wire.Reason, retryAfter time.Duration) {
 	delete(g.jobs, j.stream)
 	g.Counters.Refused.Add(1)
 	g.Counters.RefusedBy[reason].Add(1)
 	load := g.load()
 	g.record(j, load, event.NotRun, reason.String(), 0)
-	j.stream.Refuse(reason, g.queue.RetryAfter(time.Now()), load)
+	j.stream.Refuse(reason, retryAfter, load)
 }
 
 // record writes what became of a job, with the load after it. Fields of the
--- a/gate/job.go
+++ b/gate/job.go
@@ -5,6 +5,7 @@
 import (
 	"io"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -12,6 +13,7 @@
 
 	"github.com/ryehaven/ryehaven/admit"
 	"github.com/ryehaven/ryehaven/backend"
+	"github.com/ryehaven/ryehaven/blame"
 	"github.com/ryehaven/ryehaven/event"
 	"github.com/ryehaven/ryehaven/header"
 	"github.com/ryehaven/ryehaven/peer"
@@ -38,6 +40,12 @@
 	canceled bool
 	exchange *backend.Exchange
 
+	// accused says that servers had ended under the request when it came; the gate's
+	// lock guards it.
+	accused   bool
+	printOnce sync.Once
+	printed   blame.Print
+
 	began time.Time
 	// slowness is the server's when the job began, in percent; 0 if not known.
 	slowness int
@@ -127,6 +135,9 @@
 		reason = wire.ReasonCanceled
 	case !time.Now().Before(j.stream.Deadline):
 		reason = wire.ReasonDeadline
+	default:
+		// A server may have ended under it while it was queued.
+		reason, _ = j.gate.judge(j, time.Now())
 	}
 	if reason != 0 {
 		exchange.Abort()
@@ -246,6 +257,7 @@
 	ok := response.Status < fasthttp.StatusInternalServerError
 	if err == io.EOF {
 		response.Last = true
+		j.clear(ok)
 		exchange.Finish(true)
 		response.Load = j.done(ok)
 		j.gate.record(j, response.Load, event.Answered, "", response.Status)
@@ -264,6 +276,7 @@
 		j.finishReset(err)
 		return
 	}
+	j.clear(ok)
 	j.done(ok)
 	j.gate.Counters.Answered.Add(1)
 }
@@ -374,7 +387,7 @@
 
 func (j *job) finishReset(err error) {
 	mute := j.isMute()
-	if !mute && j.gate.hasEnded(j) {
+	if !mute && j.gate.hasEnded(j, err) {
 		err = errEnded
 	}
 	if now := time.Now(); now.Before(j.stream.Deadline) && !mute {
--- /dev/null
+++ b/node/blame.go
@@ -0,0 +1,53 @@
+// SPDX-License-Identifier: MIT
+
+package node
+
+import (
+	"time"
+
+	"github.com/ryehaven/ryehaven/blame"
+	"github.com/ryehaven/ryehaven/event"
+)
+
+// blamer is what the node knows of requests under which servers have ended, as its entry,
+// its gates and its part in spreading need it.
+type blamer struct {
+	blame.Ledger
+
+	node *Node
+}
+
+// Compare implements entry.Blame.
+func (b *blamer) Compare(address string) { b.node.spread.CompareBlame(address) }
+
+// Ended implements gate.Blame.
+func (b *blamer) Ended(now time.Time, end uint64, atWork []blame.AtWork) {
+	b.record(b.Ledger.Ended(now, end, atWork), false)
+	b.node.spread.TellBlame()
+}
+
+// Answered implements gate.Blame.
+func (b *blamer) Answered(now time.Time, p blame.Print) {
+	if changes := b.Ledger.Answered(now, p); len(changes) > 0 {
+		b.record(changes, false)
+		b.node.spread.TellBlame()
+	}
+}
+
+// Merge implements spread.Blame.
+func (b *blamer) Merge(now time.Time, records []blame.Record) (news bool) {
+	changes := b.Ledger.Merge(now, records)
+	b.record(changes, true)
+	return len(changes) > 0
+}
+
+// record writes what a node says of a request for the first time, and each change of
+// that: suspects are told of by the node of their server alone, with the server's end.
+func (b *blamer) record(changes []blame.Change, heard bool) {
+	for _, c := range changes {
+		if c.Verdict == blame.Suspect || (heard && c.Verdict == blame.Clear) {
+			continue
+		}
+		b.node.recorder.Record(&event.Blame{Print: c.Print.String(), Now: c.Verdict.String(), Ends: c.Ends, For: c.For, Heard: heard})
+	}
+}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -41,6 +41,7 @@
 		metric.Count("entry_hedges_won", "requests", "requests that the second attempt answered first", &c.HedgesWon),
 		metric.Count("entry_caller_gone", "requests", "requests whose caller closed its connection", &c.CallerGone),
 		metric.Count("entry_awaited_speed", "requests", "requests that waited for the end of a server's slow spell", &c.AwaitedSpeed),
+		metric.Count("entry_blamed", "requests", "requests not sent to a server, or not again, since servers had ended under them", &c.Blamed),
 		metric.Count("entry_turned_away", "requests", "requests refused as not run because the node stops", &c.TurnedAway),
 		metric.Count("accept_failures", "connections", "connections that could not be accepted, for want of descriptors", &n.acceptFailures),
 		metric.Count("entry_connections", "connections", "callers' open connections", &n.openConns),
--- a/node/node.go
+++ b/node/node.go
@@ -91,6 +91,7 @@
 	dialect  header.Dialect
 	recorder *event.Recorder
 	origins  admit.Origins
+	blame    blamer
 
 	mu       sync.Mutex
 	registry announce.Registry
@@ -133,6 +134,7 @@
 	n.dialect.Prepare()
 	n.recorder = options.Recorder
 	n.registry.Service = s.Sidecar.Service
+	n.blame.node = n
 	if err := n.listen(); err != nil {
 		n.closeListeners()
 		return nil, err
@@ -162,7 +164,7 @@
 	n.dialer.OnSlowness = n.entry.Slowness
 	n.notices = rate.NewLimiter(noticesPerSecond, noticesPerSecond)
 	n.holder = &spread.Holder{Log: n.log, OnTaken: n.apply}
-	n.spread = spread.New(spreadSettings(s), n.log, n.holder, member.NewView(n.record(incarnation)), n.dialer, options.Store, n.viewChanged)
+	n.spread = spread.New(n.spreadSettings(), n.log, n.holder, member.NewView(n.record(incarnation)), n.dialer, options.Store, n.viewChanged)
 	n.dialer.OnPeer = n.spread.Met
 	n.peerServer.OnPeer = n.heard
 	n.metrics = n.describe()
--- a/node/parts.go
+++ b/node/parts.go
@@ -26,6 +26,7 @@
 		Dialect:           n.dialect,
 		Caller:            n.settings.Sidecar.Service,
 		Recorder:          n.recorder,
+		Blame:             &n.blame,
 		Versions:          n.versions,
 		Confirmed:         func(now time.Time) (time.Duration, bool) { return n.spread.ConfirmedAge(now) },
 		Doubts:            func(now time.Time) bool { return n.spread.Doubts(now) },
@@ -46,6 +47,7 @@
 		Dialect:         n.dialect,
 		News:            n.wakeUp,
 		Recorder:        n.recorder,
+		Blame:           &n.blame,
 		WrongServer:     func(name string) { go n.lostServer(name) },
 		ColdOvershoot:   n.settings.Cold.Overshoot,
 		ColdSlack:       n.settings.Cold.Slack,
@@ -60,8 +62,10 @@
 // may use; the rest is left to measuring servers that are silent.
 const checkShare = 0.6
 
-func spreadSettings(s settings.Settings) spread.Settings {
+func (n *Node) spreadSettings() spread.Settings {
+	s := n.settings
 	return spread.Settings{
+		Blame:               &n.blame,
 		Seeds:               s.Peers.Seeds,
 		Interval:            time.Second,
 		Evacuations:         s.Platform.Evacuations,
--- a/spread/answer.go
+++ b/spread/answer.go
@@ -26,6 +26,9 @@
 	case TopicTable:
 		reply, err = s.answerTable()
 		return reply, true, err
+	case TopicBlame:
+		reply, err = s.answerBlame(payload)
+		return reply, true, err
 	default:
 		return nil, false, nil
 	}
--- a/spread/exchange.go
+++ b/spread/exchange.go
@@ -61,6 +61,7 @@
 	s.noteExchange(now)
 	s.View(func(v *member.View) { v.Reached(target.Host) })
 	s.learn(now, reply.Digest)
+	s.compareBlame(l, target.Host, s.settings.AskLimit, false)
 	if len(reply.Records) > 0 {
 		s.merge(now, reply.Records)
 	}
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -45,6 +45,9 @@
 	Register bool
 	// HostsEvery is the time between two readings of the list of hosts.
 	HostsEvery time.Duration
+	// Blame is what the node knows of requests under which servers have ended; nil for
+	// a node that neither learns nor tells of any.
+	Blame Blame
 	// TableBytesPerSecond bounds the bytes of tables given to other nodes.
 	TableBytesPerSecond int
 }
@@ -104,6 +107,9 @@
 	registered chan struct{}
 	// joined is closed once the node knows others, or has waited for them.
 	joined chan struct{}
+	// blameCompared says that another node has told what it knows of requests under which
+	// servers have ended.
+	blameCompared atomic.Bool
 	// reached tells when the store is lost and regained.
 	reached dependency
 
--- a/wire/message.go
+++ b/wire/message.go
@@ -248,10 +248,14 @@
 	ReasonSlow Reason = 8
 	// ReasonCold: the server is cold and has got as many requests as it bears.
 	ReasonCold Reason = 9
+	// ReasonSuspect: servers have ended under the request, and another such is at work.
+	ReasonSuspect Reason = 10
+	// ReasonBlamed: servers have ended under the request, and it is not run for a while.
+	ReasonBlamed Reason = 11
 )
 
 // Reasons is above every Reason, for arrays by reason.
-const Reasons = 10
+const Reasons = 12
 
 var reasonNames = map[Reason]string{
 	ReasonOverload: "overload",
@@ -263,6 +267,8 @@
 	ReasonConnect:  "connect",
 	ReasonSlow:     "slow",
 	ReasonCold:     "cold",
+	ReasonSuspect:  "suspect",
+	ReasonBlamed:   "blamed",
 }
 
 // Full reports whether the server had no room for the request now, so that another
@@ -286,6 +292,10 @@
 	Load             Load
 }
 
+// ServerEnded is the Message of a Reset after which the entry asks the gate's node under
+// which requests the server ended, before it sends this one again.
+const ServerEnded = "the backend server has ended"
+
 // Reset ends a request that was handed to the backend server and has no whole
 // answer. Whether it ran is not known.
 type Reset struct {
