--- a/spread/blame_test.go
+++ b/spread/blame_test.go
@@ -3,7 +3,7 @@
 package spread
 
 import (
-	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,33 +15,20 @@
 // ledger is a Blame that counts what it is told.
 type ledger struct {
 	blame.Ledger
-	told int
+	told atomic.Int64
 }
 
 func (l *ledger) Merge(now time.Time, records []blame.Record) (news bool) {
-	l.told += len(records)
+	l.told.Add(int64(len(records)))
 	return len(l.Ledger.Merge(now, records)) > 0
 }
 
 // crasher is a request that all nodes are to know.
 var crasher = blame.Print{1, 2, 3}
 
-// ledgerOf is what a node of a fleet knows.
+// ledger is what a node of a fleet knows.
 func (n *fleetNode) ledger() *ledger { return n.spread.settings.Blame.(*ledger) }
 
-// startBlaming returns a fleet whose nodes tell each other whom they blame.
-func startBlaming(t *testing.T) (f *fleet, wait *sync.WaitGroup) {
-	t.Helper()
-	f, wait = newFleet(fleetNodes, fleetZones), new(sync.WaitGroup)
-	for _, n := range f.nodes {
-		n.spread.settings.Blame = new(ledger)
-		n.spread.holder.Offer(snapshot(t, 1, "x"), "test")
-		n.run(wait)
-	}
-	f.agree(t, 8*time.Second)
-	return f, wait
-}
-
 // blames has a node see two ends under a request, and tell others.
 func (n *fleetNode) blames(p blame.Print) {
 	now := time.Now()
@@ -77,7 +64,8 @@
 // does not know costs another server. Three seconds are the bound that operators give.
 func TestBlameReachesEveryNodeSoon(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f, wait := startBlaming(t)
+		f, wait := startFleet(t)
+		f.agree(t, 8*time.Second)
 		f.nodes[3].blames(crasher)
 		t.Logf("known everywhere after %v", f.untilBlamed(t, 3*time.Second))
 		f.stop(wait)
@@ -88,7 +76,8 @@
 // that one of them saw meanwhile clears it everywhere.
 func TestBlameCrossesACutAndIsCleared(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f, wait := startBlaming(t)
+		f, wait := startFleet(t)
+		f.agree(t, 8*time.Second)
 		f.mu.Lock()
 		f.cut = func(a, b string) bool { return (a == "zone-0") != (b == "zone-0") }
 		f.mu.Unlock()
@@ -114,13 +103,13 @@
 // A node that starts anew has forgotten all, and callers come to it at once.
 func TestNodeThatStartsAnewLearnsWhomToBlame(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f, wait := startBlaming(t)
+		f, wait := startFleet(t)
+		f.agree(t, 8*time.Second)
 		f.nodes[3].blames(crasher)
 		f.untilBlamed(t, 3*time.Second)
 		f.nodes[7].cancel()
 		f.nodes = append(f.nodes[:7], f.nodes[8:]...)
 		fresh := f.add(7, 200, fleetZones)
-		fresh.spread.settings.Blame = new(ledger)
 		f.list(fresh)
 		fresh.run(wait)
 		for _, n := range f.nodes[:len(f.nodes)-1] {
@@ -137,10 +126,11 @@
 // node once and then sums alone.
 func TestBlameCostsNothingWhileNobodyIsBlamed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f, wait := startBlaming(t)
+		f, wait := startFleet(t)
+		f.agree(t, 8*time.Second)
 		time.Sleep(10 * time.Second)
 		for _, n := range f.nodes {
-			if n.ledger().told != 0 {
+			if n.ledger().told.Load() != 0 {
 				t.Fatal("a record was told although no server has ended")
 			}
 		}
@@ -150,16 +140,16 @@
 		f.nodes[3].blames(crasher)
 		f.untilBlamed(t, 3*time.Second)
 		time.Sleep(5 * time.Second)
-		told := 0
+		told := int64(0)
 		for _, n := range f.nodes {
-			told += n.ledger().told
+			told += n.ledger().told.Load()
 		}
 		after := f.farBytes()
 		time.Sleep(10 * time.Second)
 		after = f.farBytes() - after
 		again := -told
 		for _, n := range f.nodes {
-			again += n.ledger().told
+			again += n.ledger().told.Load()
 		}
 		t.Logf("%d bytes crossed zones in ten calm seconds, %d with one request blamed; the record was told %d times", calm, after, told)
 		if again != 0 {
