soak, explain: servers that end, with and without a request that crashes them

Its oracle bounds the servers that run such a request later than the contact time after the third crash.

--- a/entry/record.go
+++ b/entry/record.go
@@ -64,6 +64,9 @@
 		line.Route = r.route.Host + r.route.Prefix
 		line.Aim = r.route.Aim
 	}
+	if r.suspect || r.blamedFor > 0 {
+		line.Print = r.print.String()
+	}
 	select {
 	case <-r.gone:
 		line.Outcome = event.Gone
--- a/event/event.go
+++ b/event/event.go
@@ -131,7 +131,10 @@
 	Limit      time.Duration
 	RetryAfter time.Duration
 	// Denied says that another attempt was not paid for by the budget.
-	Denied     bool
+	Denied bool
+	// Print is alike for all tries of the request; blank unless servers have ended under
+	// one of them.
+	Print      string
 	Candidates Candidates
 	Attempts   Attempts
 }
@@ -169,6 +172,9 @@
 	if r.Denied {
 		e.AddBool("denied_by_budget", true)
 	}
+	if r.Print != "" {
+		e.AddString("print", r.Print)
+	}
 	if err := e.AddArray("candidates", r.Candidates); err != nil {
 		return err
 	}
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -49,6 +49,8 @@
 	kindServer  = "backend server changed"
 	kindTable   = "table in force"
 	kindMember  = "member"
+	kindEnded   = "server ended"
+	kindBlame   = "blame"
 )
 
 // lifeKinds are lines about a node as a whole.
@@ -69,6 +71,8 @@
 	// beliefs are changes of state by host, and lives what became of nodes.
 	beliefs []Line
 	lives   []Line
+	// ends are servers that ended at work, and blames what nodes took requests for then.
+	ends, blames []Line
 	// hostOf is the host beside which a backend server stands.
 	hostOf map[string]string
 	// Skipped counts lines that could not be read.
@@ -116,6 +120,10 @@
 		l.hostOf[line.text("id")] = line.Host
 	case line.Kind == kindBelief, line.Kind == kindTable, line.Kind == kindMember:
 		l.beliefs = append(l.beliefs, line)
+	case line.Kind == kindEnded:
+		l.ends = append(l.ends, line)
+	case line.Kind == kindBlame:
+		l.blames = append(l.blames, line)
 	case lifeKinds[line.Kind]:
 		l.lives = append(l.lives, line)
 	}
@@ -149,7 +157,7 @@
 			steps = append(steps, l.job(0, &l.jobs[i]))
 		}
 	}
-	return steps, nil
+	return append(steps, l.endsUnder()...), nil
 }
 
 func (l *Log) request(line *Line, used map[int]bool) []Step {
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -101,3 +101,25 @@
 		}
 	}
 }
+
+// A request that is refused tells of the servers that ended under its other tries.
+func TestStoryOfARequestThatCrashesServers(t *testing.T) {
+	story, _ := storyOf(t, `
+{"level":"info","ts":"2026-01-01T00:00:12Z","msg":"request","host":"host-1","id":"9c41","print":"abc","route":"h/read/","service":"a","outcome":"not-run","status":503,"detail":"refused: blamed","took_ms":0.3}
+{"level":"info","ts":"2026-01-01T00:00:10Z","msg":"server ended","host":"host-2","service":"a","server":"i-1","at_work":[{"id":"9c3f","print":"abc","took_ms":60},{"id":"7777","print":"def","took_ms":3}]}
+{"level":"info","ts":"2026-01-01T00:00:11Z","msg":"server ended","host":"host-3","service":"a","server":"i-2","at_work":[{"id":"9c40","print":"abc","took_ms":61}]}
+{"level":"info","ts":"2026-01-01T00:00:11Z","msg":"server ended","host":"host-4","service":"b","server":"i-3","at_work":[{"id":"7777","print":"def","took_ms":5}]}
+{"level":"info","ts":"2026-01-01T00:00:11.1Z","msg":"blame","host":"host-3","print":"abc","now":"blamed","ends":2,"for_ms":60000,"heard":false}
+{"level":"info","ts":"2026-01-01T00:00:11.2Z","msg":"blame","host":"host-4","print":"abc","now":"blamed","ends":2,"for_ms":60000,"heard":true}
+`)
+	for _, want := range []string{
+		"server i-1 ended, 60.0 ms after this request (9c3f)", "server i-2 ended", "taken for blamed after 2 ends under it, not run for 60 s",
+	} {
+		if !strings.Contains(story, want) {
+			t.Errorf("the story lacks %q:\n%s", want, story)
+		}
+	}
+	if n := strings.Count(story, "\n"); n != 4 {
+		t.Errorf("%d lines, want 4:\n%s", n, story)
+	}
+}
--- a/internal/faultproxy/faultproxy.go
+++ b/internal/faultproxy/faultproxy.go
@@ -32,15 +32,17 @@
 
 // Proxy passes connections on to a target. Make it with New.
 type Proxy struct {
-	listener net.Listener
+	address string
 
-	mu     sync.Mutex
-	target string
-	fault  Fault
+	mu       sync.Mutex
+	listener net.Listener
+	target   string
+	fault    Fault
 	// changed is closed when the fault changes.
 	changed chan struct{}
 	conns   map[net.Conn]struct{}
 	closed  bool
+	down    bool
 	// pairs are the connections passed on now.
 	pairs map[*pair]struct{}
 }
@@ -70,13 +72,13 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: listener, changed: make(chan struct{}), conns: map[net.Conn]struct{}{}, pairs: map[*pair]struct{}{}}
-	go p.accept()
+	p := &Proxy{address: listener.Addr().String(), listener: listener, changed: make(chan struct{}), conns: map[net.Conn]struct{}{}, pairs: map[*pair]struct{}{}}
+	go p.accept(listener)
 	return p, nil
 }
 
 // Address returns where the proxy listens.
-func (p *Proxy) Address() string { return p.listener.Addr().String() }
+func (p *Proxy) Address() string { return p.address }
 
 // SetTarget makes new connections go to an address.
 func (p *Proxy) SetTarget(address string) {
@@ -132,11 +134,39 @@
 	p.changed = make(chan struct{})
 }
 
+// Down has the address refuse connections, as where nobody listens, and ends those that
+// are open. Up takes them again.
+func (p *Proxy) Down() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = true
+	p.listener.Close()
+	for c := range p.conns {
+		c.Close()
+	}
+}
+
+// Up listens again after Down.
+func (p *Proxy) Up() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || !p.down {
+		return nil
+	}
+	listener, err := net.Listen("tcp", p.address)
+	if err != nil {
+		return err
+	}
+	p.listener, p.down = listener, false
+	go p.accept(listener)
+	return nil
+}
+
 // Close ends the proxy and its connections.
 func (p *Proxy) Close() {
-	p.listener.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.listener.Close()
 	p.closed = true
 	close(p.changed)
 	p.changed = make(chan struct{})
@@ -151,9 +181,9 @@
 	return p.fault, p.target, p.changed, p.closed
 }
 
-func (p *Proxy) accept() {
+func (p *Proxy) accept(listener net.Listener) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -194,7 +224,7 @@
 	for _, c := range conns {
 		p.conns[c] = struct{}{}
 	}
-	return !p.closed
+	return !p.closed && !p.down
 }
 
 func (p *Proxy) remove(both *pair, conns ...net.Conn) {
--- a/internal/faultproxy/faultproxy_test.go
+++ b/internal/faultproxy/faultproxy_test.go
@@ -185,3 +185,26 @@
 	passes(t, dialing, accepting, true) // Once data passes the proxy knows the pair.
 	return p, dialing, accepting
 }
+
+// While it is down the address refuses connections, and open ones have ended.
+func TestDownRefusesUntilUp(t *testing.T) {
+	p, c := through(t)
+	for range 2 {
+		p.Down()
+		_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+		if _, err := c.Read(make([]byte, 1)); err == nil {
+			t.Error("an open connection goes on")
+		}
+		if _, err := net.Dial("tcp", p.Address()); !errors.Is(err, syscall.ECONNREFUSED) {
+			t.Errorf("connecting: %v, want a refusal", err)
+		}
+		if err := p.Up(); err != nil {
+			t.Fatal(err)
+		}
+		var err error
+		if c, err = net.Dial("tcp", p.Address()); err != nil {
+			t.Fatalf("after Up: %v", err)
+		}
+		defer c.Close()
+	}
+}
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -118,6 +118,8 @@
 	RetryWindow time.Duration
 	// Evacuate is when nothing may come to an evacuated zone any more.
 	Evacuate time.Duration
+	// CrashesAgain is how often a request that has crashed three servers may come to more.
+	CrashesAgain int
 	// ColdMost is the most that a cold server may get in a second.
 	ColdMost int
 	// ServedDuring and ServedAfter are the least shares of requests served within
@@ -139,17 +141,18 @@
 // UsualBounds are those of the users' small deployments.
 func UsualBounds() Bounds {
 	return Bounds{
-		Contact:     3 * time.Second,
-		Drain:       2 * time.Second,
-		Apply:       2 * time.Second,
-		Rollback:    250 * time.Millisecond,
-		LossSlack:   200 * time.Millisecond,
-		RetryShare:  0.2,
-		RetryExtra:  58,
-		RetryWindow: 10 * time.Second,
-		Evacuate:    3 * time.Second,
-		ColdMost:    coldPerSecond*coldOvershoot + coldSlack,
-		Silent:      3 * time.Second,
+		Contact:      3 * time.Second,
+		Drain:        2 * time.Second,
+		Apply:        2 * time.Second,
+		Rollback:     250 * time.Millisecond,
+		LossSlack:    200 * time.Millisecond,
+		RetryShare:   0.2,
+		RetryExtra:   58,
+		RetryWindow:  10 * time.Second,
+		Evacuate:     3 * time.Second,
+		CrashesAgain: 3,
+		ColdMost:     coldPerSecond*coldOvershoot + coldSlack,
+		Silent:       3 * time.Second,
 		// A quarter served is what the users hold after disturbances.
 		ServedDuring: 0.25,
 		ServedAfter:  0.25,
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -57,9 +57,11 @@
 	// restarting is held while the process ends and starts.
 	restarting sync.Mutex
 
-	mu       sync.Mutex
-	server   *emulator.Server
-	leaving  bool
+	mu      sync.Mutex
+	server  *emulator.Server
+	leaving bool
+	// closing says that no server starts any more.
+	closing  bool
 	started  int
 	seq      uint64
 	retired  []*emulator.Server
@@ -256,10 +258,15 @@
 		return err
 	}
 	server.SetWork(h.site.work)
+	server.CrashOn(crashMark, h.toServer.Down)
 	if h.server != nil {
 		h.retired = append(h.retired, h.server)
+		if err := h.toServer.Up(); err != nil {
+			return err
+		}
 	}
 	h.server, h.leaving, h.seq = server, false, 0
+	go h.bringBack(server)
 	return nil
 }
 
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -31,6 +31,7 @@
 	PromiseEvacuate = "evacuated zones get nothing"
 	PromiseDenied   = "proper requests are not rejected as wrong"
 	PromiseService  = "service while connections are silent"
+	PromiseCrash    = "requests that crash servers are stopped"
 )
 
 // Check returns every promise that a history breaks.
@@ -47,6 +48,7 @@
 	o.checkService()
 	o.checkBudget()
 	o.checkCold()
+	o.checkCrashes()
 	o.checkEvacuations()
 	o.checkEnds()
 	return o.found
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -188,6 +188,16 @@
 		}},
 		{"a process that crashed", PromiseEnds, func(h *History) { h.Lives[0].Unexpected = "panic: x" }},
 		{"a cold server that got too much", PromiseCold, func(h *History) { h.Cold = []Cold{{Server: "i-0", Most: 51}} }},
+		{"a request that goes on crashing servers", PromiseCrash, func(h *History) {
+			h.Evacuations = nil
+			for _, ms := range []int{10_100, 10_200, 10_300, 13_290, 13_310, 13_320, 13_330, 13_340} {
+				c := answered(fmt.Sprint("c", ms), ms)
+				c.URI = "/read/x" + crashMark
+				c.Reply = emulator.Reply{Status: 502}
+				h.Calls = append(h.Calls, c)
+				h.Arrivals = append(h.Arrivals, arrival(c, fmt.Sprint("i-", ms), ms))
+			}
+		}},
 		{"work in an evacuated zone", PromiseEvacuate, func(h *History) {
 			h.Evacuations = []Evacuation{{Zone: "z", From: at(6000), To: at(11_000)}}
 		}},
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -69,6 +69,11 @@
 	ForgetAll Kind = "forget-all"
 	// Evacuate asks that the servers of a host's zone get nothing, for a time.
 	Evacuate Kind = "evacuate"
+	// ServerEnd ends backend servers without a word and starts others in their place.
+	ServerEnd Kind = "server-end"
+	// ServerCrash has a request come again and again that crashes each server that runs
+	// it; others start in their place.
+	ServerCrash Kind = "server-crash"
 	// Release drains a backend server and starts another in its place.
 	Release Kind = "release"
 	// Change writes a new configuration.
@@ -172,10 +177,34 @@
 			steps = append(steps, drawBeside(rng, step, hosts, length))
 		}
 	}
+	steps = append(steps, drawEnds(seed, hosts, length)...)
 	sort.Slice(steps, func(a, b int) bool { return steps[a].At < steps[b].At })
 	return steps
 }
 
+// endsDays is of how many seeds one has servers that end.
+const endsDays = 2
+
+// drawEnds returns the steps in which servers end: a request that crashes them for most of
+// the run, and ends that no request causes. They are drawn apart, so that a seed's other
+// steps stay as they were.
+func drawEnds(seed uint64, hosts int, length time.Duration) []Step {
+	if seed%endsDays != 0 {
+		return nil
+	}
+	rng := rand.New(rand.NewPCG(seed, 2))
+	at := time.Duration(rng.Int64N(int64(length) / 3))
+	steps := []Step{{At: at, For: length - at, Kind: ServerCrash}}
+	for range rng.IntN(3) {
+		steps = append(steps, Step{
+			At:    time.Duration(rng.Int64N(int64(length))),
+			Kind:  ServerEnd,
+			Hosts: rng.Perm(hosts)[:1+rng.IntN(hosts)],
+		})
+	}
+	return steps
+}
+
 // draw returns one step.
 func draw(rng *rand.Rand, kinds []Kind, hosts int, length time.Duration) Step {
 	s := Step{
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -318,6 +318,9 @@
 // close ends every process and connection of the site.
 func (s *site) close() {
 	for _, h := range s.hosts {
+		h.mu.Lock()
+		h.closing = true
+		h.mu.Unlock()
 		if h.ended != nil {
 			h.signal(syscall.SIGCONT)
 			h.end(syscall.SIGKILL, stopBound)
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -19,6 +19,10 @@
 		s.forgetAll(ctx, step)
 		return
 	}
+	if step.Kind == ServerCrash {
+		s.during(Everywhere, step, func() { s.crashServers(ctx, step) })
+		return
+	}
 	hosts := step.Hosts
 	if step.Kind == KillAll {
 		hosts = nil
@@ -48,7 +52,7 @@
 	span := Span{Host: host, From: from, To: time.Now(), Kind: step.Kind, Unplanned: !isPlanned}
 	switch step.Kind {
 	case Reload: // The host's node and its server go on.
-	case Release, Evacuate, ServerCold: // Its node goes on.
+	case Release, Evacuate, ServerCold, ServerEnd, ServerCrash: // Its node goes on.
 		s.addWeak(span)
 	default:
 		s.addSpan(span)
@@ -158,6 +162,8 @@
 		s.evacuate(ctx, h.zone, step.For)
 	case Release:
 		h.release(step.For)
+	case ServerEnd:
+		h.endServer()
 	}
 }
 
