--- a/internal/soak/play.go
+++ b/internal/soak/play.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -43,6 +44,9 @@
 	Hosts                                    int
 	Steps                                    []Step
 	Calls, Answered, Refused, Failed, Others int
+	// Crashed is how many servers ended under requests that crash them, and Tries how
+	// often those were sent.
+	Crashed, Tries int
 	// HealedAfter is how long after the last fault all hosts served again.
 	HealedAfter time.Duration
 	Violations  []Violation
@@ -98,6 +102,7 @@
 	report.Violations = Check(s.history, o.Bounds)
 	report.Aftermaths = Aftermaths(s.history, o.Bounds)
 	report.count(s.history.Calls)
+	report.countCrashes(&s.history)
 	report.Notes = s.notes
 	if len(report.Violations) > 0 {
 		return report, s.keep(report)
@@ -153,6 +158,20 @@
 	}
 }
 
+// countCrashes counts what requests that crash servers did.
+func (r *Report) countCrashes(h *History) {
+	for _, c := range h.Calls {
+		if strings.Contains(c.URI, crashMark) {
+			r.Tries++
+		}
+	}
+	for _, a := range h.Arrivals {
+		if a.Ran && strings.Contains(a.URI, crashMark) {
+			r.Crashed++
+		}
+	}
+}
+
 // keep writes the schedule, the report and the history beside the logs.
 func (s *site) keep(r Report) error {
 	for name, v := range map[string]any{"report.json": r, "history.json": s.history} {
@@ -184,8 +203,12 @@
 
 // String sums a report up on one line.
 func (r Report) String() string {
-	return fmt.Sprintf("seed %d: %d hosts, %d steps, %d calls: %d answered, %d refused, %d without answer, %d others; healed after %.2fs; %d broken",
-		r.Seed, r.Hosts, len(r.Steps), r.Calls, r.Answered, r.Refused, r.Failed, r.Others, r.HealedAfter.Seconds(), len(r.Violations))
+	crashes := ""
+	if r.Tries > 0 {
+		crashes = fmt.Sprintf("%d servers crashed under %d tries; ", r.Crashed, r.Tries)
+	}
+	return fmt.Sprintf("seed %d: %d hosts, %d steps, %d calls: %d answered, %d refused, %d without answer, %d others; %shealed after %.2fs; %d broken",
+		r.Seed, r.Hosts, len(r.Steps), r.Calls, r.Answered, r.Refused, r.Failed, r.Others, crashes, r.HealedAfter.Seconds(), len(r.Violations))
 }
 
 // toldMost is how many findings of one promise are told; the history has all.
