entry, peer: a body read ahead no longer ends the connection between nodes

The first part of a body goes to the gate with the request and may not be larger than what a gate takes before it gives credit. It was whatever had been read by the time the message was made: 16 KB at least, 144 on a machine where the goroutine that reads on came first. The gate's node then ended the connection ('peer sent more body bytes than it had credit for'), and every request between the two nodes with it, of other callers too. Now it is one chunk. Beside it a connection refuses to send such a request, which fails alone.

--- a/entry/body.go
+++ b/entry/body.go
@@ -77,11 +77,14 @@
 	return b
 }
 
-// whole returns the body if it was read to its end already.
+// whole returns the first part of the body, and whether it is all of it. More than one
+// chunk may have been read by now; a gate ends the connection, with all requests of this
+// node, at more than peer.Window.
 func (b *body) whole() ([]byte, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.kept, b.err == io.EOF && b.start == 0
+	first := b.kept[:min(len(b.kept), peer.MaxChunk)]
+	return first, b.err == io.EOF && b.start == 0 && len(first) == len(b.kept)
 }
 
 // broken returns the error with which the caller's body ended, if it did.
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -119,6 +119,9 @@
 // Start sends a request whose ID and SentMicros it fills in. After an error
 // nothing of the request left this node.
 func (c *Conn) Start(r *wire.Request) (*Call, error) {
+	if len(r.Body) > Window {
+		return nil, ErrOverflow // The peer would end the connection, with all calls.
+	}
 	call := &Call{head: make(chan Head, 1), in: newPipe(), out: newAllowance(), whole: r.Last}
 	call.conn.Store(c)
 	c.starting.Lock()
