announce, member, platform: a life of a server is its ID and its start

A server may start again under its ID; its numbers then begin anew. The registry took an ID for one life: the announcement of one that had drained or was gone was answered with 200 and changed nothing, for ever, and one that had crashed was dropped until its numbers passed those of its former life.

The start (born) is read in platform/, a life's name is ID and start, and that name is what records, gates, pools and logs go by, so that all that was learned of the former life (load, ejection, cold bucket, connections, leaving) ends with it; no message changes. The server itself is asked for by its ID. A later start replaces an earlier one; an earlier one is late, unless its announcements go on for 4 s in which the current life is silent: the host's clock went back. A start that is no whole number above 0 is refused with its place; one that is missing comes before all others of its ID; one in the future is taken, as starts are compared with each other only.

Weighed: a field in the member records (an array of another length, which nodes of the build before refuse), and the gate's word alone (other nodes would keep what they learned of the former life).

--- a/announce/doc.go
+++ b/announce/doc.go
@@ -5,14 +5,18 @@
 //
 // # Lives
 //
-// Each start of a server has an ID of its own that never returns. A [Registry]
-// holds one current server. Another ID replaces it, and an ID that was replaced
-// or has left never becomes current again, so that an announcement that
-// arrives late does not bring back a server that is gone.
+// A life of a server is its ID and its start (member.Life): a server may start again
+// under its ID. A [Registry] holds one current life. Another ID replaces it, or a later
+// start of the same one, whatever its numbers say; a life that was replaced or has left
+// never becomes current again, nor one of its ID that started before, so that an
+// announcement that arrives late does not bring back a server that is gone.
+//
+// A server whose clock went back between two lives starts before its former one by its
+// own word. It is taken if it insists while the former is heard no more.
 //
 // # Order
 //
-// Announcements of one ID carry a number that rises with each; an older one
+// Announcements of one life carry a number that rises with each; an older one
 // changes nothing. The state only rises: ready, draining, gone.
 //
 // An ID that was never heard of may be older than the current one all the same, where
--- a/announce/registry.go
+++ b/announce/registry.go
@@ -15,8 +15,10 @@
 
 // Announcement is what a server says of itself.
 type Announcement struct {
-	// ID names one life of the server.
+	// ID is the server's, and Born when this life of it started, in Unix milliseconds; 0
+	// if it does not tell.
 	ID      string
+	Born    int64
 	Service string
 	// Slots is how many requests it works on at a time.
 	Slots int
@@ -26,8 +28,15 @@
 	Seq uint64
 	// Cold is how much longer the server is cold.
 	Cold time.Duration
+	// Insists says that the server goes on announcing itself although it seems to be from
+	// before the current life, of which nothing was heard meanwhile: its clock went back
+	// between its lives.
+	Insists bool
 }
 
+// life returns whose announcement it is.
+func (a *Announcement) life() member.Life { return member.Life{ID: a.ID, Born: a.Born} }
+
 // Registry holds the server beside one node. The zero value is empty. It is
 // not safe for concurrent use.
 type Registry struct {
@@ -41,18 +50,25 @@
 	// number up to which its announcements are from before.
 	lost    string
 	lostSeq uint64
-	// ended are the IDs that may not become current again.
-	ended map[string]bool
+	// ended are the IDs of lives that may not become current again, with the start of the
+	// last one; those of the same ID that started before have ended too.
+	ended map[string]int64
 	order []string
+	// heard is when the current life was last heard of.
+	heard time.Time
 }
 
 // maxEnded bounds the remembered IDs. A host's server is replaced a few times
 // an hour at most, and an announcement is late by seconds.
 const maxEnded = 64
 
-// Current returns the server; its ID is blank while none is known.
+// Current returns the server; its ID is the name of its life (member.Life), and blank while
+// none is known.
 func (r *Registry) Current() member.Server { return r.current }
 
+// Heard is when the current life was last heard of.
+func (r *Registry) Heard() time.Time { return r.heard }
+
 // ColdUntil is until when the server is cold by its own word.
 func (r *Registry) ColdUntil() time.Time { return r.cold }
 
@@ -62,20 +78,22 @@
 	if r.Service != "" && a.Service != r.Service {
 		return false, eris.Wrapf(ErrWrongService, "%q, want %q", a.Service, r.Service)
 	}
-	if r.ended[a.ID] {
+	name := a.life().Name()
+	if name != r.current.ID && !a.Insists && (r.hasEnded(a.life()) || r.precedes(a.life())) {
 		return false, nil
 	}
-	if a.ID == r.current.ID && a.Seq <= r.seq && r.seq != 0 {
+	if name == r.current.ID && a.Seq <= r.seq && r.seq != 0 {
 		return false, nil
 	}
-	if a.ID == r.lost && a.Seq <= r.lostSeq {
+	if name == r.lost && a.Seq <= r.lostSeq {
 		return false, nil
 	}
 	before := r.current
-	if a.ID != r.current.ID {
+	if name != r.current.ID {
 		r.end(r.current.ID)
-		r.current = member.Server{ID: a.ID, Service: a.Service}
+		r.current = member.Server{ID: name, Service: a.Service}
 	}
+	r.heard = now
 	r.seq = a.Seq
 	r.cold = now.Add(a.Cold)
 	r.current.Slots = a.Slots
@@ -90,15 +108,27 @@
 // current one has crashed and this one stands in its place, or this one has crashed
 // before the current one came and its announcement is late.
 func (r *Registry) Disputes(a Announcement) bool {
-	return r.current.ID != "" && r.current.State == member.Live && a.ID != r.current.ID &&
-		!r.ended[a.ID] && a.ID != r.lost && (r.Service == "" || a.Service == r.Service)
+	name := a.life().Name()
+	return r.current.ID != "" && r.current.State == member.Live && member.LifeOf(r.current.ID).ID != a.ID &&
+		!r.hasEnded(a.life()) && name != r.lost && (r.Service == "" || a.Service == r.Service)
+}
+
+// Precedes reports whether an announcement is of a life of the current server's ID that
+// started before the current one: it is late, or the host's clock went back.
+func (r *Registry) Precedes(a Announcement) bool {
+	return r.precedes(a.life()) && (r.Service == "" || a.Service == r.Service)
+}
+
+func (r *Registry) precedes(l member.Life) bool {
+	current := member.LifeOf(r.current.ID)
+	return l.ID == current.ID && l.Born < current.Born
 }
 
 // Deny takes the word of the server at the address that it is the current one, so that
 // a server which disputed that has ended.
-func (r *Registry) Deny(id string) {
-	if id != r.current.ID {
-		r.end(id)
+func (r *Registry) Deny(a Announcement) {
+	if name := a.life().Name(); name != r.current.ID {
+		r.end(name)
 	}
 }
 
@@ -121,11 +151,15 @@
 	return true
 }
 
-// Leave takes a server's word that it is gone and reports whether that changed
-// the current server.
-func (r *Registry) Leave(id string) bool {
-	if id != r.current.ID {
-		r.end(id)
+// Leave takes a server's word that it is gone and reports whether that changed the current
+// server. A word that does not tell its life is the current life's, if that has the ID.
+func (r *Registry) Leave(l member.Life) bool {
+	current := member.LifeOf(r.current.ID)
+	if l.ID == current.ID && l.Born == 0 {
+		l = current
+	}
+	if l != current || r.current.ID == "" {
+		r.end(l.Name())
 		return false
 	}
 	if r.current.State == member.Gone {
@@ -138,17 +172,19 @@
 // Remember takes what other nodes remember of this node's server from its
 // earlier life and reports whether it changed the server.
 func (r *Registry) Remember(past member.Server) bool {
-	if past.ID == "" || past.ID == r.lost || r.ended[past.ID] {
+	life, current := member.LifeOf(past.ID), member.LifeOf(r.current.ID)
+	switch {
+	case past.ID == "" || past.ID == r.lost:
 		return false
-	}
-	switch r.current.ID {
-	case "":
-		r.current = past
-		return true
-	case past.ID:
+	case past.ID == r.current.ID:
 		before := r.current.State
 		r.current.State = max(before, past.State)
 		return r.current.State != before
+	case r.hasEnded(life):
+		return false
+	case r.current.ID == "", life.ID == current.ID && life.Born > current.Born:
+		r.current, r.seq = past, 0
+		return true
 	}
 	return false
 }
@@ -165,15 +201,25 @@
 	return true
 }
 
-func (r *Registry) end(id string) {
-	if id == "" || r.ended[id] {
+// hasEnded reports whether a life may not become current again.
+func (r *Registry) hasEnded(l member.Life) bool {
+	last, ok := r.ended[l.ID]
+	return ok && l.Born <= last
+}
+
+// end takes note that a life has ended, and those of its ID before it.
+func (r *Registry) end(name string) {
+	l := member.LifeOf(name)
+	if l.ID == "" || r.hasEnded(l) {
 		return
 	}
 	if r.ended == nil {
-		r.ended = map[string]bool{}
+		r.ended = map[string]int64{}
+	}
+	if _, known := r.ended[l.ID]; !known {
+		r.order = append(r.order, l.ID)
 	}
-	r.ended[id] = true
-	r.order = append(r.order, id)
+	r.ended[l.ID] = l.Born
 	if len(r.order) > maxEnded {
 		delete(r.ended, r.order[0])
 		r.order = r.order[1:]
--- a/announce/registry_test.go
+++ b/announce/registry_test.go
@@ -48,7 +48,7 @@
 		}, "a", member.Leaving},
 		{"ready after its leaving", func(t *testing.T, r *Registry) {
 			mustAnnounce(t, r, ready("a", 5))
-			r.Leave("a")
+			r.Leave(member.Life{ID: "a"})
 			mustAnnounce(t, r, ready("a", 6))
 		}, "a", member.Gone},
 		{"the one before after the new one", func(t *testing.T, r *Registry) {
@@ -68,7 +68,7 @@
 		}, "a", member.Live},
 		{"leaving of one never seen", func(t *testing.T, r *Registry) {
 			mustAnnounce(t, r, ready("b", 1))
-			r.Leave("a")
+			r.Leave(member.Life{ID: "a"})
 			mustAnnounce(t, r, ready("a", 2))
 		}, "b", member.Live},
 	}
@@ -124,7 +124,7 @@
 			id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id")
 			before := r.Current()
 			if rapid.IntRange(0, 4).Draw(t, "kind") == 0 {
-				r.Leave(id)
+				r.Leave(member.Life{ID: id})
 			} else {
 				a := ready(id, rapid.Uint64Range(1, 20).Draw(t, "seq"))
 				a.Draining = rapid.Bool().Draw(t, "draining")
@@ -154,7 +154,7 @@
 		{"nothing known", func(*Registry) {}, true},
 		{"another is known", func(r *Registry) { mustAnnounce(t, r, ready("b", 1)) }, false},
 		{"itself is known to leave", func(r *Registry) { mustAnnounce(t, r, draining("a", 1)) }, false},
-		{"it has left", func(r *Registry) { r.Leave("a") }, false},
+		{"it has left", func(r *Registry) { r.Leave(member.Life{ID: "a"}) }, false},
 		{"another was met in its place", func(r *Registry) {
 			mustAnnounce(t, r, ready("a", 1))
 			r.Lost("a")
@@ -195,9 +195,9 @@
 		{"another is live", func(r *Registry) { mustAnnounce(t, r, ready("a", 1)) }, "b", true},
 		{"another was found", func(r *Registry) { r.Found(member.Server{ID: "a"}, time.Time{}) }, "b", true},
 		{"another leaves", func(r *Registry) { mustAnnounce(t, r, draining("a", 1)) }, "b", false},
-		{"another has gone", func(r *Registry) { mustAnnounce(t, r, ready("a", 1)); r.Leave("a") }, "b", false},
+		{"another has gone", func(r *Registry) { mustAnnounce(t, r, ready("a", 1)); r.Leave(member.Life{ID: "a"}) }, "b", false},
 		{"it was replaced", func(r *Registry) { mustAnnounce(t, r, ready("b", 1)); mustAnnounce(t, r, ready("a", 1)) }, "b", false},
-		{"it was denied", func(r *Registry) { mustAnnounce(t, r, ready("a", 1)); r.Deny("b") }, "b", false},
+		{"it was denied", func(r *Registry) { mustAnnounce(t, r, ready("a", 1)); r.Deny(ready("b", 1)) }, "b", false},
 	} {
 		var r Registry
 		test.before(&r)
@@ -207,7 +207,7 @@
 	}
 	var r Registry
 	mustAnnounce(t, &r, ready("a", 1))
-	r.Deny("b")
+	r.Deny(ready("b", 1))
 	mustAnnounce(t, &r, ready("b", 9))
 	if r.Current().ID != "a" {
 		t.Errorf("current is %+v after the announcement of one that was denied", r.Current())
--- a/gate/job.go
+++ b/gate/job.go
@@ -16,6 +16,7 @@
 	"github.com/ryehaven/ryehaven/blame"
 	"github.com/ryehaven/ryehaven/event"
 	"github.com/ryehaven/ryehaven/header"
+	"github.com/ryehaven/ryehaven/member"
 	"github.com/ryehaven/ryehaven/peer"
 	"github.com/ryehaven/ryehaven/wire"
 )
@@ -181,7 +182,7 @@
 		r.Header.Set(dialect.Caller, m.Caller)
 	}
 	if dialect.ExpectServer != "" {
-		r.Header.Set(dialect.ExpectServer, m.Server)
+		r.Header.Set(dialect.ExpectServer, member.LifeOf(m.Server).ID)
 	}
 	switch {
 	case m.Last:
--- a/gate/mute.go
+++ b/gate/mute.go
@@ -11,6 +11,7 @@
 	"github.com/ryehaven/ryehaven/backend"
 	"github.com/ryehaven/ryehaven/event"
 	"github.com/ryehaven/ryehaven/measure"
+	"github.com/ryehaven/ryehaven/member"
 	"github.com/ryehaven/ryehaven/table"
 )
 
@@ -169,7 +170,7 @@
 	g.learnAtWork(q)
 	g.learnCold(q.asked, &exchange.Response.Header)
 	dialect := &g.settings.Dialect
-	if id := exchange.Response.Header.Peek(dialect.ServerID); dialect.Strict() && len(id) > 0 && string(id) != row.Name {
+	if id := exchange.Response.Header.Peek(dialect.ServerID); dialect.Strict() && len(id) > 0 && string(id) != member.LifeOf(row.Name).ID {
 		g.wrongServer()
 	}
 	exchange.Finish(whole)
--- a/node/dispute.go
+++ b/node/dispute.go
@@ -10,6 +10,7 @@
 
 	"github.com/ryehaven/ryehaven/announce"
 	"github.com/ryehaven/ryehaven/gate"
+	"github.com/ryehaven/ryehaven/member"
 )
 
 // ErrDisputed is returned for the announcement of a server while another one answers
@@ -25,25 +26,32 @@
 // second or two, and late announcements come together.
 const disputeFor = time.Second
 
+// silentFor is how long the current life must not have been heard of before one of its ID
+// that started earlier is believed: more than two of its announcements.
+const silentFor = 4 * time.Second
+
 // dispute is the last announcement that was not taken.
 type dispute struct {
-	id string
-	at time.Time
+	life string
+	at   time.Time
 }
 
-// again reports whether a server insists.
-func (d dispute) again(id string, now time.Time) bool {
-	return d.id == id && now.Sub(d.at) >= disputeFor
+// again reports whether a server insists for so long.
+func (d dispute) again(life string, length time.Duration, now time.Time) bool {
+	return d.life == life && now.Sub(d.at) >= length
 }
 
 // disputed reports whether an announcement is not to be taken, since another server
 // stands at the address. It is late then: its sender crashed before the other came, and
 // taking it would leave the node without the one that is there.
-func (n *Node) disputed(a announce.Announcement) bool {
+func (n *Node) disputed(a *announce.Announcement) bool {
 	n.mu.Lock()
-	disputes, path := n.registry.Disputes(a), n.servicePath()
+	precedes, disputes, path := n.registry.Precedes(*a), n.registry.Disputes(*a), n.servicePath()
 	n.mu.Unlock()
-	if !disputes || path == "" {
+	switch {
+	case precedes:
+		return n.startedBefore(a)
+	case !disputes || path == "":
 		return false
 	}
 	id := gate.Who(n.settings.Sidecar.Server, path, n.settings.Sidecar.Service, &n.dialect, whoLimit)
@@ -53,15 +61,38 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
-	if id == "" && n.dispute.again(a.ID, now) {
+	name := member.Life{ID: a.ID, Born: a.Born}.Name()
+	if id == "" && n.dispute.again(name, disputeFor, now) {
 		return false
 	}
 	current := n.registry.Current().ID
-	if id == current && id != "" {
-		n.registry.Deny(a.ID)
+	if id != "" && id == member.LifeOf(current).ID {
+		n.registry.Deny(*a)
 	}
-	n.dispute = dispute{id: a.ID, at: now}
-	n.log.Info("announcement not taken, another server is at its address",
-		zap.String("id", a.ID), zap.String("current", current), zap.String("answered", id))
+	n.dispute = dispute{life: name, at: now}
+	n.logDispute(name, current, id)
 	return true
 }
+
+// startedBefore reports whether an announcement of an earlier start of the current
+// server's ID is late. If the current life is heard no more while it goes on, the host's
+// clock has gone back between the two.
+func (n *Node) startedBefore(a *announce.Announcement) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	name, current := member.Life{ID: a.ID, Born: a.Born}.Name(), n.registry.Current().ID
+	if n.registry.Heard().After(n.dispute.at) || n.dispute.life != name {
+		n.dispute = dispute{life: name, at: now}
+		n.logDispute(name, current, "")
+		return true
+	}
+	a.Insists = n.dispute.again(name, silentFor, now)
+	return !a.Insists
+}
+
+// logDispute is called with the lock held.
+func (n *Node) logDispute(announced, current, answered string) {
+	n.log.Info("announcement not taken, another server is at its address",
+		zap.String("id", announced), zap.String("current", current), zap.String("answered", answered))
+}
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -21,7 +21,7 @@
 // Announce takes what the backend server beside the node says of itself. Once
 // it returns, what was said is in force at this node's gate.
 func (n *Node) Announce(a announce.Announcement) error {
-	if n.disputed(a) {
+	if n.disputed(&a) {
 		return eris.Wrapf(ErrDisputed, "announcement of %q", a.ID)
 	}
 	var err error
@@ -33,8 +33,8 @@
 }
 
 // Leave takes a backend server's word that it is gone.
-func (n *Node) Leave(id string) {
-	n.changeServer("left", func(r *announce.Registry) bool { return r.Leave(id) })
+func (n *Node) Leave(l member.Life) {
+	n.changeServer("left", func(r *announce.Registry) bool { return r.Leave(l) })
 }
 
 // Finding the server at a node's start.
--- a/spread/model_test.go
+++ b/spread/model_test.go
@@ -128,7 +128,7 @@
 		m.announce(n, true)
 		m.left[m.servers[n.name].ID] = true
 	case "leave":
-		n.registry.Leave(m.servers[n.name].ID)
+		n.registry.Leave(member.Life{ID: m.servers[n.name].ID})
 		m.settle(n)
 		m.left[m.servers[n.name].ID] = true
 	case "replace":
