platform, store, spread: entries of another writer cost themselves only

Entries and announcements may come from another writer. Now an entry must name itself, an address with a port and a known state, the others count, and what is wrong is told once by its key, with a counter.

--- a/spread/directory.go
+++ b/spread/directory.go
@@ -73,7 +73,7 @@
 	for _, after := range []string{self, ""} {
 		s.Counters.PlatformReads.Add(1)
 		hosts, err := directory.Hosts(ctx, after)
-		if err != nil && len(hosts) == 0 {
+		if err != nil && !errors.Is(err, store.ErrLeftOut) {
 			s.noteStore(ctx, err)
 			s.Counters.PlatformErrors.Add(1)
 			return false
@@ -204,17 +204,24 @@
 	}
 	hosts, err := store.DecodeHosts(o.Body)
 	s.warnOfHosts(err)
-	if err != nil && len(hosts) == 0 {
+	if err != nil && !errors.Is(err, store.ErrLeftOut) {
 		return err
 	}
 	s.removeVanished(ctx, s.list(hosts))
 	return nil
 }
 
-// warnOfHosts tells of hosts in the store's list that cannot be read.
+// warnOfHosts tells once of entries in the store's list that cannot be used.
 func (s *Spread) warnOfHosts(err error) {
-	if err != nil {
-		s.Counters.PlatformErrors.Add(1)
+	if err == nil {
+		return
+	}
+	s.Counters.EntriesLeftOut.Add(1)
+	s.mu.Lock()
+	told := s.leftOut == err.Error()
+	s.leftOut = err.Error()
+	s.mu.Unlock()
+	if !told {
 		s.log.Warn("hosts in the store's list cannot be read, they are left out", zap.Error(err))
 	}
 }
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -64,6 +64,9 @@
 	// EvacuationsTaken counts changes of the evacuations in force, BadEvacuations
 	// states that did not pass their checks.
 	EvacuationsTaken, BadEvacuations atomic.Int64
+	// EntriesLeftOut counts readings of the list of hosts that left out entries which
+	// cannot be used.
+	EntriesLeftOut atomic.Int64
 	// RecordsReceived counts member records.
 	RecordsReceived atomic.Int64
 	// NearBytes and FarBytes count the bytes of questions and replies sent to
@@ -132,6 +135,8 @@
 	// abandoned by evidence from elsewhere.
 	probed    bool
 	rechecked time.Time
+	// leftOut is what was wrong with the list of hosts last.
+	leftOut string
 	// storeFailed is when a call to the store last failed.
 	storeFailed time.Time
 	// hastened says that the next round should come sooner.
--- a/store/store.go
+++ b/store/store.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"net"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -65,14 +66,51 @@
 	hosts := make([]Host, 0, len(items))
 	var bad []error
 	for i, item := range items {
-		var h Host
-		if err := json.Unmarshal(item, &h); err != nil {
+		h, err := DecodeHost(item)
+		if err != nil {
 			bad = append(bad, eris.Wrapf(err, "host %d of the list", i+1))
 			continue
 		}
 		hosts = append(hosts, h)
 	}
-	return hosts, errors.Join(bad...)
+	return hosts, leftOut(bad)
+}
+
+// ErrLeftOut is wrapped by the error that names entries of a list which cannot be used;
+// the others are returned beside it.
+var ErrLeftOut = eris.New("entries are left out")
+
+// leftOut joins what is wrong with entries of a list.
+func leftOut(bad []error) error {
+	if len(bad) == 0 {
+		return nil
+	}
+	return errors.Join(append(bad, ErrLeftOut)...)
+}
+
+// LeftOut is the error of a list that is returned without some entries, nil if none are
+// wrong.
+func LeftOut(bad ...error) error { return leftOut(bad) }
+
+// DecodeHost reads an entry of the platform's list. It may come from another writer: one
+// that cannot be read or does not name a host to connect to is an error.
+func DecodeHost(text []byte) (Host, error) {
+	var h Host
+	if err := json.Unmarshal(text, &h); err != nil {
+		return Host{}, err
+	}
+	_, port, err := net.SplitHostPort(h.Address)
+	switch {
+	case h.Host == "":
+		return Host{}, eris.New("host is blank")
+	case err != nil:
+		return Host{}, eris.Errorf("address: %v", err)
+	case port == "" || port == "0":
+		return Host{}, eris.Errorf("address %q has no port", h.Address)
+	case h.State != "" && h.State != HostLive && h.State != HostLeaving:
+		return Host{}, eris.Errorf("state %q is neither %s nor %s", h.State, HostLive, HostLeaving)
+	}
+	return h, nil
 }
 
 // Keys of the objects that this system uses.
