suspend, spread, node: a node that wakes from a suspension doubts its table

The steady clock does not count the time that a host is suspended, so that a node which woke took its table for confirmed a moment ago: for up to 25 s it would reject requests on routes that it had slept through as wrong.

--- a/node/metrics.go
+++ b/node/metrics.go
@@ -44,6 +44,7 @@
 		metric.Count("entry_blamed", "requests", "requests not sent to a server, or not again, since servers had ended under them", &c.Blamed),
 		metric.Count("entry_turned_away", "requests", "requests refused as not run because the node stops", &c.TurnedAway),
 		metric.Count("accept_failures", "connections", "connections that could not be accepted, for want of descriptors", &n.acceptFailures),
+		metric.Count("suspensions", "suspensions", "times that the host was found to have been suspended", &n.suspensions),
 		metric.Count("entry_connections", "connections", "callers' open connections", &n.openConns),
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/ryehaven/ryehaven/gate"
 	"github.com/ryehaven/ryehaven/header"
 	"github.com/ryehaven/ryehaven/internal/sock"
+	"github.com/ryehaven/ryehaven/internal/suspend"
 	"github.com/ryehaven/ryehaven/member"
 	"github.com/ryehaven/ryehaven/metric"
 	"github.com/ryehaven/ryehaven/peer"
@@ -87,11 +88,14 @@
 	// acceptFailures counts connections that could not be accepted.
 	acceptFailures atomic.Int64
 	silences       silences
+	// suspensions counts those of the host that were noticed.
+	suspensions atomic.Int64
 
 	dialect  header.Dialect
 	recorder *event.Recorder
 	origins  admit.Origins
 	blame    blamer
+	suspends suspend.Watch
 
 	mu       sync.Mutex
 	registry announce.Registry
@@ -122,6 +126,9 @@
 	Dialect header.Dialect
 	// Recorder writes the log of decisions; nil writes none.
 	Recorder *event.Recorder
+	// Suspended tells how long the host has been suspended in all; nil stands for
+	// suspend.Total.
+	Suspended func() (time.Duration, error)
 }
 
 // New opens a node's listeners.
@@ -135,6 +142,7 @@
 	n.recorder = options.Recorder
 	n.registry.Service = s.Sidecar.Service
 	n.blame.node = n
+	n.suspends.Total = options.Suspended
 	if err := n.listen(); err != nil {
 		n.closeListeners()
 		return nil, err
@@ -379,6 +387,7 @@
 }
 
 func (n *Node) tick(now time.Time) {
+	n.lookForSuspension(now)
 	n.dialer.Check(now)
 	n.peerServer.Check(now)
 	n.entry.Tick(now)
--- a/node/parts.go
+++ b/node/parts.go
@@ -29,7 +29,7 @@
 		Blame:             &n.blame,
 		Versions:          n.versions,
 		Confirmed:         func(now time.Time) (time.Duration, bool) { return n.spread.ConfirmedAge(now) },
-		Doubts:            func(now time.Time) bool { return n.spread.Doubts(now) },
+		Doubts:            n.doubts,
 	}
 }
 
--- a/spread/handover.go
+++ b/spread/handover.go
@@ -84,9 +84,34 @@
 }
 
 // Doubts reports whether the table in force may no longer be the newest one: nobody has
-// confirmed it for longer than a watch waits, or this node or another of those of its
-// zone that watch has lost the store, so that news may have been missed.
+// confirmed it for longer than a watch waits, or since the host was suspended, or this
+// node or another of those of its zone that watch has lost the store, so that news may
+// have been missed.
 func (s *Spread) Doubts(now time.Time) bool {
 	age, confirmed := s.ConfirmedAge(now)
-	return !confirmed || age > s.settings.WatchWait+regainedAfter || s.saysLost() || s.lostBefore()
+	return !confirmed || age > s.settings.WatchWait+regainedAfter || s.unheardSinceResumed() || s.saysLost() || s.lostBefore()
+}
+
+// unheardSinceResumed reports whether this node has neither compared with another one nor
+// confirmed the table itself since the host woke from a suspension: it may have missed
+// any news, however young what it knows seems to be.
+func (s *Spread) unheardSinceResumed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.exchanged.After(s.resumed) && !s.ownConfirmed.After(s.resumed)
+}
+
+// Resumed takes note that the host was suspended for a time, by which all that was heard
+// is older. The node compares with others at once, and asks whether the store is heard.
+func (s *Spread) Resumed(now time.Time, slept time.Duration) {
+	s.mu.Lock()
+	s.resumed = now
+	for _, heard := range []*time.Time{&s.confirmed, &s.ownConfirmed, &s.othersConfirmed, &s.exchanged} {
+		if !heard.IsZero() {
+			*heard = heard.Add(-slept)
+		}
+	}
+	s.mu.Unlock()
+	s.hasNews()
+	wake(s.recheck)
 }
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -125,6 +125,8 @@
 	// ownConfirmed is when this node confirmed it, and othersConfirmed when
 	// another one did.
 	ownConfirmed, othersConfirmed time.Time
+	// resumed is when the host last woke from a suspension.
+	resumed time.Time
 	// exchanged is when digests were last exchanged with any node.
 	exchanged time.Time
 	// greeted is when a greeting node was last accepted to compare all records.
