soak: servers come back under their ID every other time

Each tells its start; those that end, are released or crashed by a request come back under their own ID in every other life, so that healing needs nodes that tell the lives apart.

--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -248,15 +248,21 @@
 	return ""
 }
 
-// newServer starts the next backend server of the host.
+// newServer starts the next backend server of the host, every other time under the ID of
+// the one before.
 func (h *host) newServer() error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.started++
-	server, err := emulator.NewServer(fmt.Sprintf("i-%d-%d", h.number, h.started), h.service, h.address(serverPort))
+	id := fmt.Sprintf("i-%d-%d", h.number, h.started)
+	if h.started%2 == 0 && h.site.options.Older == "" {
+		id = h.server.ID
+	}
+	server, err := emulator.NewServer(id, h.service, h.address(serverPort))
 	if err != nil {
 		return err
 	}
+	server.Born = time.Now().UnixMilli()
 	server.SetWork(h.site.work)
 	server.CrashOn(crashMark, h.toServer.Down)
 	if h.server != nil {
@@ -298,7 +304,7 @@
 	status, err := server.Beat(h.address(controlPort), state, seq)
 	ok := err == nil && status == 200
 	if ok && leaving {
-		h.site.addAck(Ack{Server: server.ID, Host: h.number, At: time.Now()})
+		h.site.addAck(Ack{Server: server.Life(), Host: h.number, At: time.Now()})
 	}
 	return ok
 }
