--- a/internal/soak/play.go
+++ b/internal/soak/play.go
@@ -81,6 +81,7 @@
 	wait.Go(func() { s.onEveryHost(working, beatEvery, func(h *host) { h.beat() }) })
 	wait.Go(func() { s.onEveryHost(working, readyEvery, (*host).askReady) })
 	wait.Go(func() { s.runStalls(working) })
+	wait.Go(func() { s.runForeign(working) })
 	load, endLoad := context.WithCancel(working)
 	var callers sync.WaitGroup
 	callers.Go(func() { s.runLoad(load) })
