soak, faultproxy: a proxy that is down keeps its port

By reading: while a proxy was down its port was free, and an outgoing connection of the machine could take it; then the server that came back was kept twice and all that it had run counted twice. And a server could come back after the run had been closed. The port is bound while the proxy is down, Up waits for it, a server is kept once whatever happens, none starts in a closed run, and the finding names the servers, so that a real second run can be told. Not reproduced, so not shown; listed as open.

--- a/internal/faultproxy/faultproxy.go
+++ b/internal/faultproxy/faultproxy.go
@@ -42,7 +42,9 @@
 	changed chan struct{}
 	conns   map[net.Conn]struct{}
 	closed  bool
-	down    bool
+	// down says that connections are refused, and held keeps the port meanwhile.
+	down bool
+	held reserved
 	// pairs are the connections passed on now.
 	pairs map[*pair]struct{}
 }
@@ -135,17 +137,25 @@
 }
 
 // Down has the address refuse connections, as where nobody listens, and ends those that
-// are open. Up takes them again.
+// are open. Up takes them again. Meanwhile the port is kept: else some outgoing connection
+// of the machine may take it.
 func (p *Proxy) Down() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.down || p.closed {
+		return
+	}
 	p.down = true
 	p.listener.Close()
+	p.held = hold(p.address)
 	for c := range p.conns {
 		c.Close()
 	}
 }
 
+// upLimit bounds the wait for the port, if something has taken it all the same.
+const upLimit = 5 * time.Second
+
 // Up listens again after Down.
 func (p *Proxy) Up() error {
 	p.mu.Lock()
@@ -153,7 +163,12 @@
 	if p.closed || !p.down {
 		return nil
 	}
+	p.held.release()
 	listener, err := net.Listen("tcp", p.address)
+	for until := time.Now().Add(upLimit); err != nil && time.Now().Before(until); {
+		time.Sleep(time.Millisecond)
+		listener, err = net.Listen("tcp", p.address)
+	}
 	if err != nil {
 		return err
 	}
@@ -162,11 +177,42 @@
 	return nil
 }
 
+// reserved is a port that is bound and does not listen; -1 stands for none.
+type reserved int
+
+// hold binds an address without listening there: connections to it are refused.
+func hold(address string) reserved {
+	at, err := net.ResolveTCPAddr("tcp4", address)
+	if err != nil {
+		return -1
+	}
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return -1
+	}
+	// The connections that were just closed still name the port.
+	_ = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Port: at.Port, Addr: [4]byte(at.IP.To4())}); err != nil {
+		syscall.Close(fd)
+		return -1 // It was taken in this moment; Up waits for it.
+	}
+	return reserved(fd)
+}
+
+func (r reserved) release() {
+	if r >= 0 {
+		syscall.Close(int(r))
+	}
+}
+
 // Close ends the proxy and its connections.
 func (p *Proxy) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.listener.Close()
+	if p.down {
+		p.held.release()
+	}
 	p.closed = true
 	close(p.changed)
 	p.changed = make(chan struct{})
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -253,6 +253,9 @@
 func (h *host) newServer() error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.closing {
+		return nil
+	}
 	h.started++
 	id := fmt.Sprintf("i-%d-%d", h.number, h.started)
 	if h.started%2 == 0 && h.site.options.Older == "" {
@@ -267,13 +270,10 @@
 	server.CrashOn(crashMark, h.toServer.Down)
 	if h.server != nil {
 		h.retired = append(h.retired, h.server)
-		if err := h.toServer.Up(); err != nil {
-			return err
-		}
 	}
 	h.server, h.leaving, h.seq = server, false, 0
 	go h.bringBack(server)
-	return nil
+	return h.toServer.Up()
 }
 
 // servers returns every backend server that the host has had.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -63,6 +63,9 @@
 			t.Fatal(err)
 		}
 		t.Log(report)
+		for _, note := range report.Notes {
+			t.Log(note)
+		}
 		for _, a := range report.Aftermaths {
 			t.Log(a)
 		}
