blame, docs: the usual word for the time that a blamed request is not run

The time was called a sentence, a metaphor of our own; it is a backoff, as it grows with each end. Names and comments only, the compiled logic is the same; the test's checks too.

--- a/blame/ledger.go
+++ b/blame/ledger.go
@@ -85,7 +85,7 @@
 	if len(e.Ends) == 0 {
 		return Clear, 0
 	}
-	if left := e.sentence() - now.Sub(e.last); left > 0 {
+	if left := e.backoff() - now.Sub(e.last); left > 0 {
 		return Blamed, left
 	}
 	return Suspect, 0
@@ -145,7 +145,7 @@
 // merge is called with the lock held.
 func (l *Ledger) merge(now time.Time, r *Record) (e *entry, news bool) {
 	age := time.Duration(r.AgeMillis) * time.Millisecond
-	if r.AgeMillis < 0 || len(r.Ends) > maxEnds || !slices.IsSorted(r.Ends) || age >= r.sentence()+keptFor {
+	if r.AgeMillis < 0 || len(r.Ends) > maxEnds || !slices.IsSorted(r.Ends) || age >= r.backoff()+keptFor {
 		return nil, false
 	}
 	e = l.records[r.Print]
@@ -202,7 +202,7 @@
 // expire is called with the lock held.
 func (l *Ledger) expire(now time.Time) {
 	for p, e := range l.records {
-		if now.Sub(e.last) >= e.sentence()+keptFor {
+		if now.Sub(e.last) >= e.backoff()+keptFor {
 			delete(l.records, p)
 		}
 	}
--- a/blame/ledger_test.go
+++ b/blame/ledger_test.go
@@ -78,22 +78,22 @@
 }
 
 // A blame is lifted by itself, each time later, and what is lifted is suspect for a while.
-func TestSentencesEndAndGrow(t *testing.T) {
+func TestBackoffsEndAndGrow(t *testing.T) {
 	var l Ledger
 	p, now, before := named("p"), start, time.Duration(0)
 	l.Ended(now, 0, []AtWork{{Print: p}})
 	for end := uint64(1); end < 7; end++ {
 		l.Ended(now, end, []AtWork{{Print: p, Suspect: true}})
 		_, left := l.Judge(now, p)
-		if left <= before && left < longestSentence {
-			t.Errorf("end %d: sentence %v after %v", end, left, before)
+		if left <= before && left < longestBackoff {
+			t.Errorf("end %d: backoff %v after %v", end, left, before)
 		}
 		if v := verdictOf(&l, now.Add(left-1), p); v != Blamed {
-			t.Errorf("end %d: %v before the sentence is over", end, v)
+			t.Errorf("end %d: %v before the backoff is over", end, v)
 		}
 		now, before = now.Add(left), left
 		if v := verdictOf(&l, now, p); v != Suspect {
-			t.Errorf("end %d: %v after the sentence, want a suspect", end, v)
+			t.Errorf("end %d: %v after the backoff, want a suspect", end, v)
 		}
 	}
 	l.Sum(now.Add(keptFor))
--- a/blame/record.go
+++ b/blame/record.go
@@ -25,7 +25,7 @@
 	AgeMillis int64
 }
 
-// maxEnds bounds the ends that a record names; so many give the longest sentence.
+// maxEnds bounds the ends that a record names; so many give the longest backoff.
 const maxEnds = 8
 
 // add takes the names of ends and reports whether that changed the record. Of too many it
@@ -78,24 +78,24 @@
 
 // Two ends, one of them alone, can hardly be chance. What was blamed wrongly all the
 // same is back after a minute, and a request that does crash servers costs one more of
-// them then, and after each longer sentence.
+// them then, and after each longer backoff.
 const (
-	convictingEnds  = 2
-	firstSentence   = time.Minute
-	sentenceFactor  = 4
-	longestSentence = time.Hour
-	// keptFor is how long a request is remembered beyond its sentence.
+	blamingEnds    = 2
+	firstBackoff   = time.Minute
+	backoffFactor  = 4
+	longestBackoff = time.Hour
+	// keptFor is how long a request is remembered beyond its backoff.
 	keptFor = 10 * time.Minute
 )
 
-// sentence is for how long after its last end the request is not run.
-func (r *Record) sentence() time.Duration {
-	if !r.Alone || len(r.Ends) < convictingEnds {
+// backoff is for how long after its last end the request is not run.
+func (r *Record) backoff() time.Duration {
+	if !r.Alone || len(r.Ends) < blamingEnds {
 		return 0
 	}
-	sentence := firstSentence
-	for range len(r.Ends) - convictingEnds {
-		sentence = min(sentence*sentenceFactor, longestSentence)
+	backoff := firstBackoff
+	for range len(r.Ends) - blamingEnds {
+		backoff = min(backoff*backoffFactor, longestBackoff)
 	}
-	return sentence
+	return backoff
 }
