soak, event, backend: sight of planned stops

Cause: a stop that reached its bound said how many requests were active, not which nor where; a connection that this node had closed under a request read like one that its server had closed; and the soak took an answer of the node's own in place of a run that its server was at work on for an answer.

Change: the line at the bound lists what is held, with its age and time left; a request whose connection this node closed says so; the soak plays planned stops in a row (--stops) beside servers that hang, with longer work and slow spells, and holds a node's own answer before the time is up as lost.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -18,6 +18,10 @@
 // before the first byte of an answer. Whether the request ran is not known.
 var ErrStale = eris.New("backend server closed a kept connection")
 
+// ErrClosedHere is returned by Send when this node closed the connection under the request,
+// which may have run.
+var ErrClosedHere = eris.New("this node closed the connection to the backend server")
+
 // ErrNotOurs is returned by Send when an answer does not carry the request's
 // tag. Whether the request ran is not known.
 var ErrNotOurs = eris.New("answer of backend server belongs to another request")
@@ -101,7 +105,7 @@
 // After an error it is not known whether the request ran.
 func (e *Exchange) Send(r *fasthttp.Request, deadline time.Time) error {
 	if err := e.conn.SetDeadline(deadline); err != nil {
-		return err
+		return eris.Wrap(ErrClosedHere, err.Error())
 	}
 	if e.aborted.Load() {
 		return net.ErrClosed
@@ -116,6 +120,9 @@
 	if readErr == nil || eris.Is(readErr, ErrNotOurs) {
 		return readErr
 	}
+	if e.conn.closed.Load() {
+		return eris.Wrap(ErrClosedHere, readErr.Error())
+	}
 	failedWrite := e.wholeSent() && e.writeErr != nil
 	if e.conn.used && (closedEarly(readErr) || failedWrite) {
 		return eris.Wrap(ErrStale, readErr.Error())
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -67,6 +67,14 @@
 	// sent is when a kept connection was last taken for a request.
 	sent time.Time
 	used bool
+	// closed says that this node has closed the connection.
+	closed atomic.Bool
+}
+
+// Close implements net.Conn. What is read then ends like what the server has closed.
+func (c *conn) Close() error {
+	c.closed.Store(true)
+	return c.Conn.Close()
 }
 
 // get returns a kept connection, or a new one if there is none.
--- a/cmd/ryehaven-soak/main.go
+++ b/cmd/ryehaven-soak/main.go
@@ -27,6 +27,9 @@
 	Hosts       int           `help:"Hosts of each run; drawn from the seed, 4 to 9, if not given."`
 	Callers     int           `default:"3" help:"Callers on each host."`
 	Length      time.Duration `default:"20s" help:"How long faults are injected in each run."`
+	Work        time.Duration `help:"How long servers work on a request; 4 ms if not given."`
+	Spells      bool          `help:"Let servers be four times slower for some hundred milliseconds at a time."`
+	Stops       bool          `help:"Play planned stops, one or two each 0.7 s, in place of the seeds' schedules."`
 	Programs    string        `help:"Directory of the built commands; they are built if not given."`
 	Older       string        `help:"Directory of the commands of an earlier version, which all nodes begin with; each restart upgrades one."`
 	Keep        string        `default:"out/soak" help:"Directory for settings, logs and histories of runs that fail."`
@@ -144,6 +147,9 @@
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return soak.Report{}, err
 	}
+	if args.Stops && steps == nil {
+		steps = soak.DrawStops(seed, hostsOf(args, seed), args.Length)
+	}
 	report, err := soak.Run(ctx, soak.Options{
 		Programs: programs,
 		Older:    args.Older,
@@ -153,6 +159,8 @@
 		Callers:  args.Callers,
 		Length:   args.Length,
 		Steps:    steps,
+		Work:     args.Work,
+		Spells:   args.Spells,
 	})
 	if err != nil {
 		return report, err
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/ryehaven/ryehaven/event"
 	"github.com/ryehaven/ryehaven/header"
 )
 
@@ -39,6 +40,19 @@
 	return !now.Add(need).After(s.end)
 }
 
+// Held lists the requests that are under way.
+func (e *Entry) Held(now time.Time) event.Helds {
+	e.activeMu.Lock()
+	defer e.activeMu.Unlock()
+	held := make(event.Helds, 0, len(e.active))
+	for r := range e.active {
+		held = append(held, event.Held{
+			ID: r.message.Tag, Where: event.AtEntry, At: r.service.name, Age: now.Sub(r.began), Left: r.deadline.Sub(now),
+		})
+	}
+	return held
+}
+
 // stoppedRetry is when to come back to a host whose node stops: its callers see
 // within a second that it is not ready, and others can take the request at once.
 const stoppedRetry = 100 * time.Millisecond
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -286,6 +286,21 @@
 	return busy
 }
 
+// Held lists the requests that have not been answered yet.
+func (g *Gate) Held(now time.Time) event.Helds {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var held event.Helds
+	for _, j := range g.jobs {
+		if !g.isOver(j, now) {
+			held = append(held, event.Held{
+				ID: j.stream.Request.Tag, Where: event.AtGate, At: g.name, Age: now.Sub(j.stream.Received), Left: j.stream.Deadline.Sub(now),
+			})
+		}
+	}
+	return held
+}
+
 // Request takes a request from an entry.
 func (g *Gate) Request(s *peer.Stream) {
 	g.Counters.Received.Add(1)
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -19,9 +19,10 @@
 	// Since is the version that introduced the route, for requests that only
 	// show which configuration is in force; 0 for others.
 	Since int
-	// Sent is when its last byte was written and Done when its end was known.
-	Sent, Done time.Time
-	Reply      emulator.Reply
+	// Began is when its first byte was written, Sent when its last was, and Done when its
+	// end was known.
+	Began, Sent, Done time.Time
+	Reply             emulator.Reply
 	// Left says that the caller closed its connection before an answer.
 	Left bool
 }
@@ -111,6 +112,8 @@
 // Bounds are the times that the promises name.
 type Bounds struct {
 	Contact, Drain, Apply, Rollback, LossSlack time.Duration
+	// Timeout is when the routes want a request answered.
+	Timeout time.Duration
 	// RetryShare and RetryExtra bound what reaches a second server within
 	// RetryWindow.
 	RetryShare  float64
@@ -149,6 +152,7 @@
 		Apply:       2 * time.Second,
 		Rollback:    250 * time.Millisecond,
 		LossSlack:   200 * time.Millisecond,
+		Timeout:     timeoutMs * time.Millisecond,
 		RetryShare:  0.2,
 		RetryExtra:  58,
 		RetryWindow: 10 * time.Second,
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -164,6 +164,7 @@
 // transact sends a call on a connection and waits for its end.
 func (s *site) transact(call *Call, conn *countedConn, reader *bufio.Reader) {
 	conn.written.Store(0)
+	call.Began = time.Now()
 	call.Reply = emulator.Call{Method: call.Method, Path: call.URI, ID: call.ID, Body: call.Body, DeadlineMs: deadlineMs}.SendOn(conn, reader)
 	call.Done = time.Now()
 	if written := conn.written.Load(); written != 0 {
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -120,6 +120,7 @@
 		o.report(PromiseAttempts, c.Done, "request %s came to %d servers, its route allows %d", c.ID, n, o.Attempts)
 	}
 	o.checkLost(c)
+	o.checkReplaced(c)
 	if c.Since > 0 {
 		o.checkConfig(c)
 	}
@@ -156,6 +157,39 @@
 		c.ID, c.Host, c.Done.Sub(c.Sent).Round(time.Millisecond), passedOn, c.Reply.Err)
 }
 
+// checkReplaced holds planned stops against an answer of the node's own that takes the
+// place of a run which its server is still at work on, before its time is up.
+func (o *oracle) checkReplaced(c *Call) {
+	if c.Reply.Err != nil || c.Left || c.Reply.Seal != "" || c.Reply.Status < fasthttp.StatusInternalServerError || promisesNotRun(c.Reply.Status) {
+		return
+	}
+	took := c.Done.Sub(c.Began)
+	if took >= o.bounds.Timeout || !o.stops(c) || o.troubled(c.Sent.Add(-o.bounds.Contact), c.Done) {
+		return
+	}
+	for _, a := range o.byID[c.ID] {
+		if a.Ran && (a.Ended.IsZero() || a.Ended.After(c.Done)) {
+			o.report(PromiseLost, c.Done, "request %s at host %d got %d of the node's own %v after it was sent, while server %s worked on it since %v",
+				c.ID, c.Host, c.Reply.Status, took.Round(time.Millisecond), a.Server, c.Done.Sub(a.At).Round(time.Millisecond))
+			return
+		}
+	}
+}
+
+// stops reports whether a request was under way around a planned stop of its host. No
+// request may take so long that it could be cut off at the end of a stop.
+func (o *oracle) stops(c *Call) bool {
+	for _, s := range o.Spans {
+		if s.Kind == Stop && s.Host == c.Host && !c.Done.Before(s.From) && !c.Sent.After(s.From.Add(stopBound+afterStop)) {
+			return true
+		}
+	}
+	return false
+}
+
+// afterStop is how long after its bound a planned stop is held against a node.
+const afterStop = time.Second
+
 // inTouch reports whether nothing was done to a host, or to all, in a time.
 func (o *oracle) inTouch(host int, from, to time.Time) bool {
 	for _, s := range o.Spans {
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -76,6 +76,15 @@
 	}
 }
 
+// replace gives the first call an answer of the node's own, while its server is at work, and
+// has the node stop at a time.
+func replace(h *History, began, done, stop int) {
+	c := &h.Calls[0]
+	c.Began, c.Sent, c.Done = at(began), at(began), at(done)
+	c.Reply = emulator.Reply{Status: 504}
+	h.Spans = append(h.Spans, Span{Host: c.Host, From: at(stop), To: at(stop + 6000), Kind: Stop})
+}
+
 // refuse makes the requests sent from one moment to another refused, but for one in
 // each so many.
 func refuse(h *History, from, to, but int) {
@@ -146,6 +155,8 @@
 			h.Calls[0].Done = at(10_900)
 			h.Arrivals = h.Arrivals[1:]
 		}},
+		{"a run replaced by the node's own answer, before the stop", PromiseLost, func(h *History) { replace(h, 10_000, 10_900, 10_850) }},
+		{"a run replaced by the node's own answer, late in the stop", PromiseLost, func(h *History) { replace(h, 10_000, 10_900, 4_500) }},
 		{"an old configuration", PromiseConfig, func(h *History) { h.Calls[2].Reply = emulator.Reply{Status: 404} }},
 		{"back to an older configuration", PromiseBack, func(h *History) {
 			again := h.Calls[2]
@@ -282,6 +293,15 @@
 				}
 			}
 		}},
+		{"the node's own answer while nobody stops", func(h *History) {
+			replace(h, 10_000, 10_900, 0)
+			h.Spans = h.Spans[:1]
+		}},
+		{"the node's own answer once the time is up", func(h *History) { replace(h, 10_000, 11_000, 9_000) }},
+		{"the node's own answer after the work has ended", func(h *History) {
+			replace(h, 10_000, 10_900, 9_000)
+			h.Arrivals[0].Ended = at(10_700)
+		}},
 		{"service above the floor of what is not repeatable", func(h *History) {
 			lose(h, silentAt, silentAt+3000, 3)
 			refuse(h, silentAt+3000, silentAt+6000, 3)
--- a/internal/soak/play.go
+++ b/internal/soak/play.go
@@ -34,6 +34,11 @@
 	Length time.Duration
 	// Steps replaces the schedule that the seed draws; nil leaves it.
 	Steps []Step
+	// Work is how long servers work on a request at their usual speed; 0 stands for 4 ms.
+	Work time.Duration
+	// Spells lets servers be four times slower for some hundred milliseconds at a time,
+	// as those are that share their hosts with others.
+	Spells bool
 	// Bounds are the times of the promises; zero stands for UsualBounds.
 	Bounds Bounds
 }
@@ -82,6 +87,9 @@
 	wait.Go(func() { s.onEveryHost(working, readyEvery, (*host).askReady) })
 	wait.Go(func() { s.runStalls(working) })
 	wait.Go(func() { s.runForeign(working) })
+	if o.Spells {
+		wait.Go(func() { s.runSpells(working) })
+	}
 	load, endLoad := context.WithCancel(working)
 	var callers sync.WaitGroup
 	callers.Go(func() { s.runLoad(load) })
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -53,6 +53,9 @@
 	StoreForget Kind = "store-forget"
 	// ServerFault makes a backend server misbehave.
 	ServerFault Kind = "server-fault"
+	// ServerHang makes a backend server take requests and answer none. That is how some
+	// are, so that it excuses nothing.
+	ServerHang Kind = "server-hang"
 	// ServerSlow makes a backend server several times slower.
 	ServerSlow Kind = "server-slow"
 	// ServerCold makes a backend server cold, so that it bears few requests a second.
@@ -182,6 +185,27 @@
 	return steps
 }
 
+// DrawStops returns a schedule of planned work with a stop of one or two hosts each
+// stopEvery, and now and then a server that takes requests and answers none.
+func DrawStops(seed uint64, hosts int, length time.Duration) []Step {
+	rng := rand.New(rand.NewPCG(seed, 3))
+	var steps []Step
+	for at := stopEvery; at < length; at += stopEvery {
+		stop := Step{At: at, For: stepLeast, Kind: Stop, Hosts: rng.Perm(hosts)[:1+rng.IntN(2)]}
+		steps = append(steps, stop)
+		switch rng.IntN(4) {
+		case 0:
+			steps = append(steps, Step{At: at + time.Duration(rng.Int64N(int64(stopEvery))), Kind: Change})
+		case 1:
+			steps = append(steps, Step{At: at - stopEvery/2, For: 2 * stopEvery, Kind: ServerHang, Hosts: stop.Hosts[:1]})
+		}
+	}
+	return steps
+}
+
+// stopEvery is the time between two stops of a schedule of stops.
+const stopEvery = 700 * time.Millisecond
+
 // ends lists the kinds in which servers end.
 var ends = []Kind{ServerEnd, ServerCrash}
 
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -3,6 +3,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"os"
@@ -40,23 +41,26 @@
 // services of the emulated deployments; half of the hosts have the first.
 var services = []string{"alpha", "beta"}
 
-// attempts is what every route allows.
-const attempts = 2
+// What every route allows: servers for a request, and milliseconds.
+const (
+	attempts  = 2
+	timeoutMs = 1000
+)
 
 // routesOf are the routes of a version: one for each kind of request, and one that
 // each of the last versions introduced.
 func routesOf(serial int) []emulator.Route {
 	routes := []emulator.Route{
-		{Prefix: "/read/", Repeatable: true, Service: services[0], TimeoutMs: 1000, AimMs: 400, Attempts: attempts, Rank: 1},
-		{Prefix: "/write/", Service: services[0], TimeoutMs: 1000, AimMs: 400, Attempts: attempts},
-		{Prefix: "/order/", Service: services[1], TimeoutMs: 1000, AimMs: 400, Attempts: attempts},
+		{Prefix: "/read/", Repeatable: true, Service: services[0], TimeoutMs: timeoutMs, AimMs: 400, Attempts: attempts, Rank: 1},
+		{Prefix: "/write/", Service: services[0], TimeoutMs: timeoutMs, AimMs: 400, Attempts: attempts},
+		{Prefix: "/order/", Service: services[1], TimeoutMs: timeoutMs, AimMs: 400, Attempts: attempts},
 	}
 	routes = append(routes, emulator.Route{
-		Prefix: movingPrefix, Repeatable: true, Service: movingService(serial), TimeoutMs: 1000, AimMs: 400, Attempts: attempts, Rank: 1,
+		Prefix: movingPrefix, Repeatable: true, Service: movingService(serial), TimeoutMs: timeoutMs, AimMs: 400, Attempts: attempts, Rank: 1,
 	})
 	for s := max(1, serial-sinceKept+1); s <= serial; s++ {
 		routes = append(routes, emulator.Route{
-			Prefix: sincePrefix(s), Repeatable: true, Service: services[s%len(services)], TimeoutMs: 1000, AimMs: 400, Attempts: attempts, Rank: 2,
+			Prefix: sincePrefix(s), Repeatable: true, Service: services[s%len(services)], TimeoutMs: timeoutMs, AimMs: 400, Attempts: attempts, Rank: 2,
 		})
 	}
 	return routes
@@ -98,9 +102,12 @@
 
 func sincePrefix(serial int) string { return fmt.Sprintf("/since-%d/", serial) }
 
+// usualWork is how long servers work on a request.
+const usualWork = 4 * time.Millisecond
+
 // startSite starts a store, servers and nodes, and waits until all serve.
 func startSite(o Options) (*site, error) {
-	s := &site{options: o, work: 4 * time.Millisecond, storeFaults: map[Kind]int{}}
+	s := &site{options: o, work: cmp.Or(o.Work, usualWork), storeFaults: map[Kind]int{}}
 	s.history.Attempts = attempts
 	if err := s.start(); err != nil {
 		s.close()
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -52,7 +52,7 @@
 	span := Span{Host: host, From: from, To: time.Now(), Kind: step.Kind, Unplanned: !isPlanned}
 	switch step.Kind {
 	case Reload: // The host's node and its server go on.
-	case Release, Evacuate, ServerCold, ServerEnd, ServerCrash: // Its node goes on.
+	case Release, Evacuate, ServerCold, ServerHang, ServerEnd, ServerCrash: // Its node goes on.
 		s.addWeak(span)
 	default:
 		s.addSpan(span)
@@ -149,6 +149,10 @@
 		h.current().SetBehaviour(step.Behaviour)
 		pause(ctx, step.For)
 		h.current().SetBehaviour(emulator.Answer)
+	case ServerHang:
+		h.current().SetBehaviour(emulator.Hang)
+		pause(ctx, step.For)
+		h.current().SetBehaviour(emulator.Answer)
 	case ServerSlow:
 		h.current().SetSlowness(slowPercent)
 		pause(ctx, step.For)
--- a/node/stop.go
+++ b/node/stop.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"github.com/ryehaven/ryehaven/event"
 	"github.com/ryehaven/ryehaven/gate"
 	"github.com/ryehaven/ryehaven/member"
 )
@@ -115,12 +116,22 @@
 			return nil
 		}
 		if now.After(bound.Add(-killMargin)) {
-			n.log.Warn("stop cut requests off", zap.Int("active", n.entry.Active()))
+			held := n.held(now)
+			n.log.Warn("stop reached its bound", zap.Int("entry", n.entry.Active()), zap.Int("held", len(held)), zap.Array("requests", held))
 			return ErrStopBound
 		}
 	}
 }
 
+// held lists the requests that the stop still waits for.
+func (n *Node) held(now time.Time) event.Helds {
+	held := n.entry.Held(now)
+	for _, g := range n.everyGate() {
+		held = append(held, g.Held(now)...)
+	}
+	return held
+}
+
 // unfinished is the number of callers' connections and of requests at gates.
 func (n *Node) unfinished() int64 {
 	sum := n.openConns.Load()
