gate, backend: failing tests of answers lost before their time

Cause: two ways in which a node gives up a run that its server is at work on. An abort that comes after its exchange has ended closes the connection under the next request there; and a gate takes a request for as much older as the connection between the nodes took to open.

--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -411,3 +411,43 @@
 		t.Errorf("%d connections, want a second one for the next request", got)
 	}
 }
+
+// Callers lost answers around planned stops: a request ended with "EOF: backend server
+// closed a kept connection" while its server worked on it. The server had closed nothing.
+// The request before on that connection had been answered and given up in the same moment,
+// and the late abort of its exchange closed the connection under the next one.
+func TestLateAbortLeavesTheNextRequestAlone(t *testing.T) {
+	second := make(chan struct{})
+	address, conns := rawServer(t, func(c net.Conn, _ int) {
+		reader := bufio.NewReader(c)
+		for readRequest(reader) {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			<-second
+		}
+	})
+	p := newPool(address)
+	first, err := send(t, p, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	first.Finish(true)
+	next, err := p.Open(false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer next.Finish(false)
+	if next.Origin() != Kept || conns.Load() != 1 {
+		t.Fatalf("the next request is on a %s connection", next.Origin())
+	}
+	first.Abort()
+	close(second)
+	var r fasthttp.Request
+	r.SetRequestURI("/y")
+	r.Header.SetHost("s")
+	if err := next.Send(&r, time.Now().Add(2*time.Second)); err != nil {
+		t.Errorf("the next request ended with %v", err)
+	}
+	if first.Aborted() {
+		t.Error("an exchange that had ended counts as aborted")
+	}
+}
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -85,6 +85,12 @@
 
 // connect returns a connection to a node with the gate, as an entry has.
 func connect(t *testing.T, g *gate.Gate) *peer.Conn {
+	t.Helper()
+	return connectBy(t, g, func(address string) string { return address })
+}
+
+// connectBy is connect by way of another address than the node's.
+func connectBy(t *testing.T, g *gate.Gate, way func(address string) string) *peer.Conn {
 	t.Helper()
 	nodes := listen(t)
 	counters := new(peer.Counters)
@@ -99,7 +105,7 @@
 		nodes.Close()
 		peers.Close()
 	})
-	conn, err := dialer.Get(nodes.Addr().String(), patience)
+	conn, err := dialer.Get(way(nodes.Addr().String()), patience)
 	if err != nil {
 		t.Fatal(err)
 	}
