backend: an abort that comes after its exchange has ended does nothing

Cause: Abort closed the exchange's connection whenever it came. A gate gives the connection back before it forgets the job, so that a cancel which crosses its answer closed it under the next request there, of another caller. That one ended as unknown ("EOF: backend server closed a kept connection"; the HTTP library turns any error on the first byte into EOF), its server's work was thrown away, and its caller got 502 unless the budget paid for another attempt. Only repeatable requests go on kept connections.

Class: use of a thing that has been given back.

Ruled out: that the server had closed it; nothing in the test's server closes.

How often it struck at process level is not known.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -40,18 +40,30 @@
 	TagField string
 	Tag      string
 
-	pool    *Pool
-	conn    *conn
-	origin  Origin
-	heard   time.Time
-	aborted atomic.Bool
-	ended   bool
+	pool   *Pool
+	conn   *conn
+	origin Origin
+	heard  time.Time
+	// holds is whose the connection is: an abort that comes once the exchange has ended
+	// closed it under the next request, which got no answer then.
+	holds atomic.Int32
+	ended bool
 	// written is closed when the request was written or that has failed.
 	written  chan struct{}
 	sent     atomic.Bool
 	writeErr error
 }
 
+// Whose an exchange's connection is.
+const (
+	// holding: the exchange's own.
+	holding int32 = iota
+	// aborted: the exchange's own, and closed.
+	aborted
+	// released: no longer the exchange's.
+	released
+)
+
 // Open takes a connection. After an error nothing was sent. With fresh the
 // connection is made now.
 func (p *Pool) Open(fresh bool) (*Exchange, error) {
@@ -107,7 +119,7 @@
 	if err := e.conn.SetDeadline(deadline); err != nil {
 		return eris.Wrap(ErrClosedHere, err.Error())
 	}
-	if e.aborted.Load() {
+	if e.Aborted() {
 		return net.ErrClosed
 	}
 	e.Response.StreamBody = true
@@ -215,15 +227,15 @@
 func (e *Exchange) Extend(deadline time.Time) { _ = e.conn.SetDeadline(deadline) }
 
 // Abort closes the connection from any goroutine, which cancels the request
-// at the server.
+// at the server. Once the exchange has ended it does nothing.
 func (e *Exchange) Abort() {
-	if e.aborted.CompareAndSwap(false, true) {
+	if e.holds.CompareAndSwap(holding, aborted) {
 		e.conn.Close()
 	}
 }
 
-// Aborted reports whether Abort was called.
-func (e *Exchange) Aborted() bool { return e.aborted.Load() }
+// Aborted reports whether Abort has closed the connection.
+func (e *Exchange) Aborted() bool { return e.holds.Load() == aborted }
 
 // Finish ends the exchange. whole says that the answer was read to its end,
 // so that the connection can carry another request.
@@ -232,12 +244,12 @@
 		return
 	}
 	e.ended = true
-	reusable := whole && !e.aborted.Load() && !e.Response.ConnectionClose() &&
+	reusable := whole && !e.Response.ConnectionClose() &&
 		e.written != nil && e.wholeSent() && e.writeErr == nil
 	if whole {
 		_ = e.Response.CloseBodyStream() // It was read to its end.
 	}
-	if reusable && e.conn.SetDeadline(time.Time{}) == nil {
+	if e.holds.CompareAndSwap(holding, released) && reusable && e.conn.SetDeadline(time.Time{}) == nil {
 		e.pool.put(e.conn)
 		return
 	}
