peer, gate, entry: a run is not ended by the age that its request may have

Cause: two hosts' clocks have no common start, so that a gate knows how long a request was on its way only between two bounds. Where the connection between the nodes had opened in more than 20 ms it took the upper one, from before the handshake, and so believed for as long as the connection lived that every request was older by that time. That is right for what must not be begun any more, and was used as well for how long a run may take: the gate ended it, and its entry, told that the time was up, answered 504 while the server worked on it. Hosts short of processor time open connections slowly, above all at their start; a second share came from the dialing side, which took its time 0 after it had sent its proof.

Class: an estimate on the safe side for one question, used for another for which it is on the unsafe side.

Change: a request has two ends, one by each bound. Nothing is begun from the first on; what was begun is not ended before the second (the entry, which knows the time, cancels it). The bounds are narrower: from the challenge on in place of the accept, and the dialing side's time 0 lies before its proof. An entry no longer takes a gate's refusal for want of time as the last word while it knows of some.

Ruled out: the entry's own timer, which runs from when it read the request.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -203,7 +203,7 @@
 		if a.reason.Full() && a.reason != wire.ReasonShed && !r.waiting {
 			r.full = append(r.full, a.server)
 		}
-		a.final = a.reason == wire.ReasonDeadline || a.reason == wire.ReasonBlamed
+		a.final = a.reason == wire.ReasonBlamed
 		a.retryAfter = time.Duration(head.Refusal.RetryAfterMicros) * time.Microsecond
 		e.end(r, a, balance.Result{Refused: a.reason, RetryAfter: a.retryAfter, Load: &head.Refusal.Load})
 	case head.Reset != nil:
--- a/entry/silent_test.go
+++ b/entry/silent_test.go
@@ -166,3 +166,13 @@
 		t.Errorf("answered %d", status)
 	}
 }
+
+// A gate knows how much time a request has left only by an estimate that may be too low.
+// What it refuses for want of time goes to another server while the entry knows of some.
+func TestRefusalForWantOfTimeIsNotBelievedWhileSomeIsLeft(t *testing.T) {
+	near := startGate(t, func(s *peer.Stream) { s.Refuse(wire.ReasonDeadline, time.Second, wire.Load{}) })
+	far := startGate(t, func(s *peer.Stream) { _ = s.Respond(&wire.Response{Status: 200, Last: true}) })
+	if status := get(t, startEntry(t, near, far)); status != 200 {
+		t.Errorf("answered %d", status)
+	}
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -294,7 +294,7 @@
 	for _, j := range g.jobs {
 		if !g.isOver(j, now) {
 			held = append(held, event.Held{
-				ID: j.stream.Request.Tag, Where: event.AtGate, At: g.name, Age: now.Sub(j.stream.Received), Left: j.stream.Deadline.Sub(now),
+				ID: j.stream.Request.Tag, Where: event.AtGate, At: g.name, Age: now.Sub(j.stream.Received), Left: j.stream.Expiry.Sub(now),
 			})
 		}
 	}
--- a/gate/job.go
+++ b/gate/job.go
@@ -152,12 +152,13 @@
 }
 
 // sendLimit is until when the answer's head is awaited. A request that is not
-// repeatable is given time beyond the deadline to finish.
+// repeatable is given time beyond its expiry to finish. By the deadline runs were ended up
+// to 200 ms early where a connection between nodes had taken that long to open.
 func (j *job) sendLimit() time.Time {
 	if j.stream.Request.Repeatable {
-		return j.stream.Deadline
+		return j.stream.Expiry
 	}
-	return j.stream.Deadline.Add(j.gate.settings.AbandonedLimit)
+	return j.stream.Expiry.Add(j.gate.settings.AbandonedLimit)
 }
 
 func (j *job) fill(r *fasthttp.Request) {
@@ -390,7 +391,7 @@
 	if !mute && j.gate.hasEnded(j, err) {
 		err = errEnded
 	}
-	if now := time.Now(); now.Before(j.stream.Deadline) && !mute {
+	if now := time.Now(); now.Before(j.stream.Expiry) && !mute {
 		j.gate.Doubt(now)
 	}
 	load := j.done(false)
@@ -399,11 +400,11 @@
 	}
 	j.gate.record(j, load, event.Unknown, err.Error(), 0)
 	j.gate.Counters.Reset.Add(1)
-	if mute && time.Now().Before(j.stream.Deadline) {
+	if mute && time.Now().Before(j.stream.Expiry) {
 		j.stream.Sever(err.Error(), load)
 		return
 	}
-	if !time.Now().Before(j.stream.Deadline) {
+	if !time.Now().Before(j.stream.Expiry) {
 		j.stream.Expire(err.Error(), load)
 		return
 	}
--- a/gate/silence.go
+++ b/gate/silence.go
@@ -125,7 +125,7 @@
 	for _, j := range q.out {
 		switch {
 		case !j.isOut():
-		case g.suspects(j), !now.Before(j.stream.Deadline):
+		case g.suspects(j), !now.Before(j.stream.Expiry):
 			old = append(old, j)
 		default:
 			room--
@@ -168,7 +168,7 @@
 	switch {
 	case !suspected:
 		j.suspected = time.Time{}
-		j.denied = j.denied && !now.Before(j.stream.Deadline)
+		j.denied = j.denied && !now.Before(j.stream.Expiry)
 	case j.suspected.IsZero():
 		j.suspected = now
 	}
@@ -220,7 +220,7 @@
 	}
 	for _, j := range lost {
 		j.mute = true
-		s.severed = append(s.severed, j.stream.Deadline)
+		s.severed = append(s.severed, j.stream.Expiry)
 		g.Counters.Severed.Add(1)
 		g.queue.Done(now, &j.ticket, false)
 		if j.stream.Request.Repeatable {
@@ -236,7 +236,7 @@
 // waits for it runs to its bound and ends as if it had cut it off. It is called with the
 // lock held.
 func (g *Gate) isOver(j *job, now time.Time) bool {
-	if now.Before(j.stream.Deadline) {
+	if now.Before(j.stream.Expiry) {
 		return false
 	}
 	return j.mute || (j.isOut() && (j.denied || g.suspects(j)))
--- a/peer/auth.go
+++ b/peer/auth.go
@@ -39,6 +39,9 @@
 	id string
 	// fences says that the accepting side knows wire.Fence.
 	fences bool
+	// at is, on the dialing side, just before it sent its proof, and on the accepting side,
+	// just before it sent its challenge: so the one is between the other and the proof.
+	at time.Time
 }
 
 // Roles keep a proof of one side from serving as the other's.
@@ -121,6 +124,7 @@
 	if !hmac.Equal(challenge.MAC, proof(self.Key, roleAcceptor, hello, challenge)) {
 		return greeting{}, ErrWrongKey
 	}
+	proved := time.Now()
 	if err := writeFrame(nc, &wire.Proof{MAC: proof(self.Key, roleDialer, hello, challenge)}); err != nil {
 		return greeting{}, err
 	}
@@ -128,6 +132,7 @@
 		peer:   Identity{Host: challenge.Host, Incarnation: challenge.Incarnation},
 		id:     string(hello.Nonce),
 		fences: challenge.Version >= wire.VersionFence,
+		at:     proved,
 	}
 	return met, nc.SetDeadline(time.Time{})
 }
@@ -147,6 +152,7 @@
 	}
 	challenge := &wire.Challenge{Version: wire.VersionFence, Host: self.Host, Incarnation: self.Incarnation, Nonce: nonce()}
 	challenge.MAC = proof(self.Key, roleAcceptor, hello, challenge)
+	challenged := time.Now()
 	if err := writeFrame(nc, challenge); err != nil {
 		return greeting{}, err
 	}
@@ -161,6 +167,7 @@
 		peer:   Identity{Host: hello.Host, Incarnation: hello.Incarnation},
 		id:     string(hello.Nonce),
 		fences: true,
+		at:     challenged,
 	}
 	return met, nc.SetDeadline(time.Time{})
 }
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -103,7 +103,7 @@
 		nc:       nc,
 		w:        newWriter(nc, counters),
 		counters: counters,
-		opened:   now,
+		opened:   met.at,
 		calls:    map[uint64]*Call{},
 		asks:     map[uint64]chan *wire.Reply{},
 		lastUsed: now,
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -428,23 +428,29 @@
 	zero := time.Now()
 	clock.start(zero.Add(-5*time.Millisecond), zero)
 	at := func(d time.Duration) time.Time { return zero.Add(d) }
-	if age := clock.age(at(time.Second), time.Second); age != 0 {
-		t.Errorf("age of a prompt request is %v", age)
+	if least, most := clock.age(at(time.Second), time.Second); least != 0 || most != 0 {
+		t.Errorf("age of a prompt request is %v to %v", least, most)
 	}
-	if age := clock.age(at(5*time.Second), 2*time.Second); age < 2900*time.Millisecond {
-		t.Errorf("a request read 3 s late has age %v", age)
+	if least, _ := clock.age(at(5*time.Second), 2*time.Second); least < 2900*time.Millisecond {
+		t.Errorf("a request read 3 s late has age %v", least)
 	}
 	// A sender whose clock runs fast moves the zero, so that it looks prompt.
-	if age := clock.age(at(6*time.Second), 7*time.Second); age != 0 {
-		t.Errorf("age is %v", age)
+	if least, most := clock.age(at(6*time.Second), 7*time.Second); least != 0 || most != 0 {
+		t.Errorf("age is %v to %v", least, most)
 	}
-	if age := clock.age(at(6*time.Second), 6*time.Second); age < 900*time.Millisecond {
-		t.Errorf("age against the moved zero is %v", age)
+	if least, _ := clock.age(at(6*time.Second), 6*time.Second); least < 900*time.Millisecond {
+		t.Errorf("age against the moved zero is %v", least)
 	}
-	// After a slow handshake the age may be too high and is never too low.
+	// After a slow handshake the most is never too low and the least never too high.
 	clock.start(zero, zero.Add(time.Second))
-	if age := clock.age(at(2*time.Second), time.Second); age < 900*time.Millisecond {
-		t.Errorf("age after a slow handshake is %v", age)
+	if least, most := clock.age(at(2*time.Second), time.Second); least != 0 || most < 900*time.Millisecond {
+		t.Errorf("age after a slow handshake is %v to %v", least, most)
+	}
+	if least, _ := clock.age(at(1800*time.Millisecond), time.Second); least != 0 {
+		t.Errorf("age of a request that came sooner is %v", least)
+	}
+	if least, most := clock.age(at(2*time.Second), time.Second); least < 150*time.Millisecond || most < 900*time.Millisecond {
+		t.Errorf("age of a request that came later is %v to %v", least, most)
 	}
 }
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -139,7 +139,6 @@
 	}
 	defer s.remove(a)
 	reader := wire.NewReader(bufio.NewReaderSize(nc, readBuffer))
-	began := time.Now()
 	met, err := acceptHandshake(nc, reader, s.Self, s.HandshakeLimit)
 	if err != nil {
 		if eris.Is(err, ErrWrongKey) {
@@ -151,7 +150,7 @@
 	if s.OnPeer != nil {
 		go s.OnPeer(a.peer)
 	}
-	a.age.start(began, time.Now())
+	a.age.start(met.at, time.Now())
 	a.ready.Store(true)
 	s.Counters.Accepted.Add(1)
 	defer s.Counters.Accepted.Add(-1)
@@ -287,13 +286,14 @@
 		return err
 	}
 	now := time.Now()
-	age := a.age.age(now, time.Duration(m.SentMicros)*time.Microsecond)
+	youngest, oldest := a.age.age(now, time.Duration(m.SentMicros)*time.Microsecond)
 	budget := time.Duration(m.BudgetMicros) * time.Microsecond
 	s := &Stream{
 		Request:  m,
 		From:     a.peer,
 		Received: now,
-		Deadline: now.Add(budget - age),
+		Deadline: now.Add(budget - oldest),
+		Expiry:   now.Add(budget - youngest),
 		in:       newPipe(),
 		out:      newAllowance(),
 	}
@@ -361,38 +361,40 @@
 	}
 }
 
-// ageClock judges how long a frame waited unread.
+// ageClock judges how long a frame waited unread. Since the two hosts' clocks have no
+// common start, it knows that age only between two bounds.
 type ageClock struct {
-	// zero is the local time that the sender's time 0 is taken for.
-	zero time.Time
-	set  time.Time
+	// first and last are the local times between which the sender's time 0 lies.
+	first, last time.Time
+	set         time.Time
 }
 
-// quickHandshake is the longest handshake whose end is taken as the sender's
-// time 0. After a slower one its beginning is taken, which makes requests
-// look older than they are and never younger.
+// quickHandshake is the longest time from the challenge to its proof after which the proof's
+// arrival is taken as the sender's time 0. After a longer one that may be any time between.
 const quickHandshake = 20 * time.Millisecond
 
 // driftPerSecond is how much two hosts' clocks may differ in rate.
 const driftPerSecond = 200 * time.Microsecond
 
-func (c *ageClock) start(began, ended time.Time) {
-	c.zero = ended
-	if ended.Sub(began) > quickHandshake {
-		c.zero = began
+func (c *ageClock) start(challenged, proved time.Time) {
+	c.first, c.last, c.set = proved, proved, proved
+	if proved.Sub(challenged) > quickHandshake {
+		c.first = challenged
 	}
-	c.set = ended
 }
 
-// age returns how long a frame that the sender stamped with sent has waited.
-func (c *ageClock) age(now time.Time, sent time.Duration) time.Duration {
+// age returns how long a frame that the sender stamped with sent has waited, at least
+// and at most.
+func (c *ageClock) age(now time.Time, sent time.Duration) (least, most time.Duration) {
 	drift := time.Duration(now.Sub(c.set).Seconds() * float64(driftPerSecond))
-	zero := c.zero.Add(drift)
-	age := now.Sub(zero) - sent
-	if age >= 0 {
-		return age
+	first, last := c.first.Add(drift), c.last.Add(drift)
+	zero := now.Add(-sent) // It has not come before it was sent.
+	if zero.Before(last) {
+		last = zero
+		if last.Before(first) {
+			first = last
+		}
+		c.first, c.last, c.set = first, last, now
 	}
-	c.zero = zero.Add(age)
-	c.set = now
-	return 0
+	return zero.Sub(last), zero.Sub(first)
 }
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -16,9 +16,13 @@
 	// From is the entry's node.
 	From     Identity
 	Received time.Time
-	// Deadline is when the answer is due by this host's clock, with the time
-	// the request waited unread taken off.
+	// Deadline is when the answer may be due by this host's clock, with the longest time
+	// taken off that the request may have waited unread: from then on it is not begun.
 	Deadline time.Time
+	// Expiry is when it is due for certain, so that whoever waits for it has been told or
+	// has given it up: what was begun is not ended before. It is later by up to what the
+	// connection took to open.
+	Expiry time.Time
 	// Call says that a request which is running elsewhere waits for this one;
 	// the Handler sets it.
 	Call bool
