entry: failing test of a run that is given up for another server

Cause: a request at a silent node is sent to another server too, and 20 ms later given up at the first. If the other refuses it after a wait, or gives none, its caller gets 502 while the first server is at work on it.

--- a/entry/silent_test.go
+++ b/entry/silent_test.go
@@ -138,26 +138,48 @@
 }
 
 // A repeatable request whose node falls silent goes to another server too. If that
-// one has no room, the silent one's answer still counts once it speaks again.
+// one has no room, at once or after the request has waited there, or gives it up, the
+// silent one's answer still counts once it speaks again: its server was at work all the
+// time, and the caller got 502.
 func TestSilentNodeIsWaitedForIfTheOtherRefuses(t *testing.T) {
+	for name, other := range map[string]func(s *peer.Stream){
+		"at once": func(s *peer.Stream) { s.Refuse(wire.ReasonOverload, time.Second, wire.Load{}) },
+		"after a while": func(s *peer.Stream) {
+			time.Sleep(100 * time.Millisecond)
+			s.Refuse(wire.ReasonOverload, time.Second, wire.Load{})
+		},
+		"having begun": func(s *peer.Stream) {
+			time.Sleep(100 * time.Millisecond)
+			s.Reset("the server closed the connection", wire.Load{})
+		},
+	} {
+		t.Run(name, func(t *testing.T) { silentNodeAnswersLast(t, other) })
+	}
+}
+
+// silentNodeAnswersLast has a request's first node fall silent, the second one do
+// something, and the first one answer after that.
+func silentNodeAnswersLast(t *testing.T, other func(s *peer.Stream)) {
 	proxy, err := faultproxy.New()
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(proxy.Close)
-	refused := make(chan struct{}, 100)
+	ended := make(chan struct{}, 100)
 	near := startGate(t, func(s *peer.Stream) {
 		proxy.Set(faultproxy.Fault{HoldBackward: true})
 		go func() {
-			<-refused
-			time.Sleep(50 * time.Millisecond) // Beyond what would be a late refusal.
+			<-ended
+			time.Sleep(50 * time.Millisecond) // Beyond what would be a late word.
 			_ = s.Respond(&wire.Response{Status: 200, Last: true})
 			proxy.Set(faultproxy.Fault{})
 		}()
 	})
 	far := startGate(t, func(s *peer.Stream) {
-		s.Refuse(wire.ReasonOverload, time.Second, wire.Load{})
-		refused <- struct{}{}
+		go func() {
+			other(s)
+			ended <- struct{}{}
+		}()
 	})
 	proxy.SetTarget(near)
 	address := startEntry(t, proxy.Address(), far)
