entry, gate, peer, wire: what a silent node's server is at work on is not given up

Cause: once another server had been asked and had not refused within 20 ms, the silent node's call was abandoned, so that the node, back again, would not run what the other had begun. Where its server was already at work that threw the work away, and if the other refused later or ended without an answer the caller got 502.

Change: the silent node is asked not to begin the request (a new message, Withdraw, sent only to nodes that know it): what is queued or unread there is refused, what was handed over goes on, and whichever answers first counts. If the other node falls silent too, the first is left for it as before.

--- a/entry/race.go
+++ b/entry/race.go
@@ -29,7 +29,8 @@
 	// and hedgeSuspected is closed when the hedge's own becomes suspected.
 	left           bool
 	hedgeSuspected <-chan struct{}
-	// settle is when the silent node is given up for the hedge that took its place.
+	// settle is when the silent node is asked not to begin any more what the hedge that
+	// took its place has begun.
 	settle <-chan time.Time
 }
 
@@ -59,7 +60,9 @@
 		case <-w.lookAgain:
 			decided = w.firstSuspected()
 		case <-w.settle:
-			w.giveUpSilent()
+			w.withdrawSilent()
+		case <-w.hedgeSuspected:
+			w.hedgeFellSilent()
 		case <-w.request.gone:
 			decided = w.callerGone()
 		case <-deadline.C:
@@ -104,6 +107,9 @@
 		return first
 	}
 	w.request.note(first)
+	if w.left && !first.reached() {
+		w.request.reached-- // The hedge is counted once it has ended.
+	}
 	w.promote()
 	return nil
 }
@@ -115,14 +121,30 @@
 	w.left, w.awaited, w.lookAgain, w.settle = false, false, nil, nil
 }
 
-// giveUpSilent gives up the first attempt, whose node was silent, for the hedge:
-// a gate that has not refused by now has taken the request, and once the silent node
-// is back it would run it too.
-func (w *race) giveUpSilent() {
+// withdrawSilent asks the first attempt's node, which was silent, not to begin the request
+// any more: a gate that has not refused by now has taken it, and what a node finds unread
+// when it is back would run twice. Given up as a whole, the work that its server was at
+// was thrown away, and its caller got 502 where the other server then gave none either.
+func (w *race) withdrawSilent() {
 	w.settle = nil
-	if w.hedge == nil || !w.left {
+	if w.hedge == nil || !w.left || w.first.call.Withdraw() {
 		return
 	}
+	w.leaveSilent() // A node of an older build can't be asked.
+}
+
+// hedgeFellSilent leaves the first attempt's node if the other's has fallen silent too, so
+// that this one can be left in its turn.
+func (w *race) hedgeFellSilent() {
+	if w.left && w.first.call.Conn().IsSuspected() {
+		w.leaveSilent()
+		return
+	}
+	w.hedgeSuspected = nil
+}
+
+// leaveSilent gives up the first attempt for the hedge.
+func (w *race) leaveSilent() {
 	w.entry.endSilent(w.request, w.first)
 	w.request.note(w.first)
 	w.promote()
--- a/entry/silent_test.go
+++ b/entry/silent_test.go
@@ -24,6 +24,7 @@
 
 func (g gateStub) Request(s *peer.Stream)    { g.request(s) }
 func (gateStub) Canceled(*peer.Stream, bool) {}
+func (gateStub) Withdrawn(*peer.Stream)      {}
 func (gateStub) Ask(peer.Identity, wire.Topic, []byte) ([]byte, error) {
 	return nil, nil
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -417,18 +417,39 @@
 }
 
 // Canceled takes note that the entry no longer wants an answer.
-func (g *Gate) Canceled(s *peer.Stream, lost bool) {
+func (g *Gate) Canceled(s *peer.Stream) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	j := g.jobs[s]
 	if j == nil {
 		return
 	}
-	if g.queue.Cancel(&j.ticket) {
+	if !g.withdraw(j) {
+		j.cancel()
+	}
+}
+
+// Withdrawn refuses a request that was not handed over yet; what was goes on.
+func (g *Gate) Withdrawn(s *peer.Stream) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if j := g.jobs[s]; j != nil {
+		g.withdraw(j)
+	}
+}
+
+// withdraw refuses a job that was not handed over yet and reports whether that was so. It
+// is called with the lock held.
+func (g *Gate) withdraw(j *job) bool {
+	switch {
+	case g.queue.Cancel(&j.ticket):
 		g.refuse(j, wire.ReasonCanceled)
-		return
+	case j.handedOver:
+		return false
+	default:
+		j.canceled = true // run refuses it before the first byte is sent.
 	}
-	j.cancel(lost)
+	return true
 }
 
 // Tick refuses what has outlived its deadline or the start of a drain. Call
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -24,7 +24,9 @@
 
 func (o only) Request(s *peer.Stream) { o.gate.Request(s) }
 
-func (o only) Canceled(s *peer.Stream, lost bool) { o.gate.Canceled(s, lost) }
+func (o only) Canceled(s *peer.Stream, _ bool) { o.gate.Canceled(s) }
+
+func (o only) Withdrawn(s *peer.Stream) { o.gate.Withdrawn(s) }
 
 func (o only) Ask(peer.Identity, wire.Topic, []byte) ([]byte, error) { return nil, nil }
 
--- a/gate/job.go
+++ b/gate/job.go
@@ -52,12 +52,9 @@
 	slowness int
 }
 
-// cancel is called with the gate's lock held once the job is dispatched.
-func (j *job) cancel(lost bool) {
+// cancel is called with the gate's lock held once the job is handed over.
+func (j *job) cancel() {
 	j.canceled = true
-	if !j.handedOver {
-		return // run refuses it before the first byte is sent.
-	}
 	j.stream.Reset("canceled after it was handed to the backend server", j.gate.load())
 	bodyCut := j.stream.Request.Length != wire.LengthNone && !j.stream.BodyComplete()
 	if j.stream.Request.Repeatable || bodyCut {
--- a/node/apply.go
+++ b/node/apply.go
@@ -184,9 +184,16 @@
 	return ""
 }
 
+// Withdrawn implements peer.Handler.
+func (n *Node) Withdrawn(s *peer.Stream) {
+	if g, ok := s.Owner.(*gate.Gate); ok {
+		g.Withdrawn(s)
+	}
+}
+
 // Canceled implements peer.Handler.
-func (n *Node) Canceled(s *peer.Stream, lost bool) {
+func (n *Node) Canceled(s *peer.Stream, _ bool) {
 	if g, ok := s.Owner.(*gate.Gate); ok {
-		g.Canceled(s, lost)
+		g.Canceled(s)
 	}
 }
--- a/peer/auth.go
+++ b/peer/auth.go
@@ -37,8 +37,8 @@
 	peer Identity
 	// id names the connection: the dialing side's nonce.
 	id string
-	// fences says that the accepting side knows wire.Fence.
-	fences bool
+	// version is what the accepting side knows.
+	version int
 	// at is, on the dialing side, just before it sent its proof, and on the accepting side,
 	// just before it sent its challenge: so the one is between the other and the proof.
 	at time.Time
@@ -129,10 +129,10 @@
 		return greeting{}, err
 	}
 	met := greeting{
-		peer:   Identity{Host: challenge.Host, Incarnation: challenge.Incarnation},
-		id:     string(hello.Nonce),
-		fences: challenge.Version >= wire.VersionFence,
-		at:     proved,
+		peer:    Identity{Host: challenge.Host, Incarnation: challenge.Incarnation},
+		id:      string(hello.Nonce),
+		version: challenge.Version,
+		at:      proved,
 	}
 	return met, nc.SetDeadline(time.Time{})
 }
@@ -150,7 +150,7 @@
 	if hello.Version != wire.Version || len(hello.Nonce) != nonceBytes {
 		return greeting{}, eris.Wrapf(ErrHandshake, "version %d, nonce of %d bytes", hello.Version, len(hello.Nonce))
 	}
-	challenge := &wire.Challenge{Version: wire.VersionFence, Host: self.Host, Incarnation: self.Incarnation, Nonce: nonce()}
+	challenge := &wire.Challenge{Version: wire.VersionKnown, Host: self.Host, Incarnation: self.Incarnation, Nonce: nonce()}
 	challenge.MAC = proof(self.Key, roleAcceptor, hello, challenge)
 	challenged := time.Now()
 	if err := writeFrame(nc, challenge); err != nil {
@@ -164,10 +164,10 @@
 		return greeting{}, ErrWrongKey
 	}
 	met := greeting{
-		peer:   Identity{Host: hello.Host, Incarnation: hello.Incarnation},
-		id:     string(hello.Nonce),
-		fences: true,
-		at:     challenged,
+		peer:    Identity{Host: hello.Host, Incarnation: hello.Incarnation},
+		id:      string(hello.Nonce),
+		version: wire.VersionKnown,
+		at:      challenged,
 	}
 	return met, nc.SetDeadline(time.Time{})
 }
--- a/peer/call.go
+++ b/peer/call.go
@@ -43,7 +43,8 @@
 	// answered is set with the answer's start and moved with another connection, both
 	// under the connection's lock.
 	answered, moved bool
-	canceled        atomic.Bool
+	// canceled and withdrawn say that the gate was told so.
+	canceled, withdrawn atomic.Bool
 }
 
 // Head returns the channel on which the answer's Head arrives once.
@@ -59,6 +60,14 @@
 	_ = c.conn.Load().w.send(&wire.Cancel{ID: c.id}) // A lost connection reports on Head.
 }
 
+// Withdraw asks the gate not to begin the request if it has not, and reports whether it was
+// asked: one of an older build can't be. The gate's word arrives on Head in any case.
+func (c *Call) Withdraw() bool {
+	c.withdrawn.Store(true) // Before the connection is read, as for Cancel.
+	conn := c.conn.Load()
+	return conn.withdraws && conn.w.send(&wire.Withdraw{ID: c.id}) == nil
+}
+
 // Abandon ends the call: frames that still arrive for it are dropped.
 func (c *Call) Abandon() {
 	if c.forget() {
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -21,11 +21,12 @@
 	// Peer is who proved the key on the other side.
 	Peer Identity
 
-	// address is what was dialed, id the connection's name on both sides, and fences
-	// says that the peer knows wire.Fence.
-	address string
-	id      string
-	fences  bool
+	// address is what was dialed, id the connection's name on both sides, fences
+	// says that the peer knows wire.Fence, and withdraws that it knows wire.Withdraw.
+	address   string
+	id        string
+	fences    bool
+	withdraws bool
 
 	nc       net.Conn
 	w        *writer
@@ -95,19 +96,20 @@
 	}
 	now := time.Now()
 	c := &Conn{
-		Peer:     met.peer,
-		address:  address,
-		id:       met.id,
-		fences:   met.fences,
-		spoke:    make(chan struct{}),
-		nc:       nc,
-		w:        newWriter(nc, counters),
-		counters: counters,
-		opened:   met.at,
-		calls:    map[uint64]*Call{},
-		asks:     map[uint64]chan *wire.Reply{},
-		lastUsed: now,
-		hooks:    hooks,
+		Peer:      met.peer,
+		address:   address,
+		id:        met.id,
+		fences:    met.version >= wire.VersionFence,
+		withdraws: met.version >= wire.VersionWithdraw,
+		spoke:     make(chan struct{}),
+		nc:        nc,
+		w:         newWriter(nc, counters),
+		counters:  counters,
+		opened:    met.at,
+		calls:     map[uint64]*Call{},
+		asks:      map[uint64]chan *wire.Reply{},
+		lastUsed:  now,
+		hooks:     hooks,
 	}
 	c.suspicion.Store(newSuspicion())
 	counters.Dialed.Add(1)
--- a/peer/fence.go
+++ b/peer/fence.go
@@ -67,6 +67,8 @@
 	call.conn.Store(next)
 	if call.canceled.Load() {
 		_ = next.w.send(&wire.Cancel{ID: id}) // The one before may not have arrived.
+	} else if call.withdrawn.Load() && next.withdraws {
+		_ = next.w.send(&wire.Withdraw{ID: id})
 	}
 }
 
--- a/peer/fence_test.go
+++ b/peer/fence_test.go
@@ -48,6 +48,8 @@
 	}
 }
 
+func (g *gate) Withdrawn(*Stream) {}
+
 func (g *gate) Canceled(s *Stream, _ bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -27,6 +27,8 @@
 
 func (h *handler) Request(s *Stream) { go h.request(s) }
 
+func (h *handler) Withdrawn(*Stream) {}
+
 func (h *handler) Canceled(s *Stream, lost bool) {
 	if h.canceled != nil {
 		h.canceled(s, lost)
--- a/peer/server.go
+++ b/peer/server.go
@@ -23,6 +23,8 @@
 	// that its connection is gone, so that no answer reaches it. It must not
 	// wait either.
 	Canceled(s *Stream, lost bool)
+	// Withdrawn tells that the request need not be begun any more. It must not wait.
+	Withdrawn(s *Stream)
 	// Ask answers a question of the control part. It runs in a goroutine.
 	Ask(from Identity, topic wire.Topic, payload []byte) ([]byte, error)
 }
@@ -266,6 +268,11 @@
 			a.server.Handler.Canceled(s, false)
 			return nil
 		}
+	case *wire.Withdraw:
+		if s := a.stream(m.ID); s != nil {
+			a.server.Handler.Withdrawn(s)
+			return nil
+		}
 	case *wire.Ping:
 		_ = a.w.send(&wire.Pong{Seq: m.Seq}) // A lost connection is noticed by its reader.
 		return nil
--- a/spread/met_test.go
+++ b/spread/met_test.go
@@ -28,6 +28,7 @@
 
 func (a asked) Request(*peer.Stream)        {}
 func (a asked) Canceled(*peer.Stream, bool) {}
+func (a asked) Withdrawn(*peer.Stream)      {}
 func (a asked) Ask(_ peer.Identity, topic wire.Topic, payload []byte) ([]byte, error) {
 	reply, _, err := a.spread.Ask(topic, payload)
 	return reply, err
--- a/wire/doc.go
+++ b/wire/doc.go
@@ -16,7 +16,8 @@
 // with exactly one of [Response], [Refusal] or [Reset]. A Refusal is the only
 // message that says that a request was not run. [Credit] returns room for
 // body bytes, so that one slow reader holds up only its own request. The entry
-// may send [Cancel] at any time and still waits for the gate's word.
+// may send [Cancel] at any time and still waits for the gate's word; with [Withdraw] it
+// only asks that the request is not begun any more.
 //
 // # A connection in another's place
 //
--- a/wire/message.go
+++ b/wire/message.go
@@ -14,6 +14,10 @@
 	// VersionFence is the one in Challenge from which on the accepting side knows
 	// Fence. Dialing sides that don't know it do not look at that number.
 	VersionFence = 2
+	// VersionWithdraw is the one from which on it knows Withdraw too.
+	VersionWithdraw = 3
+	// VersionKnown is what this node knows on its accepting side.
+	VersionKnown = VersionWithdraw
 )
 
 // Kind tells messages apart.
@@ -31,6 +35,7 @@
 	KindResponse  Kind = 14
 	KindRefusal   Kind = 15
 	KindReset     Kind = 16
+	KindWithdraw  Kind = 17
 	KindPing      Kind = 20
 	KindPong      Kind = 21
 	KindAsk       Kind = 30
@@ -174,6 +179,12 @@
 	ID uint64
 }
 
+// Withdraw says that the request need not be begun any more: the gate refuses it unless it
+// was handed over, and goes on with it if it was.
+type Withdraw struct {
+	ID uint64
+}
+
 // Load is a gate's exact state at the moment of sending. It rides on every
 // answer, so that entries learn it without measuring.
 type Load struct {
@@ -399,6 +410,9 @@
 // Kind implements Message.
 func (*Cancel) Kind() Kind { return KindCancel }
 
+// Kind implements Message.
+func (*Withdraw) Kind() Kind { return KindWithdraw }
+
 // Kind implements Message.
 func (*Response) Kind() Kind { return KindResponse }
 
@@ -449,6 +463,8 @@
 		return new(Credit)
 	case KindCancel:
 		return new(Cancel)
+	case KindWithdraw:
+		return new(Withdraw)
 	case KindResponse:
 		return new(Response)
 	case KindRefusal:
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -17,6 +17,7 @@
 	&Data{ID: 1 << 60, Bytes: bytes.Repeat([]byte("y"), 100_000), Last: true},
 	&Credit{ID: 3, Bytes: 4},
 	&Cancel{ID: 9},
+	&Withdraw{ID: 9},
 	&Response{ID: 1, Status: 200, Header: []Field{}, Length: 5, NoRetry: true, Load: Load{Seq: 1, InFlight: 2, Queued: 3, Limit: 4, ServiceMicros: 5, Draining: true}},
 	&Refusal{ID: 1, Reason: ReasonShed, RetryAfterMicros: 7},
 	&Reset{ID: 1, Message: "why"},
