peer: a resting connection is looked at and closed in one step

Elsewhere: the accepting side closes what has carried nothing for a minute in two steps as well; the dialing side has closed it by then, or has given it up.

--- a/peer/conn.go
+++ b/peer/conn.go
@@ -220,8 +220,21 @@
 func (c *Conn) Close() { c.end(ErrConnClosed) }
 
 func (c *Conn) end(err error) {
+	c.endIf(err, func() bool { return true })
+}
+
+// closeIfResting closes the connection if it has carried nothing for longer than a limit.
+func (c *Conn) closeIfResting(now time.Time, limit time.Duration) {
+	c.endIf(ErrConnClosed, func() bool {
+		return len(c.calls)+len(c.asks) == 0 && now.Sub(c.lastUsed) > limit
+	})
+}
+
+// endIf ends the connection if a condition holds, which is asked with the lock held: a
+// request that began between a look and the end would be lost.
+func (c *Conn) endIf(err error, holds func() bool) {
 	c.mu.Lock()
-	if c.err != nil {
+	if c.err != nil || !holds() {
 		c.mu.Unlock()
 		return
 	}
--- a/peer/dialer.go
+++ b/peer/dialer.go
@@ -238,12 +238,8 @@
 			d.retire(now, address, s)
 			continue
 		}
-		conn := s.opened()
-		if conn == nil {
-			continue
-		}
-		if idle := conn.idleSince(); !idle.IsZero() && now.Sub(idle) > d.IdleLimit {
-			conn.Close()
+		if conn := s.opened(); conn != nil {
+			conn.closeIfResting(now, d.IdleLimit)
 		}
 	}
 	for conn := range d.yielded {
