platform, spread: a store that comes back from an older copy

Cause: three assumptions. What a node registered once was there for good; a revision named one state; a tag that the store takes was of its present history. So after the store came back from an older copy no node was ever listed again, and a watch waited for what comes after a revision that meant something else.

Ruled out: conditional writes; there are none.

Not done: the era in `ryehaven status`, calls counted at 300 hosts.

--- a/node/metrics.go
+++ b/node/metrics.go
@@ -144,6 +144,8 @@
 		metric.Count("platform_reads", "calls", "reads and watches at the platform", &c.PlatformReads),
 		metric.Count("evacuations_taken", "changes", "changes of the evacuated availability zones", &c.EvacuationsTaken),
 		metric.Count("evacuations_bad", "states", "states of evacuations that did not pass their checks", &c.BadEvacuations),
+		metric.Count("spread_store_eras", "times", "times that the store came back from an older copy of itself", &c.Eras),
+		metric.Count("spread_hosts_restored", "hosts", "hosts that the store had lost and that were written to its list again", &c.HostsRestored),
 		metric.Count("spread_entries_left_out", "readings", "readings of the list of hosts that left out entries which cannot be used", &c.EntriesLeftOut),
 		metric.Count("platform_errors", "calls", "reads and watches that failed", &c.PlatformErrors),
 		metric.Count("watch_ended_by_limit", "calls", "watches at the platform without an answer within their time limit", &c.WatchLimits),
--- a/spread/away_test.go
+++ b/spread/away_test.go
@@ -82,6 +82,8 @@
 
 func (s *awayStore) Remove(context.Context, string) error { return nil }
 
+func (s *awayStore) Restore(context.Context, store.Host) error { return nil }
+
 func (s *awayStore) Hosts(ctx context.Context, _ string) ([]store.Host, error) {
 	o, err := s.Get(ctx, store.HostsKey)
 	if err != nil {
--- a/spread/directory.go
+++ b/spread/directory.go
@@ -34,7 +34,7 @@
 	for first := s.settings.Register && !met; ctx.Err() == nil; {
 		wait := s.settings.HostsEvery
 		if first || s.alone() || (s.rank() == 0 && !met) {
-			err := s.readHosts(ctx)
+			_, err := s.readHosts(ctx)
 			if first = first && err != nil; first || s.alone() {
 				backoff = min(max(2*backoff, backoffFirst), backoffWatcher)
 				wait = min(wait, backoff)
@@ -191,24 +191,26 @@
 	}
 }
 
-func (s *Spread) readHosts(ctx context.Context) error {
+// readHosts reads the whole list of hosts and returns what it says.
+func (s *Spread) readHosts(ctx context.Context) ([]member.Listed, error) {
 	s.Counters.PlatformReads.Add(1)
 	o, err := s.platform.Get(ctx, store.HostsKey)
 	s.noteStore(ctx, err)
 	if errors.Is(err, store.ErrNotFound) {
-		return nil
+		return nil, nil
 	}
 	if err != nil {
 		s.Counters.PlatformErrors.Add(1)
-		return err
+		return nil, err
 	}
 	hosts, err := store.DecodeHosts(o.Body)
 	s.warnOfHosts(err)
 	if err != nil && !errors.Is(err, store.ErrLeftOut) {
-		return err
+		return nil, err
 	}
-	s.removeVanished(ctx, s.list(hosts))
-	return nil
+	listed := s.list(hosts)
+	s.removeVanished(ctx, listed)
+	return listed, nil
 }
 
 // warnOfHosts tells once of entries in the store's list that cannot be used.
--- a/spread/evacuate.go
+++ b/spread/evacuate.go
@@ -34,6 +34,9 @@
 		}
 		next, err := s.readEvacuations(ctx, tag)
 		if err != nil {
+			if isLost(err) && !errors.Is(err, errAbandoned) {
+				tag = "" // As for the table.
+			}
 			sleep(ctx, s.jitter(again.pause(err, s.backoffOnDuty())))
 			continue
 		}
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -82,6 +82,9 @@
 	WatchLimits, WatchKeepAlives, WatchErrors atomic.Int64
 	// WatchesAbandoned counts watches begun anew since they may have been silent.
 	WatchesAbandoned atomic.Int64
+	// Eras counts how often the platform came back from an older copy, HostsRestored
+	// hosts that were then written to its list again.
+	Eras, HostsRestored atomic.Int64
 	// Probes counts checks that the platform is heard, ProbesSilent those that had no
 	// answer.
 	Probes, ProbesSilent atomic.Int64
--- a/spread/vanished_test.go
+++ b/spread/vanished_test.go
@@ -21,6 +21,8 @@
 
 func (d *directory) Register(context.Context, store.Host) error { return nil }
 
+func (d *directory) Restore(context.Context, store.Host) error { return nil }
+
 func (d *directory) Hosts(context.Context, string) ([]store.Host, error) { return nil, nil }
 
 func (d *directory) Remove(_ context.Context, host string) error {
--- a/spread/watch.go
+++ b/spread/watch.go
@@ -99,6 +99,11 @@
 	w.nextPoll = time.Now().Add(s.jitter(s.settings.PollEvery))
 	if err != nil {
 		w.acting = w.acting && errors.Is(err, errAbandoned)
+		if isLost(err) && !errors.Is(err, errAbandoned) {
+			// A store that was away may be back from an older copy, in which nothing ever
+			// comes after the tag. Reading afresh costs a call for each lost connection.
+			w.tag = ""
+		}
 		sleep(ctx, s.jitter(w.again.pause(err, most)))
 		return
 	}
@@ -155,10 +160,11 @@
 		wait = 0
 	}
 	o, changed, err := s.watch(ctx, store.TableKey, tag, wait)
-	if errors.Is(err, store.ErrNotFound) && o.Tag != "" && s.holder.Current() == nil {
-		// Nobody has applied a table yet, and the store says from where on to watch.
-		s.confirm()
-		return o.Tag, nil
+	if errors.Is(err, store.ErrNotFound) && o.Tag != "" {
+		if s.holder.Current() == nil {
+			s.confirm() // Nobody has applied a table yet.
+		}
+		return o.Tag, nil // The store says from where on to watch.
 	}
 	if errors.Is(err, store.ErrNotFound) {
 		return "", err
--- a/store/store.go
+++ b/store/store.go
@@ -48,6 +48,8 @@
 type Directory interface {
 	// Register adds a host or replaces what is said of it.
 	Register(ctx context.Context, host Host) error
+	// Restore adds a host that the store has lost, and leaves one that is there.
+	Restore(ctx context.Context, host Host) error
 	// Remove takes out a host that has vanished.
 	Remove(ctx context.Context, host string) error
 	// Hosts returns some of the hosts, by one call: those whose names come next
