soak: the store comes back from older copies, also from one that knows no node

Cause: the soak's store never lost what it had acknowledged, and whether nodes are listed there was not looked at.

A site is healed only if all its hosts are listed.

--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -76,9 +76,12 @@
 
 func (h *host) address(port int) string { return fmt.Sprintf("%s:%d", h.ip, port) }
 
+// name is what the node is called.
+func (h *host) name() string { return fmt.Sprint("host-", h.number) }
+
 // settings are the node's, as the platform's template fills them.
 func (h *host) settings() string {
-	return fmt.Sprintf(`host = "host-%d"
+	return fmt.Sprintf(`host = %q
 zone = %q
 region = "r"
 [listen]
@@ -109,7 +112,7 @@
 [distance]
 factor = 2.5
 late_per_mb = 40
-%s`, h.number, h.zone, h.address(callerPort), h.address(peerPort), h.address(adminPort), h.peer.Address(),
+%s`, h.name(), h.zone, h.address(callerPort), h.address(peerPort), h.address(adminPort), h.peer.Address(),
 		h.toServer.Address(), h.service, h.address(controlPort), h.address(readyPort), h.store.Address(),
 		stopBound.Milliseconds(), UsualBounds().RetryExtra+h.revision%2, h.experiment())
 }
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -51,6 +51,9 @@
 	StoreLost Kind = "store-lost"
 	// StoreForget drops the store's history.
 	StoreForget Kind = "store-forget"
+	// StoreBack has the store come back from a copy as old as the step is long; what
+	// operators wrote since is written again.
+	StoreBack Kind = "store-back"
 	// ServerFault makes a backend server misbehave.
 	ServerFault Kind = "server-fault"
 	// ServerHang makes a backend server take requests and answer none. That is how some
@@ -110,7 +113,8 @@
 	// Links are what goes silent, Way is which way.
 	Links []Link         `json:",omitempty"`
 	Way   faultproxy.Way `json:",omitempty"`
-	// Twice says that all hosts are struck again after For.
+	// Twice says that all hosts are struck again after For, and of a store that comes back
+	// that its copy is from before any node was known to it.
 	Twice bool `json:",omitempty"`
 }
 
@@ -181,6 +185,7 @@
 		}
 	}
 	steps = append(steps, drawEnds(seed, hosts, length)...)
+	steps = append(steps, drawBacks(seed, length)...)
 	sort.Slice(steps, func(a, b int) bool { return steps[a].At < steps[b].At })
 	return steps
 }
@@ -230,6 +235,26 @@
 	return steps
 }
 
+// drawBacks returns the steps in which the store comes back from older copies, some of
+// which overlap: for one in three of the seeds that are not of planned work only, apart
+// from their other steps.
+func drawBacks(seed uint64, length time.Duration) []Step {
+	if seed%10 < plannedDays || seed%3 != 0 {
+		return nil
+	}
+	rng := rand.New(rand.NewPCG(seed, 4))
+	var steps []Step
+	for range 1 + rng.IntN(3) {
+		steps = append(steps, Step{
+			At:    time.Duration(rng.Int64N(int64(length))),
+			For:   stepLeast + time.Duration(rng.Int64N(int64(stepMost))),
+			Kind:  StoreBack,
+			Twice: rng.IntN(2) == 0,
+		})
+	}
+	return steps
+}
+
 // draw returns one step.
 func draw(rng *rand.Rand, kinds []Kind, hosts int, length time.Duration) Step {
 	s := Step{
@@ -240,7 +265,7 @@
 	struck := 1 + rng.IntN(max(hosts/3, 1))
 	order := rng.Perm(hosts)
 	switch s.Kind {
-	case KillAll, StoreDown, StoreSilent, StoreSlow, StoreLost, StoreForget, Change, Storm:
+	case KillAll, StoreBack, StoreDown, StoreSilent, StoreSlow, StoreLost, StoreForget, Change, Storm:
 	case ForgetAll:
 		drawSilence(rng, &s)
 	case Forget:
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -23,9 +24,11 @@
 type site struct {
 	options Options
 	store   *emulator.Store
-	hosts   []*host
-	work    time.Duration
-	nextID  atomic.Uint64
+	// first is a copy of the store that knows no node yet.
+	first  emulator.Copy
+	hosts  []*host
+	work   time.Duration
+	nextID atomic.Uint64
 	// storeFaults counts the steps that keep the store in each fault.
 	storeMu     sync.Mutex
 	storeFaults map[Kind]int
@@ -34,8 +37,10 @@
 
 	mu      sync.Mutex
 	history History
-	serial  int
-	notes   []string
+	// evacuated are the zones that the operators have evacuated now.
+	evacuated map[string]bool
+	serial    int
+	notes     []string
 }
 
 // services of the emulated deployments; half of the hosts have the first.
@@ -86,16 +91,36 @@
 		return
 	}
 	defer s.evacuating.Unlock()
-	s.store.Put("evacuations", zone, struct{}{})
-	from := time.Now()
+	from := s.setEvacuated(zone, true)
 	pause(ctx, length)
 	to := time.Now()
-	s.store.Delete("evacuations", zone)
+	s.setEvacuated(zone, false)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.history.Evacuations = append(s.history.Evacuations, Evacuation{Zone: zone, From: from, To: to})
 }
 
+// evacuationKind is where operators say which zones are evacuated, nodesKind where nodes
+// make themselves known.
+const (
+	evacuationKind = "evacuations"
+	nodesKind      = "ryehaven-nodes"
+)
+
+// setEvacuated has a zone evacuated or not, and returns when the store had that.
+func (s *site) setEvacuated(zone string, evacuated bool) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.evacuated[zone] = evacuated
+	if evacuated {
+		s.store.Put(evacuationKind, zone, struct{}{})
+	} else {
+		delete(s.evacuated, zone)
+		s.store.Delete(evacuationKind, zone)
+	}
+	return time.Now()
+}
+
 // sinceKept is how many versions' routes a configuration keeps; a run makes fewer
 // changes, so that none is ever taken away.
 const sinceKept = 400
@@ -107,7 +132,7 @@
 
 // startSite starts a store, servers and nodes, and waits until all serve.
 func startSite(o Options) (*site, error) {
-	s := &site{options: o, work: cmp.Or(o.Work, usualWork), storeFaults: map[Kind]int{}}
+	s := &site{options: o, work: cmp.Or(o.Work, usualWork), storeFaults: map[Kind]int{}, evacuated: map[string]bool{}}
 	s.history.Attempts = attempts
 	if err := s.start(); err != nil {
 		s.close()
@@ -124,6 +149,7 @@
 	s.store = store
 	s.store.LeaveForeign()
 	s.change()
+	s.first = s.store.Copy()
 	for i := range s.options.Hosts {
 		if err := s.addHost(i); err != nil {
 			return err
@@ -184,12 +210,34 @@
 	defer s.mu.Unlock()
 	s.serial++
 	v := Version{Serial: s.serial, Sent: time.Now(), Moving: movingService(s.serial)}
-	s.store.Put("config", "main", emulator.ColdConfiguration(s.serial, services, routesOf(s.serial),
-		emulator.ColdService{StartS: coldStart, PerS: coldPerSecond}))
+	s.writeConfiguration()
 	v.At = time.Now()
 	s.history.Versions = append(s.history.Versions, v)
 }
 
+// comeBack has the store come back from a copy, with what operators wrote since written
+// again. Nothing else is written to it meanwhile.
+func (s *site) comeBack(old emulator.Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.store.ComeBack(old)
+	for _, zone := range s.store.Names(evacuationKind) {
+		if !s.evacuated[zone] {
+			s.store.Delete(evacuationKind, zone)
+		}
+	}
+	for zone := range s.evacuated {
+		s.store.Put(evacuationKind, zone, struct{}{})
+	}
+	s.writeConfiguration()
+}
+
+// writeConfiguration writes the newest version. It is called with the lock held.
+func (s *site) writeConfiguration() {
+	s.store.Put("config", "main", emulator.ColdConfiguration(s.serial, services, routesOf(s.serial),
+		emulator.ColdService{StartS: coldStart, PerS: coldPerSecond}))
+}
+
 // newest returns the newest version of the configuration.
 func (s *site) newest() int {
 	s.mu.Lock()
@@ -300,7 +348,11 @@
 
 // healed returns what is not well.
 func (s *site) healed() error {
+	listed := s.store.Names(nodesKind)
 	for _, h := range s.hosts {
+		if !slices.Contains(listed, h.name()) {
+			return fmt.Errorf("host %d is not in the store's list", h.number)
+		}
 		status, err := query.GetStatus(h.address(adminPort))
 		if err != nil {
 			return err
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -87,6 +87,15 @@
 		}
 	case StoreForget:
 		s.store.ForgetHistory()
+	case StoreBack:
+		old := s.store.Copy()
+		if step.Twice {
+			old = s.first // It knows no node.
+		}
+		pause(ctx, step.For)
+		s.setStoreFault(StoreDown, 1)
+		s.comeBack(old)
+		s.setStoreFault(StoreDown, -1)
 	default:
 		s.setStoreFault(step.Kind, 1)
 		pause(ctx, step.For)
