gate: failing test of a full server that is taken for silent connections

Cause: a question that waits for room on a kept connection, while one on a new connection is turned away with 503, counts as a kept connection that is silent.

--- a/gate/silence_test.go
+++ b/gate/silence_test.go
@@ -28,6 +28,10 @@
 	long chan struct{}
 	// denies has the server say that it works on nothing.
 	denies atomic.Bool
+	// full has the server treat questions like requests that it has no room for: one that
+	// came on a kept connection waits until full is closed, one on a new connection is
+	// turned away. It is nil otherwise.
+	full atomic.Pointer[chan struct{}]
 }
 
 const healthPath = "/health"
@@ -45,6 +49,7 @@
 		ctx.Response.Header.Set(loadField, fmt.Sprintf("%d,0,%d,100", says, slots))
 		if string(ctx.Path()) == healthPath {
 			s.asked.Add(1)
+			s.waitForRoom(ctx)
 			return
 		}
 		atWork.Add(1)
@@ -88,6 +93,19 @@
 	return s
 }
 
+// waitForRoom holds or turns away a question while the server is full.
+func (s *silenceable) waitForRoom(ctx *fasthttp.RequestCtx) {
+	full := s.full.Load()
+	if full == nil {
+		return
+	}
+	if ctx.ConnRequestNum() == 1 {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
+	<-*full
+}
+
 // tick does what a node does for its gate.
 func (s *silenceable) tick(stop <-chan struct{}) {
 	ticker := time.NewTicker(5 * time.Millisecond)
