gate: a full server is not taken for one whose kept connections are silent

Where a server's health path waits for room like a request, being full made every kept connection suspected, and what had been at work on them for twice the usual time was ended unless the server tells its load.

Change: a question that is turned away on a new connection says nothing of the kept ones.

Before: the test fails in 2 of 2 runs. After: 3 of 3, and the package's tests pass.

--- a/gate/mute.go
+++ b/gate/mute.go
@@ -71,6 +71,11 @@
 // kept reports whether the question went out on a connection that was kept.
 func (q *question) kept() bool { return q.exchange.Origin() == backend.Kept }
 
+// turnedAway reports whether the server answered that it takes no more.
+func (q *question) turnedAway() bool {
+	return q.err == nil && q.exchange.Response.StatusCode() == fasthttp.StatusServiceUnavailable
+}
+
 // drop gives the question up.
 func (q *question) drop() {
 	q.exchange.Abort()
@@ -125,6 +130,11 @@
 	}
 	took := time.Since(second.asked)
 	switch {
+	case second.turnedAway():
+		// A full server may have the first question wait and turn the second away: to take
+		// the kept connections for silent ended what it was at work on.
+		q.waitUntil(limit)
+		q.drop()
 	case second.err != nil:
 		g.Counters.Silent.Add(1)
 		g.recordMute(q, false)
