--- a/peer/doc.go
+++ b/peer/doc.go
@@ -37,5 +37,7 @@
 // the smallest difference to its own clock as the way's delay and anything
 // above as time that the request spent waiting unread. A gate that was frozen
 // thus knows on waking that a request in its socket has outlived its budget,
-// without clocks that agree.
+// without clocks that agree. How old a request is it knows between two bounds, which are
+// as far apart as the connection took to open if that was long. [Stream.Deadline] is by the
+// upper one and [Stream.Expiry] by the lower.
 package peer
