peer: a connection's end doesn't take the tail of an answer with it

The same closing stood at the server's end, and so at the end of every planned stop: what other nodes had not read of the last answers was dropped if anything from them was unread.

Change: the own side ends once all is written, and the reader goes on until the other side has ended its own, for 2 s at most where another connection has taken the place and for 0.2 s at the server's end.

--- a/peer/fence.go
+++ b/peer/fence.go
@@ -217,11 +217,7 @@
 		return
 	}
 	a.over = true
-	a.w.close(ErrClosed)
-	go func() {
-		<-a.w.done // It may only have been slow, and what is queued an answer.
-		a.nc.Close()
-	}()
+	a.finish(fencedLimit)
 }
 
 // find returns another open connection of the same node that was opened before, or nil.
--- a/peer/server.go
+++ b/peer/server.go
@@ -71,17 +71,54 @@
 	}
 }
 
-// Close closes all connections and waits for their readers.
+// How long the other side may take to read what is on its way when a connection ends. One
+// that takes longer has gone silent, or stands still.
+const (
+	// closeLimit holds at the server's end, which a planned stop waits for.
+	closeLimit = 200 * time.Millisecond
+	// fencedLimit holds where another connection has taken the place.
+	fencedLimit = 2 * time.Second
+)
+
+// Close ends all connections and waits for their readers. Of what was sent nothing is lost
+// where the other side reads within closeLimit.
 func (s *Server) Close() {
 	s.mu.Lock()
 	s.closed = true
 	for a := range s.conns {
-		a.nc.Close()
+		a.shut()
 	}
 	s.mu.Unlock()
 	s.wait.Wait()
 }
 
+// shut ends the connection and takes no request from it any more.
+func (a *accepted) shut() {
+	if !a.ready.Load() {
+		a.nc.Close()
+		return
+	}
+	a.mu.Lock()
+	a.fenced = true
+	a.mu.Unlock()
+	a.finish(closeLimit)
+}
+
+// finish ends the own side once all is written; the reader goes on until the other side
+// has ended its own, for up to a limit. A connection that is closed with unread bytes is
+// reset, and the end of an answer that is not delivered yet is lost with it.
+func (a *accepted) finish(limit time.Duration) {
+	a.w.close(ErrClosed)
+	time.AfterFunc(limit, func() { a.nc.Close() })
+	go func() {
+		<-a.w.done
+		half, ok := a.nc.(interface{ CloseWrite() error })
+		if !ok || half.CloseWrite() != nil {
+			a.nc.Close()
+		}
+	}()
+}
+
 func (s *Server) add(a *accepted) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
