entry, retry: requests lost on silent connections wait as far as the budget pays

Where the budget takes in nothing (a node among hundreds), four were held in vain.

Now a request waits if the budget will pay for it and all that wait before it, at the present rate of fresh requests; waiters get half of the income only while others ask. They wait for 0.8 of their time.

Ruled out: a second attempt on another silent connection (those take new connections already); an unlimited number of waiters (the budget's bound is not touched, but they were held in vain).

The test of four waiters is replaced by one as strict or stricter: exactly those wait that are paid, for three incomes; on the code before it fails in all three.

--- a/entry/budget_test.go
+++ b/entry/budget_test.go
@@ -47,33 +47,49 @@
 	}
 }
 
-// One silence takes many requests at once. All of them looked at the budget each 20 ms
-// for half of their time; only a few may, and the others end at once.
-func TestFewRequestsWaitForTheBudget(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		e, s := &Entry{}, budgeted()
-		began := time.Now()
-		const requests = 30
-		ends := make(chan time.Duration, requests)
-		for range requests {
-			go func() {
-				r := &request{service: s, gone: make(chan struct{}), began: began, deadline: began.Add(2 * time.Second)}
-				if e.awaitBudget(r, muted()) {
-					t.Error("paid without an income")
+// One silence takes many requests at once, and the node's part of the budget pays for few
+// of them. Where four of a service might wait, whatever the budget took in, the others of
+// one node were given up while it went on to fill for seconds, and where it took in nothing
+// four were held in vain. Those wait that it pays for, and the others end at once.
+func TestThoseWaitThatTheBudgetPaysFor(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		deadline time.Duration
+	}{
+		{"none is paid", 2 * time.Second},
+		{"a few are", 30 * time.Second},
+		{"more are", 120 * time.Second},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e, s := &Entry{}, budgeted()
+				began := time.Now()
+				// A budget begins with what a second brings.
+				want := int(s.budget.Bound.PerSecond * (1 + budgetShare*test.deadline.Seconds()))
+				const requests = 30
+				paid := make(chan bool, requests)
+				for range requests {
+					go func() {
+						r := &request{service: s, gone: make(chan struct{}), began: began, deadline: began.Add(test.deadline)}
+						ok := e.awaitBudget(r, muted())
+						if !ok && time.Since(began) > 0 {
+							t.Error("waited in vain")
+						}
+						paid <- ok
+					}()
 				}
-				ends <- time.Since(began)
-			}()
-		}
-		waited := 0
-		for range requests {
-			if <-ends > 0 {
-				waited++
-			}
-		}
-		if waited != maxWaiters {
-			t.Errorf("%d requests waited, want %d", waited, maxWaiters)
-		}
-	})
+				got := 0
+				for range requests {
+					if <-paid {
+						got++
+					}
+				}
+				if got != want {
+					t.Errorf("%d requests were paid, want %d", got, want)
+				}
+			})
+		})
+	}
 }
 
 // Those that wait look so often that they took the whole budget: in 10 s 203 of them were
@@ -85,11 +101,12 @@
 		for range 1000 {
 			time.Sleep(10 * time.Millisecond)
 			s.fresh(time.Now())
-			for range maxWaiters {
+			for range 4 {
 				if e.payAgain(&request{service: s}, muted()) {
 					waiting++
 				}
 			}
+			s.asked = time.Now()
 			if s.budget.Take(time.Now(), 1) {
 				others++
 			}
--- a/entry/handle.go
+++ b/entry/handle.go
@@ -180,6 +180,7 @@
 	}
 	paid := r.paid
 	r.paid = false
+	s.asked = now
 	if !paid && !s.budget.Take(now, a.cost(&s.terms)) {
 		e.Counters.RetriesDenied.Add(1)
 		r.denied, a.denied = true, true
@@ -193,23 +194,22 @@
 	// budgetEvery is how often a request looks whether the budget pays for it now, and
 	// budgetShare the part of its time for which it does.
 	budgetEvery = 20 * time.Millisecond
-	budgetShare = 0.5
-	// maxWaiters bounds the requests of a service that look so: a budget takes in a few
-	// in the time that these have.
-	maxWaiters = 4
-	// waitersShare is the most of the budget's income that they get.
+	budgetShare = 0.8
+	// waitersShare is the most of the budget's income that those get who look so while
+	// others ask for it too, that is for contendedFor after one has.
 	waitersShare = 0.5
+	contendedFor = time.Second
 )
 
 // awaitBudget waits until the budget pays for sending a request again whose connection
 // to the server was silent, and reports whether it did: one silence takes many requests
 // at the same moment, and none of them has another way to be answered.
 func (e *Entry) awaitBudget(r *request, a *attempt) bool {
-	if !a.mute || !a.denied || !r.service.startWait() {
+	until := r.began.Add(time.Duration(budgetShare * float64(r.deadline.Sub(r.began))))
+	if !a.mute || !a.denied || !r.service.startWait(until, a) {
 		return false
 	}
 	defer r.service.endWait()
-	until := r.began.Add(time.Duration(budgetShare * float64(r.deadline.Sub(r.began))))
 	look := time.NewTicker(budgetEvery)
 	defer look.Stop()
 	for now := time.Now(); now.Before(until); now = time.Now() {
@@ -225,11 +225,13 @@
 	return false
 }
 
-// startWait takes a place among those that wait for the budget, if there is one.
-func (s *service) startWait() bool {
+// startWait takes a place among those that wait for the budget until a time, if it will
+// pay for all of them by then: one that waits in vain is better told at once.
+func (s *service) startWait(until time.Time, a *attempt) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.waiters >= maxWaiters {
+	now := time.Now()
+	if s.budget.Within(now, until.Sub(now)) < float64(s.waiters+1)*a.cost(&s.terms) {
 		return false
 	}
 	s.waiters++
@@ -248,10 +250,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now, cost := time.Now(), a.cost(&s.terms)
-	if !s.waits.Has(now, cost) || !s.budget.Take(now, cost) {
+	contended := now.Sub(s.asked) < contendedFor
+	if contended && !s.waits.Has(now, cost) || !s.budget.Take(now, cost) {
 		return false
 	}
-	s.waits.Take(now, cost)
+	if contended {
+		s.waits.Take(now, cost)
+	}
 	r.denied = false
 	e.Counters.Retries.Add(1)
 	return true
@@ -286,6 +291,7 @@
 	if !retry.Again(r.asEnded(now, a, retry.Silent)) {
 		return false
 	}
+	s.asked = now
 	r.paid = s.budget.Take(now, retry.Silent.Cost())
 	return r.paid
 }
--- a/entry/service.go
+++ b/entry/service.go
@@ -29,13 +29,15 @@
 	pool      *balance.Pool
 	budget    retry.Budget
 	hedges    retry.Budget
-	// waits is the part of the budget that those get who wait for it, and waiters how
-	// many do.
+	// waits is the part of the budget that those get who wait for it while others ask,
+	// and waiters how many do.
 	waits   retry.Budget
 	waiters int
-	delay   retry.Delay
-	meter   burn.Meter
-	rng     *rand.Rand
+	// asked is when one that does not wait last asked the budget.
+	asked time.Time
+	delay retry.Delay
+	meter burn.Meter
+	rng   *rand.Rand
 	// news is of the service's servers and their speed.
 	news broadcast
 }
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -2,7 +2,10 @@
 
 package retry
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Outcome is how an attempt ended.
 type Outcome uint8
@@ -150,8 +153,14 @@
 
 	tokens float64
 	filled time.Time
+	// recent counts fresh requests, each for recentFor on the average, up to counted.
+	recent  float64
+	counted time.Time
 }
 
+// recentFor is the time over which the rate of fresh requests is taken.
+const recentFor = 5 * time.Second
+
 // The floor and the bound of a budget, in retries.
 const (
 	// FloorPerSecond is how many retries a second are allowed without any
@@ -166,6 +175,26 @@
 	b.fill(now)
 	share, _, most := b.rates()
 	b.tokens = min(b.tokens+share, most)
+	b.recent = b.decayed(now) + 1
+	b.counted = now
+}
+
+// decayed returns the count of recent fresh requests.
+func (b *Budget) decayed(now time.Time) float64 {
+	age := now.Sub(b.counted)
+	if b.counted.IsZero() || age < 0 {
+		return b.recent
+	}
+	return b.recent * math.Exp(-age.Seconds()/recentFor.Seconds())
+}
+
+// Within returns how much there is to spend in the time that is left, if fresh requests
+// go on to come as they do.
+func (b *Budget) Within(now time.Time, left time.Duration) float64 {
+	b.fill(now)
+	share, perSecond, _ := b.rates()
+	fresh := b.decayed(now) / recentFor.Seconds()
+	return b.tokens + (perSecond+share*fresh)*left.Seconds()
 }
 
 // rates returns what a fresh request and a second pay for, and the most that is
