tenant, table, entry, platform: tenants are named by their keys

Now a table may have tenants. Where it has, a route that is not public asks for exactly one Authorization field with one bearer key; else 401 at once, or 503 while the table may be an old one. The fields end at the entry on every route; the server gets the tenant's name, whatever the caller wrote in that field, also with underscores. The tenant's priority goes before the route's. The name travels packed, as the caller's service does.

A kind or field of a configuration that the adapter does not know is said once in the log, with its place.

Weighed: keys in the table's text as they are (shorter by two bytes, shown by every reader of tables); a salt for each table (fingerprints of the same key would not be comparable between versions); HMAC with a key of the nodes (there is none).

Tests: what servers get for thirteen kinds of credentials, keys that move on open connections, configurations that are rejected, no output shows a key, a fuzz target for the credentials. Not yet: revokeFailClosed, quotas, fair shares.

--- a/cmd/ryehavend/main.go
+++ b/cmd/ryehavend/main.go
@@ -113,7 +113,9 @@
 func servePlatform(ctx context.Context, f file, s settings.Settings, log *zap.Logger) error {
 	options := node.Options{Dialect: platform.Dialect(), Recorder: recorder(s, log)}
 	if s.Platform.Address != "" {
-		options.Store = platform.NewStore(s.Platform.Address, s.Platform.Limit)
+		client := platform.NewStore(s.Platform.Address, s.Platform.Limit)
+		client.Log = log.With(zap.String("host", s.Host))
+		options.Store = client
 	}
 	n, err := node.New(s, log, options)
 	if err != nil {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -81,6 +81,9 @@
 	AwaitedSpeed atomic.Int64
 	// Blamed counts requests that were not sent since servers have ended under them.
 	Blamed atomic.Int64
+	// NoKey counts requests without a key that the table knows; they are among
+	// BadRequests.
+	NoKey atomic.Int64
 	// TurnedAway counts requests that came too late for a stopping node; they
 	// are among NotRun.
 	TurnedAway atomic.Int64
@@ -186,26 +189,39 @@
 	return e.services[name], e.table != nil
 }
 
-// route returns what becomes of a request; the service is nil when there is
-// none for it, and the route when the table has no routes.
-func (e *Entry) route(host, path string) (s *service, route *table.Route, ready bool) {
+// destination is what becomes of a request by one table.
+type destination struct {
+	table *table.Table
+	// service is nil when there is none for the request, and route when the table has
+	// no routes.
+	service *service
+	route   *table.Route
+}
+
+// destination returns what becomes of a request; ready is false without a table.
+func (e *Entry) destination(host, path string) (d destination, ready bool) {
 	e.mu.RLock()
 	defer e.mu.RUnlock()
 	if e.table == nil {
-		return nil, nil, false
+		return destination{}, false
 	}
+	d.table = e.table
 	if len(e.table.Routes()) == 0 {
-		return e.services[serviceName(host)], nil, true
+		d.service = e.services[serviceName(host)]
+		return d, true
 	}
 	name, _, _ := strings.Cut(host, ":")
-	route = e.table.Match(strings.ToLower(name), path)
+	route := e.table.Match(strings.ToLower(name), path)
 	if route == nil {
-		return nil, nil, true
+		return d, true
 	}
+	d.route = route
 	if len(route.Shares) == 1 {
-		return e.services[route.Shares[0].Service], route, true
+		d.service = e.services[route.Shares[0].Service]
+	} else {
+		d.service = e.services[route.Service(e.traitsOf(route).draw(route.TotalWeight()))]
 	}
-	return e.services[route.Service(e.traitsOf(route).draw(route.TotalWeight()))], route, true
+	return d, true
 }
 
 // FailedSince reports whether a request failed for good since a time, so that
--- a/entry/handle.go
+++ b/entry/handle.go
@@ -16,16 +16,20 @@
 func (e *Entry) Handle(ctx *fasthttp.RequestCtx) {
 	e.Counters.Requests.Add(1)
 	path, _, _ := strings.Cut(string(ctx.Request.RequestURI()), "?")
-	s, route, ready := e.route(string(ctx.Host()), path)
+	d, ready := e.destination(string(ctx.Host()), path)
 	if !ready {
 		e.refuseWithoutTable(ctx)
 		return
 	}
-	if s == nil {
+	if d.service == nil {
 		e.refuseUnknown(ctx)
 		return
 	}
-	r, fault := e.newRequest(ctx, s, route)
+	holder, ok := e.authenticate(ctx, d)
+	if !ok {
+		return
+	}
+	r, fault := e.newRequest(ctx, d, holder)
 	if fault != "" {
 		e.refuseBad(ctx, fasthttp.StatusBadRequest, fault)
 		return
--- a/entry/record.go
+++ b/entry/record.go
@@ -50,6 +50,7 @@
 	line := event.Request{
 		ID:         r.message.Tag,
 		Service:    r.service.name,
+		Tenant:     r.message.Tenant,
 		Outcome:    outcome,
 		Status:     f.status,
 		Detail:     f.detail,
--- a/entry/reply.go
+++ b/entry/reply.go
@@ -26,6 +26,7 @@
 	statusLost        = "connection_terminated"
 	statusNotFound    = "destination_not_found"
 	statusBadRequest  = "http_request_error"
+	statusDenied      = "http_request_denied"
 )
 
 // noServerRetry is when to come back to a service without any server.
@@ -214,8 +215,11 @@
 func (e *Entry) refuseBad(ctx *fasthttp.RequestCtx, status int, fault string) {
 	e.Counters.BadRequests.Add(1)
 	proxyError := statusBadRequest
-	if status == fasthttp.StatusNotFound {
+	switch status {
+	case fasthttp.StatusNotFound:
 		proxyError = statusNotFound
+	case fasthttp.StatusUnauthorized:
+		proxyError = statusDenied
 	}
 	f := failure{status: status, outcome: header.NotRun, proxyError: proxyError, detail: fault}
 	e.recordRejected(ctx, time.Now(), f)
--- a/entry/request.go
+++ b/entry/request.go
@@ -116,7 +116,8 @@
 
 // newRequest reads what the caller wants. The string is a fault to tell the
 // caller, or blank.
-func (e *Entry) newRequest(ctx *fasthttp.RequestCtx, s *service, route *table.Route) (*request, string) {
+func (e *Entry) newRequest(ctx *fasthttp.RequestCtx, d destination, holder *table.Tenant) (*request, string) {
+	s, route := d.service, d.route
 	s.mu.Lock()
 	policy := s.policy
 	s.mu.Unlock()
@@ -141,6 +142,9 @@
 		priority, repeatable = route.Priority, route.Repeatable
 		budget = min(budget, route.Timeout)
 	}
+	if holder != nil && holder.Priority != nil {
+		priority = *holder.Priority
+	}
 	began := ctx.Time()
 	r := &request{
 		ctx:      ctx,
@@ -159,6 +163,9 @@
 			Caller:     e.settings.Caller,
 		},
 	}
+	if holder != nil {
+		r.message.Tenant = holder.Name
+	}
 	if dialect.Strict() {
 		r.message.Tag = string(h.Peek(dialect.RequestID))
 	}
--- a/event/event.go
+++ b/event/event.go
@@ -117,6 +117,8 @@
 	ID      string
 	Route   string
 	Service string
+	// Tenant is whose request it is; blank if no key says.
+	Tenant string
 	// Generation of the table and Members, a number for all that is known of
 	// nodes, are the versions that it was decided by. Confirmed is how long before
 	// the table was confirmed as the newest; negative if never.
@@ -155,6 +157,9 @@
 	e.AddString("id", r.ID)
 	e.AddString("route", r.Route)
 	e.AddString("service", r.Service)
+	if r.Tenant != "" {
+		e.AddString("tenant", r.Tenant)
+	}
 	e.AddUint64("generation", r.Generation)
 	e.AddUint64("members", r.Members)
 	e.AddInt64("confirmed_ms", r.Confirmed.Milliseconds())
--- a/gate/job.go
+++ b/gate/job.go
@@ -179,6 +179,9 @@
 	if dialect.Caller != "" && m.Caller != "" {
 		r.Header.Set(dialect.Caller, m.Caller)
 	}
+	if dialect.Tenant != "" && m.Tenant != "" {
+		r.Header.Set(dialect.Tenant, m.Tenant)
+	}
 	if dialect.ExpectServer != "" {
 		r.Header.Set(dialect.ExpectServer, member.LifeOf(m.Server).ID)
 	}
--- a/header/dialect.go
+++ b/header/dialect.go
@@ -19,6 +19,8 @@
 	RequestID string
 	// Caller tells the server on which service's host the request began.
 	Caller string
+	// Tenant tells the server whose request it is.
+	Tenant string
 	// ExpectServer names the server that a request is meant for; another one
 	// answers 421 and does not run it.
 	ExpectServer string
@@ -49,7 +51,7 @@
 
 // Prepare computes what the methods need; call it once the fields are set.
 func (d *Dialect) Prepare() {
-	d.request = lowerAll(d.Deadline, d.Repeatable, d.Priority, d.RequestID, d.Caller, d.ExpectServer, d.NotRun, d.ServerID, d.Load, d.Cold)
+	d.request = lowerAll(d.Deadline, d.Repeatable, d.Priority, d.RequestID, d.Caller, d.Tenant, d.ExpectServer, d.NotRun, d.ServerID, d.Load, d.Cold)
 	d.answer = lowerAll(d.RequestID, d.NotRun, d.ServerID, d.Load, d.Cold)
 }
 
--- a/header/dialect_test.go
+++ b/header/dialect_test.go
@@ -33,10 +33,10 @@
 
 // What nodes say themselves is never taken from a caller.
 func TestForgedFieldsEndAtTheNode(t *testing.T) {
-	d := Dialect{Deadline: "X-D", RequestID: "X-Id", Caller: "X-Caller", ExpectServer: "X-Expect", NotRun: "X-Not", Load: "X-Load"}
+	d := Dialect{Deadline: "X-D", RequestID: "X-Id", Caller: "X-Caller", Tenant: "X-Tenant", ExpectServer: "X-Expect", NotRun: "X-Not", Load: "X-Load"}
 	d.Prepare()
 	var h fasthttp.RequestHeader
-	for _, name := range []string{"X-D", "X-Id", "X-Caller", "X-Expect", "X-Not", "X-Load", "X-Other", "Connection"} {
+	for _, name := range []string{"X-D", "X-Id", "X-Caller", "X-Tenant", "x-tenant", "X_Tenant", "X-Expect", "X-Not", "X-Load", "X-Other", "Connection"} {
 		h.Add(name, "v")
 	}
 	passed := map[string]bool{}
--- a/header/header.go
+++ b/header/header.go
@@ -75,7 +75,8 @@
 func fields(all func(func(name, value []byte) bool), named string, ours []string) []wire.Field {
 	passed := make([]wire.Field, 0, 8)
 	for name, value := range all {
-		lower := strings.ToLower(string(name))
+		// Some servers read an underscore as a hyphen.
+		lower := strings.ReplaceAll(strings.ToLower(string(name)), "_", "-")
 		if hopByHop[lower] || strings.HasPrefix(lower, prefix) || listed(named, lower) || slices.Contains(ours, lower) {
 			continue
 		}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -34,6 +34,7 @@
 		metric.Count("entry_not_run", "requests", "requests refused as not run", &c.NotRun),
 		metric.Count("entry_unknown", "requests", "requests whose outcome is unknown", &c.Unknown),
 		metric.Count("entry_bad_requests", "requests", "requests wrong in themselves", &c.BadRequests),
+		metric.Count("entry_unknown_keys", "requests", "requests rejected since no tenant holds their key, or they have none", &c.NoKey),
 		metric.Count("entry_attempts", "requests", "requests sent to gates", &c.Attempts),
 		metric.Count("entry_retries", "requests", "attempts after the first", &c.Retries),
 		metric.Count("entry_retries_denied", "requests", "attempts that the retry budget did not pay for", &c.RetriesDenied),
--- a/table/column.go
+++ b/table/column.go
@@ -110,11 +110,15 @@
 }
 
 func setShedNotRun(p *Policy, cell string) error {
+	return setYesNo(&p.ShedNotRun, cell)
+}
+
+func setYesNo(to *bool, cell string) error {
 	switch cell {
 	case "yes":
-		p.ShedNotRun = true
+		*to = true
 	case "no":
-		p.ShedNotRun = false
+		*to = false
 	default:
 		return fmt.Errorf("%q is neither yes nor no", cell)
 	}
--- a/table/diff.go
+++ b/table/diff.go
@@ -50,7 +50,7 @@
 		services: map[string]*Service{},
 		seen:     map[[2]string]int{},
 	}
-	servers, _, _ := split(text)
+	servers := split(text).servers
 	p.readRecords(servers.text)
 	rows := make(map[rowKey]map[string]string, len(p.rows))
 	for _, r := range p.rows {
--- a/table/edit.go
+++ b/table/edit.go
@@ -23,7 +23,7 @@
 // every other line as it was. A blank service stands for the only one that has
 // the server.
 func SetState(text []byte, service, server string, state State) ([]byte, error) {
-	servers, _, _ := split(text)
+	servers := split(text).servers
 	reader := csv.NewReader(bytes.NewReader(servers.text))
 	reader.Comment = '#'
 	reader.FieldsPerRecord = -1
--- a/table/parse.go
+++ b/table/parse.go
@@ -49,19 +49,21 @@
 		p.findings.Add(1, 1, "the table has %d bytes; at most %d are accepted", len(text), MaxBytes)
 		return nil, p.findings.Err()
 	}
-	servers, routes, bounds := split(text)
-	p.readRecords(servers.text)
+	parts := split(text)
+	p.readRecords(parts.servers.text)
 	p.readServiceRows()
 	p.readServerRows()
 	p.checkServices()
-	routeList := p.readRoutes(routes)
-	boundList := p.readBounds(bounds)
+	routeList := p.readRoutes(parts.routes)
+	boundList := p.readBounds(parts.bounds)
+	tenantList := p.readTenants(parts.tenants)
 	if err := p.findings.Err(); err != nil {
 		return nil, err
 	}
 	t := newTable(p.services)
 	t.setRoutes(routeList)
 	t.bounds = boundList
+	t.setTenants(parts.keyed, tenantList)
 	return t, nil
 }
 
--- a/table/route.go
+++ b/table/route.go
@@ -28,6 +28,8 @@
 	Priority Priority
 	// Attempts is the largest number of servers that one request may reach.
 	Attempts int
+	// Public says that the route asks for no key.
+	Public bool
 }
 
 // Share is a service's part of a route.
--- a/table/section.go
+++ b/table/section.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -28,10 +29,17 @@
 	before int
 }
 
-// split returns the parts of a table's text: the servers, the routes and the
-// bounds.
-func split(text []byte) (servers, routes, bounds section) {
-	current := &servers
+// sections are the parts of a table's text.
+type sections struct {
+	servers, routes, bounds, tenants section
+	// keyed says that there is a part for tenants, which may be empty.
+	keyed bool
+}
+
+// split returns the parts of a table's text.
+func split(text []byte) sections {
+	var parts sections
+	current := &parts.servers
 	start, line := 0, 0
 	for at := 0; at < len(text); {
 		end := bytes.IndexByte(text[at:], '\n')
@@ -43,9 +51,12 @@
 		var to *section
 		switch strings.TrimRight(string(bytes.TrimSpace(text[at:next])), ",") {
 		case RoutesMark:
-			to = &routes
+			to = &parts.routes
 		case BoundsMark:
-			to = &bounds
+			to = &parts.bounds
+		case TenantsMark:
+			to = &parts.tenants
+			parts.keyed = true
 		}
 		if to != nil {
 			current.text = text[start:at]
@@ -55,7 +66,7 @@
 		at = next
 	}
 	current.text = text[start:]
-	return servers, routes, bounds
+	return parts
 }
 
 // sheet is a section's rows, with their lines in the file.
@@ -65,8 +76,8 @@
 }
 
 // readSheet reads a section whose columns must be exactly those named, in any
-// order.
-func readSheet(findings *finding.List, s section, columns []string) sheet {
+// order; optional ones may be missing.
+func readSheet(findings *finding.List, s section, columns []string, optional ...string) sheet {
 	reader := csv.NewReader(bytes.NewReader(s.text))
 	reader.FieldsPerRecord = -1
 	reader.Comment = '#'
@@ -84,7 +95,7 @@
 		line += s.before
 		if sh.columns == nil {
 			sh.columns = append([]string{}, record...)
-			checkColumns(findings, line, sh.columns, columns)
+			checkColumns(findings, line, sh.columns, columns, optional)
 			continue
 		}
 		if len(record) != len(sh.columns) {
@@ -110,9 +121,9 @@
 	findings.Add(0, 0, "%v", err)
 }
 
-func checkColumns(findings *finding.List, line int, present, wanted []string) {
+func checkColumns(findings *finding.List, line int, present, wanted, optional []string) {
 	known := map[string]bool{}
-	for _, name := range wanted {
+	for _, name := range slices.Concat(wanted, optional) {
 		known[name] = true
 	}
 	seen := map[string]bool{}
@@ -141,6 +152,7 @@
 	colAim        = "aim_ms"
 	colPriority   = "priority"
 	colAttempts   = "attempts"
+	colPublic     = "public"
 
 	colBound = "bound"
 	colValue = "value"
@@ -154,7 +166,7 @@
 func (p *parser) readRoutes(s section) []Route {
 	seen := map[[2]string]int{}
 	var routes []Route
-	for _, r := range readSheet(&p.findings, s, routeColumns).rows {
+	for _, r := range readSheet(&p.findings, s, routeColumns, colPublic).rows {
 		route := p.readRoute(r)
 		key := [2]string{route.Host, route.Prefix}
 		if first, ok := seen[key]; ok {
@@ -183,12 +195,9 @@
 		p.findings.Add(r.line, r.cells[colPrefix].column, "prefix: %q does not begin and end with a slash", route.Prefix)
 	}
 	route.Shares = p.readShares(r)
-	switch r.text(colRepeatable) {
-	case "yes":
-		route.Repeatable = true
-	case "no":
-	default:
-		p.findings.Add(r.line, r.cells[colRepeatable].column, "repeatable: %q is neither yes nor no", r.text(colRepeatable))
+	fault(colRepeatable, setYesNo(&route.Repeatable, r.text(colRepeatable)))
+	if r.text(colPublic) != "" {
+		fault(colPublic, setYesNo(&route.Public, r.text(colPublic)))
 	}
 	fault(colTimeout, setMillis(&route.Timeout, r.text(colTimeout), 1, 3_600_000))
 	if r.text(colAim) != "" {
@@ -258,6 +267,9 @@
 	Services []DraftService
 	Routes   []Route
 	Bounds   Bounds
+	// Keyed says that routes ask for the keys of Tenants.
+	Keyed   bool
+	Tenants []Tenant
 }
 
 // DraftService is a service whose servers announce themselves.
@@ -285,10 +297,18 @@
 	}
 	w.Flush()
 	fmt.Fprintln(&b, RoutesMark)
-	write(routeColumns...)
+	columns := routeColumns
+	if d.Keyed {
+		columns = append(slices.Clone(columns), colPublic)
+	}
+	write(columns...)
 	for _, r := range d.Routes {
-		write(r.Host, r.Prefix, sharesText(r.Shares), yesNo(r.Repeatable), millisText(r.Timeout), millisText(r.Aim),
-			r.Priority.String(), strconv.Itoa(r.Attempts))
+		cells := []string{r.Host, r.Prefix, sharesText(r.Shares), yesNo(r.Repeatable), millisText(r.Timeout), millisText(r.Aim),
+			r.Priority.String(), strconv.Itoa(r.Attempts)}
+		if d.Keyed {
+			cells = append(cells, yesNo(r.Public))
+		}
+		write(cells...)
 	}
 	w.Flush()
 	fmt.Fprintln(&b, BoundsMark)
@@ -298,6 +318,7 @@
 	write("header_time_ms", millisText(d.Bounds.HeaderTime))
 	write("idle_ms", millisText(d.Bounds.Idle))
 	w.Flush()
+	d.writeTenants(&b, w)
 	return b.Bytes()
 }
 
--- a/table/table.go
+++ b/table/table.go
@@ -5,6 +5,8 @@
 import (
 	"sort"
 	"time"
+
+	"github.com/ryehaven/ryehaven/tenant"
 )
 
 // State says whether a backend server may get new work.
@@ -170,6 +172,10 @@
 	routes      []Route
 	byRouteHost map[string][]*Route
 	bounds      Bounds
+
+	keyed   bool
+	tenants []Tenant
+	holders map[tenant.Fingerprint]*Tenant
 }
 
 // Service returns the service of that name, or nil.
--- /dev/null
+++ b/table/tenant_test.go
@@ -0,0 +1,88 @@
+// SPDX-License-Identifier: MIT
+
+package table
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/ryehaven/ryehaven/tenant"
+)
+
+func fingerprint(key string) string { return tenant.FingerprintOf([]byte(key)).String() }
+
+// keyedText is a table with tenants' rows.
+func keyedText(rows ...string) []byte {
+	return []byte("service,server,host,zone,address,state,discovery\ns,*,,,,,announced\n" +
+		TenantsMark + "\ntenant,priority,rate_per_s,burst,keys\n" + strings.Join(rows, "\n") + "\n")
+}
+
+func TestTenantsAreReadAsWritten(t *testing.T) {
+	urgent := Urgent
+	d := Draft{Keyed: true, Services: []DraftService{{Name: "s"}},
+		Routes: []Route{
+			{Host: "h", Prefix: "/a/", Shares: []Share{{Service: "s", Weight: 1}}, Timeout: 1e9, Aim: 1e8, Attempts: 1, Public: true},
+			{Host: "h", Prefix: "/b/", Shares: []Share{{Service: "s", Weight: 1}}, Timeout: 1e9, Aim: 1e8, Attempts: 1},
+		},
+		Bounds: Bounds{HeaderBytes: 4096, BodyBytes: 1, HeaderTime: 1e9, Idle: 1e9},
+		Tenants: []Tenant{
+			{Name: "b", Rate: 5, Burst: 7, Keys: []tenant.Fingerprint{tenant.FingerprintOf([]byte("k1")), tenant.FingerprintOf([]byte("k2"))}},
+			{Name: "a", Priority: &urgent, Keys: []tenant.Fingerprint{tenant.FingerprintOf([]byte("k3"))}},
+		}}
+	read, err := Parse("draft", d.Text())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !read.Keyed() || len(read.Tenants()) != 2 || !read.Match("h", "/a/x").Public || read.Match("h", "/b/x").Public {
+		t.Errorf("read %+v, %+v", read.Tenants(), read.Routes())
+	}
+	b := read.Holder(tenant.FingerprintOf([]byte("k2")))
+	if b == nil || b.Name != "b" || b.Rate != 5 || b.Burst != 7 || b.Priority != nil || b != read.Tenant("b") {
+		t.Errorf("the holder of k2 is %+v", b)
+	}
+	if a := read.Tenant("a"); a == nil || a.Priority == nil || *a.Priority != Urgent || a.Limited() {
+		t.Errorf("tenant a is %+v", a)
+	}
+	if read.Holder(tenant.FingerprintOf([]byte("k4"))) != nil || read.Tenant("c") != nil {
+		t.Error("a tenant that nobody named")
+	}
+}
+
+// A table whose last tenant has gone still asks for keys.
+func TestTableWithoutATenantLeftAsksForKeys(t *testing.T) {
+	read, err := Parse("t", keyedText())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !read.Keyed() {
+		t.Error("the table asks for no keys")
+	}
+}
+
+func TestTenantsFaultsNameTheirPlace(t *testing.T) {
+	k1, k2 := fingerprint("k1"), fingerprint("k2")
+	tests := []struct {
+		name string
+		rows []string
+		want string
+	}{
+		{"no name", []string{",,,," + k1}, `:5:1: tenant: "" is blank`},
+		{"a name with a blank", []string{"a b,,,," + k1}, `:5:1: tenant: "a b"`},
+		{"twice", []string{"a,,,," + k1, "a,,,," + k2}, `:6:1: tenant "a" already stands in line 5`},
+		{"a key of two", []string{"a,,,," + k1, "b,,,," + k1}, `:6:6: keys: ` + k1 + ` already stands in line 5`},
+		{"no keys", []string{"a,,,,"}, `:5:6: keys: tenant "a" has none`},
+		{"not a fingerprint", []string{"a,,,,secret"}, `:5:6: keys: not a key's fingerprint`},
+		{"negative rate", []string{"a,,-1,," + k1}, `:5:4: rate_per_s: "-1"`},
+		{"fractional rate", []string{"a,,1.5,," + k1}, `:5:4: rate_per_s: "1.5"`},
+		{"burst alone", []string{"a,,,5," + k1}, `:5:5: burst: there is none without a rate_per_s`},
+		{"priority", []string{"a,soon,,," + k1}, `:5:3: priority: "soon"`},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := Parse("t", keyedText(test.rows...))
+			if err == nil || !strings.Contains(err.Error(), test.want) {
+				t.Errorf("said %v, want %q", err, test.want)
+			}
+		})
+	}
+}
--- a/wire/message.go
+++ b/wire/message.go
@@ -146,6 +146,8 @@
 	Tag string
 	// Caller is the service on whose host the request began, if that is told.
 	Caller string
+	// Tenant is whose request it is; blank if no key says.
+	Tenant string
 	// WaitMicros is how long the request may be queued at the gate; 0 leaves it
 	// to the gate.
 	WaitMicros int64
--- a/wire/pack.go
+++ b/wire/pack.go
@@ -27,6 +27,7 @@
 	packServer  = ":r"
 	packMethod  = ":m"
 	packCaller  = ":c"
+	packTenant  = ":t"
 )
 
 // ErrPacked says that packed fields cannot be read.
@@ -60,7 +61,10 @@
 		if m.Caller != "" {
 			e.field(packCaller, m.Caller)
 		}
-		packed.Service, packed.Server, packed.Method, packed.Caller = "", "", "", ""
+		if m.Tenant != "" {
+			e.field(packTenant, m.Tenant)
+		}
+		packed.Service, packed.Server, packed.Method, packed.Caller, packed.Tenant = "", "", "", "", ""
 		packed.Packed = e.fields(m.Header)
 		packed.Header = nil
 		return Append(buf, &packed)
@@ -182,6 +186,8 @@
 				m.Method = f.Value
 			case packCaller:
 				m.Caller = f.Value
+			case packTenant:
+				m.Tenant = f.Value
 			default:
 				m.Header = append(m.Header, f)
 			}
