quota, tenant, entry: tenants' quotas hold over all nodes together

Each availability zone has a part of each quota by its hosts, kept as a token bucket by one node of the zone that rendezvous hashing names. Entries ask it for each request of a limited tenant, with one question for all that wait; it asks those of other zones when it has too little. docs/design/quotas.md has the bound under cuts, lost keepers and changes, and the ways weighed.

Tests: a rapid property of the buckets (every window, parts that start anew); a fleet of 12 nodes in synthetic time, three quotas by four places of demand (at least 0.98 of the quota let through, the bound kept), nothing refused at 0.8 of a quota, and the bound under seven faults: zones cut in three ways, the keeper cut off, all nodes' memory lost, a cut that comes and goes, a lower quota. Found by them: a quota of 2 a second let 38 of 39.2 through, since small parts ran over while another zone was left alone; they may save up more now.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -58,6 +58,9 @@
 	// Blame is what the node knows of requests under which servers have ended; nil
 	// blames none.
 	Blame Blame
+	// Quotas tells whether a request is within its tenant's quota; nil takes every one
+	// for that.
+	Quotas Quotas
 	// NoTableRetryAfter is when to come back while the node has no table, or may have
 	// an old one.
 	NoTableRetryAfter time.Duration
@@ -84,6 +87,8 @@
 	// NoKey counts requests without a key that the table knows; they are among
 	// BadRequests.
 	NoKey atomic.Int64
+	// OverQuota counts requests above their tenant's quota; they are among NotRun.
+	OverQuota atomic.Int64
 	// TurnedAway counts requests that came too late for a stopping node; they
 	// are among NotRun.
 	TurnedAway atomic.Int64
--- a/entry/handle.go
+++ b/entry/handle.go
@@ -53,8 +53,13 @@
 	}
 	r.prepareBody()
 	e.watch(r)
+	defer e.unwatch(r)
+	if !e.charge(r, holder) {
+		return
+	}
 	result := e.run(r)
 	e.unwatch(r)
+	e.settle(r, holder, result)
 	e.reply(r, result)
 }
 
--- a/member/sample.go
+++ b/member/sample.go
@@ -117,3 +117,31 @@
 	}
 	return n
 }
+
+// Keeper returns the node of a zone that keeps what a name stands for: the first by
+// rendezvous hashing of those that take work and can be reached. Nodes with the same view
+// agree on it.
+func (v *View) Keeper(now time.Time, zone, name string) (keeper Record, ok bool) {
+	var most uint64
+	for host, e := range v.entries {
+		if e.Zone != zone || e.State != Live || (host != v.self && now.Before(e.aloneUntil)) {
+			continue
+		}
+		weight := rendezvous(name, host)
+		if !ok || weight > most || (weight == most && host < keeper.Host) {
+			keeper, most, ok = e.Record, weight, true
+		}
+	}
+	return keeper, ok
+}
+
+// Zones returns how many hosts each zone has, with those that can't be reached.
+func (v *View) Zones() map[string]int {
+	zones := map[string]int{}
+	for _, e := range v.entries {
+		if e.State != Gone {
+			zones[e.Zone]++
+		}
+	}
+	return zones
+}
--- a/node/ask.go
+++ b/node/ask.go
@@ -13,6 +13,7 @@
 	"github.com/ryehaven/ryehaven/member"
 	"github.com/ryehaven/ryehaven/peer"
 	"github.com/ryehaven/ryehaven/query"
+	"github.com/ryehaven/ryehaven/quota"
 	"github.com/ryehaven/ryehaven/wire"
 )
 
@@ -33,6 +34,9 @@
 	if topic == topicBurn {
 		return msgpack.Marshal(burnCounts(n.entry.Burn(time.Now())))
 	}
+	if topic == quota.Topic {
+		return n.quotas.Answer(payload)
+	}
 	reply, ok, err := n.spread.Ask(topic, payload)
 	if !ok {
 		return nil, eris.Errorf("no such topic %q", topic)
--- a/node/node.go
+++ b/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/ryehaven/ryehaven/member"
 	"github.com/ryehaven/ryehaven/metric"
 	"github.com/ryehaven/ryehaven/peer"
+	"github.com/ryehaven/ryehaven/quota"
 	"github.com/ryehaven/ryehaven/settings"
 	"github.com/ryehaven/ryehaven/spread"
 	"github.com/ryehaven/ryehaven/store"
@@ -95,6 +96,7 @@
 	recorder *event.Recorder
 	origins  admit.Origins
 	blame    blamer
+	quotas   *quota.Quotas
 	suspends suspend.Watch
 
 	mu       sync.Mutex
@@ -167,6 +169,7 @@
 	}
 	n.peerServer.OnSilent = n.foundSilent
 	n.dialer.OnSilent = n.foundSilent
+	n.quotas = quota.New(n.quotaSettings())
 	n.entry = entry.New(n.entrySettings(), n.dialer)
 	n.dialer.OnNotice = n.entry.Notice
 	n.dialer.OnSlowness = n.entry.Slowness
@@ -391,6 +394,7 @@
 	n.dialer.Check(now)
 	n.peerServer.Check(now)
 	n.entry.Tick(now)
+	n.quotas.Tick(now)
 	for _, g := range n.everyGate() {
 		g.Tick(now)
 		g.Measure(now, measureLimit)
--- a/node/parts.go
+++ b/node/parts.go
@@ -27,6 +27,7 @@
 		Caller:            n.settings.Sidecar.Service,
 		Recorder:          n.recorder,
 		Blame:             &n.blame,
+		Quotas:            n.quotas,
 		Versions:          n.versions,
 		Confirmed:         func(now time.Time) (time.Duration, bool) { return n.spread.ConfirmedAge(now) },
 		Doubts:            n.doubts,
--- /dev/null
+++ b/node/quota.go
@@ -0,0 +1,44 @@
+// SPDX-License-Identifier: MIT
+
+package node
+
+import (
+	"time"
+
+	"github.com/ryehaven/ryehaven/member"
+	"github.com/ryehaven/ryehaven/quota"
+	"github.com/ryehaven/ryehaven/tenant"
+)
+
+func (n *Node) quotaSettings() quota.Settings {
+	terms := n.settings.Quotas
+	return quota.Settings{
+		Terms:    tenant.Terms{Window: terms.Window, Overshoot: terms.Overshoot, Slack: terms.Slack},
+		Ask:      n.askQuota,
+		View:     func(f func(v *member.View)) { n.spread.View(f) },
+		Of:       n.quotaOf,
+		Isolated: func(now time.Time) bool { return n.spread.Isolated(now) },
+	}
+}
+
+// askQuota asks another node for a tenant's quota.
+func (n *Node) askQuota(address string, payload []byte, limit time.Duration) ([]byte, error) {
+	conn, err := n.dialer.Get(address, limit)
+	if err != nil {
+		return nil, err
+	}
+	return conn.Ask(quota.Topic, payload, limit)
+}
+
+// quotaOf returns a tenant's quota by the table in force.
+func (n *Node) quotaOf(name string) (tenant.Quota, bool) {
+	current := n.holder.Current()
+	if current == nil {
+		return tenant.Quota{}, false
+	}
+	t := current.Table.Tenant(name)
+	if !t.Limited() {
+		return tenant.Quota{}, false
+	}
+	return tenant.Quota{Rate: float64(t.Rate), Burst: float64(t.Burst)}, true
+}
--- /dev/null
+++ b/quota/keep.go
@@ -0,0 +1,155 @@
+// SPDX-License-Identifier: MIT
+
+package quota
+
+import (
+	"time"
+
+	"github.com/ryehaven/ryehaven/member"
+	"github.com/ryehaven/ryehaven/tenant"
+)
+
+// kept returns the ledger that this node keeps of a tenant, with its lock held.
+func (q *Quotas) kept(m *question) *ledger {
+	now := time.Now()
+	quota, ok := q.settings.Of(m.Tenant)
+	if !ok {
+		quota = tenant.Quota{Rate: float64(m.Rate), Burst: float64(m.Burst)}
+	}
+	part := q.part()
+	q.mu.Lock()
+	l := q.ledgers[m.Tenant]
+	if l == nil {
+		l = &ledger{pausedUntil: map[string]time.Time{}, retired: true}
+		q.ledgers[m.Tenant] = l
+	}
+	l.used = now
+	begins := l.retired
+	l.retired = false
+	q.mu.Unlock()
+	l.mu.Lock()
+	if begins {
+		l.begin(now, quota, q.settings.Terms, part)
+	}
+	l.Configure(now, quota, q.settings.Terms, part)
+	return l
+}
+
+// begin starts a ledger that another node has kept. What it starts with it has once in a
+// window, however often the two take turns. It is called with the ledger's lock held.
+func (l *ledger) begin(now time.Time, quota tenant.Quota, terms tenant.Terms, part float64) {
+	l.Ledger = tenant.NewLedger(now, quota, terms, part)
+	if !l.begun.IsZero() && now.Sub(l.begun) <= terms.Window {
+		l.Empty(now)
+		return
+	}
+	l.begun = now
+}
+
+// part is the part of each quota that this node's zone has.
+func (q *Quotas) part() (part float64) {
+	q.settings.View(func(v *member.View) {
+		zones, all := v.Zones(), 0
+		for _, hosts := range zones {
+			all += hosts
+		}
+		part = float64(zones[v.Self().Zone]) / float64(max(all, 1))
+	})
+	return part
+}
+
+// pay pays for requests from this node's ledger and, if that has too little, from those
+// of other zones.
+func (q *Quotas) pay(m *question) reply {
+	l := q.kept(m)
+	paid := l.Take(time.Now(), m.Want)
+	if paid == m.Want || l.borrowing {
+		defer l.mu.Unlock()
+		return replyOf(time.Now(), l.Ledger, m.Want, paid)
+	}
+	l.borrowing = true
+	l.mu.Unlock()
+	paid += q.borrow(l, m, m.Want-paid)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.borrowing = false
+	return replyOf(time.Now(), l.Ledger, m.Want, paid)
+}
+
+// borrow asks the keepers of other zones to pay for requests.
+func (q *Quotas) borrow(l *ledger, m *question, want int) (paid int) {
+	now := time.Now()
+	var keepers []member.Record
+	q.settings.View(func(v *member.View) {
+		own := v.Self().Zone
+		for zone := range v.Zones() {
+			if zone == own {
+				continue
+			}
+			if keeper, ok := v.Keeper(now, zone, m.Tenant); ok {
+				keepers = append(keepers, keeper)
+			}
+		}
+	})
+	for _, keeper := range keepers {
+		if paid == want || now.Before(l.pausedUntil[keeper.Zone]) {
+			continue
+		}
+		next := *m
+		next.Purpose, next.Want = lend, want-paid
+		r, err := q.askKeeper(keeper, &next, lendLimit)
+		if err != nil || r.Paid < next.Want {
+			l.pausedUntil[keeper.Zone] = time.Now().Add(lendPause)
+		}
+		paid += r.Paid
+	}
+	q.Counters.Lent.Add(int64(paid))
+	return paid
+}
+
+// lend pays for requests of another zone.
+func (q *Quotas) lend(m *question) reply {
+	l := q.kept(m)
+	defer l.mu.Unlock()
+	return reply{Paid: l.Take(time.Now(), m.Want)}
+}
+
+// Tick gives up the ledgers that another node keeps now, since what they would save up
+// meanwhile is paid out there, and those that nobody asks for. It may be called often.
+func (q *Quotas) Tick(now time.Time) {
+	q.mu.Lock()
+	if now.Sub(q.ticked) < tickEvery {
+		q.mu.Unlock()
+		return
+	}
+	q.ticked = now
+	names := make([]string, 0, len(q.ledgers))
+	for name := range q.ledgers {
+		names = append(names, name)
+	}
+	q.mu.Unlock()
+	var others []string
+	q.settings.View(func(v *member.View) {
+		self := v.Self()
+		for _, name := range names {
+			if keeper, ok := v.Keeper(now, self.Zone, name); ok && keeper.Host != self.Host {
+				others = append(others, name)
+			}
+		}
+	})
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, name := range others {
+		q.ledgers[name].retired = true
+	}
+	for name, l := range q.ledgers {
+		if now.Sub(l.used) > keptFor {
+			delete(q.ledgers, name)
+		}
+	}
+	for name, l := range q.lines {
+		if !l.asking && now.Sub(l.used) > keptFor {
+			delete(q.lines, name)
+		}
+	}
+}
--- /dev/null
+++ b/quota/quota.go
@@ -0,0 +1,301 @@
+// SPDX-License-Identifier: MIT
+
+package quota
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/ryehaven/ryehaven/member"
+	"github.com/ryehaven/ryehaven/tenant"
+)
+
+// Settings of a node's Quotas.
+type Settings struct {
+	Terms tenant.Terms
+	// Ask asks the node at an address and waits up to a limit.
+	Ask func(address string, payload []byte, limit time.Duration) ([]byte, error)
+	// View calls f with the node's view of all nodes, under its lock.
+	View func(f func(v *member.View))
+	// Of returns a tenant's quota by the table in force.
+	Of func(name string) (tenant.Quota, bool)
+	// Isolated reports whether the node has reached no other one of late.
+	Isolated func(now time.Time) bool
+}
+
+// Counters counts what Quotas did.
+type Counters struct {
+	// Asked counts questions to keepers, Unanswered those without an answer, and Lent
+	// requests that another zone's keeper paid for.
+	Asked, Unanswered, Lent atomic.Int64
+}
+
+const (
+	// askLimit bounds the wait for a keeper: some round trips between zones. A caller
+	// waits for it.
+	askLimit = 60 * time.Millisecond
+	// lendLimit bounds the wait for another zone's keeper, and lendPause is how long one
+	// that has nothing, or does not answer, is not asked again.
+	lendLimit = 40 * time.Millisecond
+	lendPause = 100 * time.Millisecond
+	// spareFor is how long what was paid for a request that did not run pays for another
+	// one at the same node, and mostSpare bounds how many.
+	spareFor  = time.Second
+	mostSpare = 2
+	// tickEvery is how often it is looked which ledgers other nodes keep now.
+	tickEvery = time.Second
+	// keptFor is how long a ledger is kept that nobody asks for: by then it is full.
+	keptFor = time.Minute
+)
+
+// Quotas is what one node knows and keeps of tenants' quotas.
+type Quotas struct {
+	Counters Counters
+
+	settings Settings
+
+	mu      sync.Mutex
+	lines   map[string]*line
+	ledgers map[string]*ledger
+	ticked  time.Time
+}
+
+// line is where a tenant's requests at this node wait for the keeper's answer.
+type line struct {
+	waiting []*claim
+	asking  bool
+	// spare is what was paid for requests that did not run, until spareUntil.
+	spare      int
+	spareUntil time.Time
+	// floor pays while no keeper can be reached; nil until then.
+	floor *tenant.Ledger
+	used  time.Time
+}
+
+// claim is a request that waits. Its answer is sent once.
+type claim struct{ answer chan tenant.Verdict }
+
+// ledger is one that this node keeps.
+type ledger struct {
+	mu sync.Mutex
+	*tenant.Ledger
+	// borrowing says that other zones are being asked, and pausedUntil is until when each
+	// is not.
+	borrowing   bool
+	pausedUntil map[string]time.Time
+	used        time.Time
+	// begun is when it was last begun with something in it, and retired says that another
+	// node keeps the tenant's ledger now, guarded by the lock of Quotas.
+	begun   time.Time
+	retired bool
+}
+
+// New returns the Quotas of a node.
+func New(s Settings) *Quotas {
+	return &Quotas{settings: s, lines: map[string]*line{}, ledgers: map[string]*ledger{}}
+}
+
+// Take asks whether a request of a tenant is within its quota, and pays for it. It
+// returns early, with a request that is not paid for, if gone is closed.
+func (q *Quotas) Take(name string, quota tenant.Quota, gone <-chan struct{}) tenant.Verdict {
+	now := time.Now()
+	q.mu.Lock()
+	l := q.line(name, now)
+	if l.spare > 0 && now.Before(l.spareUntil) {
+		l.spare--
+		q.mu.Unlock()
+		return tenant.Verdict{Paid: true}
+	}
+	c := &claim{answer: make(chan tenant.Verdict, 1)}
+	l.waiting = append(l.waiting, c)
+	if !l.asking {
+		l.asking = true
+		go q.settle(name, quota, l)
+	}
+	q.mu.Unlock()
+	select {
+	case v := <-c.answer:
+		return v
+	case <-gone:
+		go func() { // What is paid for it is not lost.
+			if v := <-c.answer; v.Paid {
+				q.Return(name)
+			}
+		}()
+		return tenant.Verdict{}
+	}
+}
+
+// Return gives back what was paid for a request that did not run.
+func (q *Quotas) Return(name string) {
+	now := time.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	l := q.line(name, now)
+	if !now.Before(l.spareUntil) {
+		l.spare = 0
+	}
+	l.spare = min(l.spare+1, mostSpare)
+	l.spareUntil = now.Add(spareFor)
+}
+
+// line returns a tenant's line. It is called with the lock held.
+func (q *Quotas) line(name string, now time.Time) *line {
+	l := q.lines[name]
+	if l == nil {
+		l = &line{}
+		q.lines[name] = l
+	}
+	l.used = now
+	return l
+}
+
+// settle asks the keeper for all that wait, until none does.
+func (q *Quotas) settle(name string, quota tenant.Quota, l *line) {
+	for {
+		q.mu.Lock()
+		claims := l.waiting
+		l.waiting = nil
+		if len(claims) == 0 {
+			l.asking = false
+			q.mu.Unlock()
+			return
+		}
+		q.mu.Unlock()
+		r := q.ask(name, quota, l, len(claims))
+		after, step := micros(r.FirstMicros), micros(r.StepMicros)
+		for i, c := range claims {
+			if i < r.Paid {
+				c.answer <- tenant.Verdict{Paid: true}
+				continue
+			}
+			c.answer <- tenant.Verdict{RetryAfter: after}
+			after += step
+		}
+	}
+}
+
+func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+
+// keepersAsked is how many keepers are asked, one after the other, while those before do
+// not answer.
+const keepersAsked = 2
+
+// ask asks the keeper of the own zone, or the next one if it does not answer.
+func (q *Quotas) ask(name string, quota tenant.Quota, l *line, want int) reply {
+	m := question{Tenant: name, Want: want, Rate: int(quota.Rate), Burst: int(quota.Burst)}
+	for range keepersAsked {
+		now := time.Now()
+		keeper, self, ok := q.keeper(now, name)
+		switch {
+		case !ok:
+			return q.askFloor(name, quota, l, want)
+		case keeper.Host == self.Host && q.settings.Isolated(now):
+			return q.askFloor(name, quota, l, want)
+		case keeper.Host == self.Host:
+			return q.pay(&m)
+		}
+		if r, err := q.askKeeper(keeper, &m, askLimit); err == nil {
+			return r
+		}
+	}
+	return q.askFloor(name, quota, l, want)
+}
+
+// keeper returns the node that keeps a tenant's ledger for this node's zone, and this
+// node.
+func (q *Quotas) keeper(now time.Time, name string) (keeper, self member.Record, ok bool) {
+	q.settings.View(func(v *member.View) {
+		self = v.Self()
+		keeper, ok = v.Keeper(now, self.Zone, name)
+	})
+	return keeper, self, ok
+}
+
+// askKeeper asks another node, which is left alone for a moment if it does not answer.
+func (q *Quotas) askKeeper(keeper member.Record, m *question, limit time.Duration) (r reply, err error) {
+	q.Counters.Asked.Add(1)
+	payload, err := q.settings.Ask(keeper.Address, encode(m), limit)
+	if err == nil {
+		err = msgpack.Unmarshal(payload, &r)
+	}
+	if err != nil {
+		q.Counters.Unanswered.Add(1)
+		now := time.Now()
+		q.settings.View(func(v *member.View) { v.Failed(now, keeper.Host) })
+		return reply{}, eris.Wrapf(err, "ask %s for the quota of tenant %q", keeper.Host, m.Tenant)
+	}
+	q.settings.View(func(v *member.View) { v.Reached(keeper.Host) })
+	r.Paid = min(max(r.Paid, 0), m.Want)
+	return r, nil
+}
+
+// askFloor pays from the part of a single host.
+func (q *Quotas) askFloor(name string, quota tenant.Quota, l *line, want int) reply {
+	hosts := 0
+	q.settings.View(func(v *member.View) { hosts = v.Len() })
+	part := 1 / float64(max(hosts, 1))
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	if l.floor == nil {
+		l.floor = tenant.NewFloor(now, quota, part)
+	}
+	l.floor.Configure(now, quota, tenant.Terms{}, part)
+	return replyOf(now, l.floor, want, 0)
+}
+
+// replyOf takes from a ledger for some requests, some of which are paid for already.
+func replyOf(now time.Time, l *tenant.Ledger, want, paid int) reply {
+	paid += l.Take(now, want-paid)
+	r := reply{Paid: paid}
+	if refused := want - paid; refused > 0 {
+		first, step := l.Refuse(now, refused)
+		r.FirstMicros, r.StepMicros = first.Microseconds(), step.Microseconds()
+	}
+	return r
+}
+
+// Answer answers another node's question.
+func (q *Quotas) Answer(payload []byte) ([]byte, error) {
+	var m question
+	if err := msgpack.Unmarshal(payload, &m); err != nil {
+		return nil, eris.Wrap(err, "decode question for a quota")
+	}
+	if m.Want < 0 || m.Rate < 0 || m.Burst < 0 || m.Purpose > lend {
+		return nil, eris.Errorf("question for a quota of tenant %q is out of range", m.Tenant)
+	}
+	r, err := q.answer(&m)
+	if err != nil {
+		return nil, err
+	}
+	return encode(&r), nil
+}
+
+func (q *Quotas) answer(m *question) (reply, error) {
+	now := time.Now()
+	if m.Purpose == passed {
+		return q.pay(m), nil
+	}
+	keeper, self, ok := q.keeper(now, m.Tenant)
+	switch {
+	case !ok || keeper.Host == self.Host:
+		if m.Purpose == lend {
+			return q.lend(m), nil
+		}
+		return q.pay(m), nil
+	case m.Purpose == lend:
+		return reply{}, nil
+	}
+	// The asker knows another keeper than this node does, or can't reach it.
+	next := *m
+	next.Purpose = passed
+	if r, err := q.askKeeper(keeper, &next, askLimit/2); err == nil {
+		return r, nil
+	}
+	return q.pay(m), nil
+}
--- /dev/null
+++ b/quota/quota_test.go
@@ -0,0 +1,305 @@
+// SPDX-License-Identifier: MIT
+
+package quota
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/ryehaven/ryehaven/member"
+	"github.com/ryehaven/ryehaven/tenant"
+)
+
+// fleet is some hosts in three zones whose nodes ask each other at once.
+type fleet struct {
+	mu    sync.Mutex
+	hosts []*host
+	terms tenant.Terms
+	quota tenant.Quota
+	// cut reports whether a host can't reach another one.
+	cut func(from, to *host) bool
+}
+
+type host struct {
+	fleet  *fleet
+	name   string
+	zone   int
+	mu     sync.Mutex
+	view   *member.View
+	quotas *Quotas
+}
+
+// roundTrip is how long a question takes.
+const roundTrip = 2 * time.Millisecond
+
+var errCut = eris.New("cut")
+
+func newFleet(hosts int, q tenant.Quota) *fleet {
+	f := &fleet{quota: q, terms: tenant.Terms{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20}, cut: func(_, _ *host) bool { return false }}
+	var records []member.Record
+	for i := range hosts {
+		records = append(records, member.Record{Host: fmt.Sprint("h", i), Zone: fmt.Sprint("z", i%3), Address: fmt.Sprint(i), Incarnation: 1, Version: 1, State: member.Live})
+	}
+	for i, r := range records {
+		h := &host{fleet: f, name: r.Host, zone: i % 3, view: member.NewView(r)}
+		h.view.Merge(time.Now(), records)
+		f.hosts = append(f.hosts, h)
+		h.restart()
+	}
+	return f
+}
+
+// restart has the host's node forget everything.
+func (h *host) restart() {
+	h.quotas = New(Settings{
+		Terms: h.fleet.terms,
+		Ask:   h.ask,
+		View: func(f func(*member.View)) {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			f(h.view)
+		},
+		Of:       func(string) (tenant.Quota, bool) { h.fleet.mu.Lock(); defer h.fleet.mu.Unlock(); return h.fleet.quota, true },
+		Isolated: h.isolated,
+	})
+}
+
+func (h *host) isolated(time.Time) bool {
+	for _, other := range h.fleet.hosts {
+		if other != h && !h.fleet.cut(h, other) {
+			return false
+		}
+	}
+	return true
+}
+
+func (h *host) ask(address string, payload []byte, limit time.Duration) ([]byte, error) {
+	for _, other := range h.fleet.hosts {
+		if fmt.Sprint(other.name) != "h"+address {
+			continue
+		}
+		if h.fleet.cut(h, other) || h.fleet.cut(other, h) {
+			time.Sleep(limit)
+			return nil, errCut
+		}
+		time.Sleep(roundTrip)
+		return other.quotas.Answer(payload)
+	}
+	return nil, errCut
+}
+
+// demand is what callers send: requests a second at each of the hosts that chosen names.
+type demand struct {
+	perSecond float64
+	chosen    func(h *host, at time.Duration) bool
+}
+
+// play sends requests for a time and returns when each was paid for.
+func (f *fleet) play(length time.Duration, d demand, each func(at time.Duration)) (paid []time.Duration, asked int) {
+	began := time.Now()
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	const step = 10 * time.Millisecond
+	owed := 0.0
+	next := 0
+	for at := time.Duration(0); at < length; at += step {
+		if each != nil {
+			each(at)
+		}
+		var able []*host
+		for _, h := range f.hosts {
+			h.quotas.Tick(time.Now())
+			if d.chosen(h, at) {
+				able = append(able, h)
+			}
+		}
+		for owed += d.perSecond * step.Seconds(); owed >= 1; owed-- {
+			h := able[next%len(able)]
+			next++
+			asked++
+			wait.Go(func() {
+				if h.quotas.Take("t", f.quotaNow(), nil).Paid {
+					mu.Lock()
+					paid = append(paid, time.Since(began))
+					mu.Unlock()
+				}
+			})
+		}
+		time.Sleep(step)
+	}
+	wait.Wait()
+	return paid, asked
+}
+
+func (f *fleet) quotaNow() tenant.Quota {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.quota
+}
+
+// most returns the most that was paid for in any window.
+func most(paid []time.Duration, window time.Duration) int {
+	most, first := 0, 0
+	for i, at := range paid {
+		for at-paid[first] > window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+func (f *fleet) bound() float64 {
+	return (f.quota.Rate*f.terms.Window.Seconds()+f.quota.Burst)*(1+f.terms.Overshoot) + f.terms.Slack
+}
+
+func everywhere(*host, time.Duration) bool { return true }
+
+// What the quota allows is let through to 0.98, whether it is asked for everywhere, in one
+// zone, at one node, or at another node in each second, and the bound holds.
+func TestCalmNodesLetThroughWhatTheQuotaAllows(t *testing.T) {
+	places := map[string]func(h *host, at time.Duration) bool{
+		"everywhere":  everywhere,
+		"in one zone": func(h *host, _ time.Duration) bool { return h.zone == 1 },
+		"at one node": func(h *host, _ time.Duration) bool { return h.name == "h4" },
+		"moving":      func(h *host, at time.Duration) bool { return h.name == fmt.Sprint("h", int(at/time.Second)%12) },
+	}
+	for _, q := range []tenant.Quota{{Rate: 248, Burst: 248}, {Rate: 6, Burst: 6}, {Rate: 2, Burst: 2}} {
+		for name, chosen := range places {
+			t.Run(fmt.Sprint(q.Rate, " ", name), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFleet(12, q)
+					paid, _ := f.play(20*time.Second, demand{5 * q.Rate, chosen}, nil)
+					if got := most(paid, f.terms.Window); float64(got) > f.bound() {
+						t.Errorf("%d requests in a window, at most %.1f are allowed", got, f.bound())
+					}
+					if want := 0.98 * q.Rate * 20; float64(len(paid)) < want {
+						t.Errorf("%d requests were let through in 20 s, want %.1f", len(paid), want)
+					}
+				})
+			})
+		}
+	}
+}
+
+// Below its quota nobody is refused.
+func TestNobodyIsRefusedBelowTheQuota(t *testing.T) {
+	for _, q := range []tenant.Quota{{Rate: 248, Burst: 248}, {Rate: 20, Burst: 20}} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(12, q)
+			time.Sleep(time.Second)
+			paid, asked := f.play(20*time.Second, demand{0.8 * q.Rate, everywhere}, nil)
+			if len(paid) < asked {
+				t.Errorf("%+v: %d of %d requests were refused", q, asked-len(paid), asked)
+			}
+		})
+	}
+}
+
+// The bound holds whoever can reach whom, and whoever forgets what it kept.
+func TestBoundHoldsUnderFaults(t *testing.T) {
+	zoneOf := func(z int) func(from, to *host) bool {
+		return func(from, to *host) bool { return (from.zone == z) != (to.zone == z) }
+	}
+	hosts := func(names ...string) func(from, to *host) bool {
+		cut := map[string]bool{}
+		for _, n := range names {
+			cut[n] = true
+		}
+		return func(from, to *host) bool { return cut[from.name] || cut[to.name] }
+	}
+	tests := map[string]func(f *fleet, at time.Duration){
+		"a zone is cut off": func(f *fleet, at time.Duration) {
+			if at == 3*time.Second {
+				f.cut = zoneOf(0)
+			}
+		},
+		"all zones are cut from each other": func(f *fleet, at time.Duration) {
+			if at == 3*time.Second {
+				f.cut = func(from, to *host) bool { return from.zone != to.zone }
+			}
+		},
+		"two zones can't reach each other": func(f *fleet, at time.Duration) {
+			if at == 3*time.Second {
+				f.cut = func(from, to *host) bool { return from.zone+to.zone == 1 && from.zone != to.zone }
+			}
+		},
+		"the keeper is cut off": func(f *fleet, at time.Duration) {
+			if at == 3*time.Second {
+				keeper, _ := f.hosts[0].view.Keeper(time.Now(), "z0", "t")
+				f.cut = hosts(keeper.Host)
+			}
+		},
+		"all forget": func(f *fleet, at time.Duration) {
+			if at == 3*time.Second {
+				for _, h := range f.hosts {
+					h.restart()
+				}
+			}
+		},
+		"a cut that comes and goes": func(f *fleet, at time.Duration) {
+			f.cut = func(_, _ *host) bool { return false }
+			if at%(2*time.Second) < time.Second {
+				f.cut = zoneOf(0)
+			}
+		},
+		"a lower quota": func(f *fleet, at time.Duration) {
+			if at == 3*time.Second {
+				f.mu.Lock()
+				f.quota.Rate, f.quota.Burst = 60, 60
+				f.mu.Unlock()
+			}
+		},
+	}
+	for name, each := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(12, tenant.Quota{Rate: 248, Burst: 248})
+				bound := f.bound()
+				paid, _ := f.play(20*time.Second, demand{1200, everywhere}, func(at time.Duration) { each(f, at) })
+				if got := most(paid, f.terms.Window); float64(got) > bound {
+					t.Errorf("%d requests in a window, at most %.1f are allowed", got, bound)
+				}
+				if name != "a lower quota" {
+					return
+				}
+				late := paid[:0:0]
+				for _, at := range paid {
+					if at > 3*time.Second {
+						late = append(late, at)
+					}
+				}
+				if got := most(late, f.terms.Window); float64(got) > f.bound() {
+					t.Errorf("%d requests in a window after the change, at most %.1f are allowed", got, f.bound())
+				}
+			})
+		})
+	}
+}
+
+// What was paid for a request that did not run pays for another one.
+func TestWhatDidNotRunIsNotLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(3, tenant.Quota{Rate: 1, Burst: 1})
+		q := f.hosts[0].quotas
+		taken := 0
+		for q.Take("t", f.quota, nil).Paid {
+			taken++
+		}
+		if taken == 0 {
+			t.Fatal("nothing was paid for")
+		}
+		q.Return("t")
+		if !q.Take("t", f.quota, nil).Paid {
+			t.Error("what was given back does not pay")
+		}
+		if v := q.Take("t", f.quota, nil); v.Paid || v.RetryAfter <= 0 {
+			t.Errorf("it pays twice: %+v", v)
+		}
+	})
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -34,6 +34,7 @@
 	Sidecar  Sidecar
 	Retries  Retries
 	Cold     Cold
+	Quotas   Quotas
 	// Experiment switches parts off for comparison.
 	Experiment Experiment
 }
@@ -77,6 +78,16 @@
 	Slack     float64
 }
 
+// Quotas says by how much tenants' quotas may be exceeded over all nodes, in a time of
+// Window.
+type Quotas struct {
+	Window time.Duration
+	// Overshoot is the share of what a quota allows in that time, and Slack how many
+	// requests besides.
+	Overshoot float64
+	Slack     float64
+}
+
 // Listen holds the addresses that a node listens on, each an IP number with a
 // port.
 type Listen struct {
@@ -189,6 +200,7 @@
 		},
 		Distance: Distance{Zone: time.Millisecond, Region: 30 * time.Millisecond, Factor: 1, LatePerMB: 0},
 		Cold:     Cold{Overshoot: 1},
+		Quotas:   Quotas{Window: time.Second, Overshoot: 0.1, Slack: 1},
 		Sidecar:  Sidecar{SlotShare: 1, CallSlotShare: 1},
 		Log:      Log{Level: "info", Requests: 1000, LinesPerSecond: 100},
 	}
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -277,6 +277,9 @@
 // isolatedRounds is how many rounds without any exchange make a node isolated.
 const isolatedRounds = 1.5
 
+// Isolated reports whether the node knows others and has reached none of late.
+func (s *Spread) Isolated(now time.Time) bool { return s.isolated(now) }
+
 // isolated reports whether the node knows others and has reached none of late.
 // It must then look at the store itself.
 func (s *Spread) isolated(now time.Time) bool {
--- a/tenant/doc.go
+++ b/tenant/doc.go
@@ -11,9 +11,8 @@
 //
 // # Quotas
 //
-// A quota holds over all nodes together, and no node that may be lost has all of it. Each
-// tenant has a [Ledger] at one node, which rendezvous hashing of the tenant's name among
-// the nodes in reach names; it hands out leases of a few requests each, from one token
-// bucket. A node pays for each request from its lease ([Purse]) and asks for more before
-// it has none. See docs/design/quotas.md for the bound that this keeps.
+// A quota holds over all nodes together, and no node that may be lost keeps all of it. It
+// is split over the availability zones by their hosts, and each part is a [Ledger], a token
+// bucket that one node of the zone keeps; package quota finds that node and asks it. See
+// docs/design/quotas.md for the bound that this keeps.
 package tenant
--- /dev/null
+++ b/tenant/ledger.go
@@ -0,0 +1,123 @@
+// SPDX-License-Identifier: MIT
+
+package tenant
+
+import "time"
+
+// Quota bounds a tenant's requests over all nodes together.
+type Quota struct {
+	// Rate is in requests a second, and Burst how many may come at once beside.
+	Rate, Burst float64
+}
+
+// Terms say by how much a quota may be exceeded: in a time of Window, Overshoot is the
+// share of what the quota allows and Slack the number of requests that may come beside.
+type Terms struct {
+	Window    time.Duration
+	Overshoot float64
+	Slack     float64
+}
+
+// margin is how many requests of a quota may come in a window beside what it allows.
+func (t Terms) margin(q Quota) float64 {
+	return t.Overshoot*(q.Rate*t.Window.Seconds()+q.Burst) + t.Slack
+}
+
+const (
+	// startShare is the part of the margin that a new ledger starts with, so that a
+	// change of the node that keeps it refuses nobody: the ledger before it, which has
+	// gone with its node, may have paid out all that it had. Two changes fit in a window.
+	startShare = 0.5
+	// capShare is the part of the margin by which a ledger may save up more than its
+	// part of the burst, so that small parts can be collected before they run over, for
+	// capTime at most.
+	capShare = 0.25
+	capTime  = 200 * time.Millisecond
+)
+
+// Ledger is a token bucket of a part of one tenant's quota. It is not safe for
+// concurrent use.
+type Ledger struct {
+	quota Quota
+	rate  float64
+	// most is what can be saved up, never below least.
+	most, least float64
+	level       float64
+	at          time.Time
+	// next is when the next request that is refused should come back.
+	next time.Time
+}
+
+// NewLedger returns a ledger of a part, from 0 to 1, of a quota.
+func NewLedger(now time.Time, q Quota, terms Terms, part float64) *Ledger {
+	l := &Ledger{at: now}
+	l.set(q, terms, part)
+	l.level = min(startShare*part*terms.margin(q), l.most)
+	return l
+}
+
+// NewFloor returns a ledger that starts empty and can save up at least one request, for a
+// node that nobody can vouch for.
+func NewFloor(now time.Time, q Quota, part float64) *Ledger {
+	l := &Ledger{at: now, least: 1}
+	l.set(q, Terms{}, part)
+	return l
+}
+
+// Empty gives up what the ledger has saved up.
+func (l *Ledger) Empty(now time.Time) {
+	l.level, l.at = 0, now
+}
+
+// Configure takes another quota or part; more than that allows is not kept.
+func (l *Ledger) Configure(now time.Time, q Quota, terms Terms, part float64) {
+	l.fill(now)
+	l.set(q, terms, part)
+	l.level = min(l.level, l.most)
+}
+
+func (l *Ledger) set(q Quota, terms Terms, part float64) {
+	l.quota = q
+	l.rate = part * q.Rate
+	collect := min(capShare*part*terms.margin(q), 1+l.rate*capTime.Seconds())
+	l.most = max(part*q.Burst, collect, l.least)
+}
+
+func (l *Ledger) fill(now time.Time) {
+	if passed := now.Sub(l.at); passed > 0 {
+		l.level = min(l.level+l.rate*passed.Seconds(), l.most)
+		l.at = now
+	}
+}
+
+// Take pays for as many of some requests as there is, and returns how many.
+func (l *Ledger) Take(now time.Time, want int) int {
+	l.fill(now)
+	taken := min(want, int(l.level))
+	l.level -= float64(taken)
+	return taken
+}
+
+// Refuse returns when the first of some requests that are not paid for should come back,
+// and how long after it each other: they come in the order in which they were refused, no
+// faster than the tenant's whole rate pays for them.
+func (l *Ledger) Refuse(now time.Time, refused int) (first, step time.Duration) {
+	step = time.Duration(float64(time.Second) / max(l.quota.Rate, leastRate))
+	if room := now.Add(time.Duration((1 - min(l.level, 1)) * float64(step))); l.next.Before(room) {
+		l.next = room
+	}
+	first = l.next.Sub(now)
+	l.next = l.next.Add(time.Duration(refused) * step)
+	return first, step
+}
+
+// leastRate keeps what is told of a quota that lets nothing through finite, in requests a
+// second.
+const leastRate = 0.1
+
+// Verdict says whether a request is within its tenant's quota.
+type Verdict struct {
+	Paid bool
+	// RetryAfter is when a request that is not paid for should come back.
+	RetryAfter time.Duration
+}
--- /dev/null
+++ b/tenant/ledger_test.go
@@ -0,0 +1,96 @@
+// SPDX-License-Identifier: MIT
+
+package tenant
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// terms are those of the users' sheets.
+func terms() Terms { return Terms{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20} }
+
+func begin() time.Time { return time.Unix(1_000_000, 0) }
+
+// Whatever is asked of the ledgers of all parts, and however often one of them starts
+// anew within a window, up to two, no window has more than the bound.
+func TestLedgersKeepTheBoundInEveryWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := Quota{Rate: float64(rapid.IntRange(1, 500).Draw(t, "rate")), Burst: float64(rapid.IntRange(0, 500).Draw(t, "burst"))}
+		parts := []float64{0.4, 0.35, 0.25}
+		now := begin()
+		ledgers := make([]*Ledger, len(parts))
+		renewed := make([][]time.Time, len(parts))
+		for i, part := range parts {
+			ledgers[i] = NewLedger(now, q, terms(), part)
+		}
+		type use struct {
+			at time.Time
+			n  int
+		}
+		var uses []use
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond)
+			i := rapid.IntRange(0, len(parts)-1).Draw(t, "part")
+			if rapid.IntRange(0, 20).Draw(t, "change") == 0 {
+				if n := len(renewed[i]); n < 2 || now.Sub(renewed[i][n-2]) > terms().Window {
+					ledgers[i] = NewLedger(now, q, terms(), parts[i])
+					renewed[i] = append(renewed[i], now)
+				}
+			}
+			uses = append(uses, use{now, ledgers[i].Take(now, rapid.IntRange(1, 1000).Draw(t, "want"))})
+		}
+		bound := (q.Rate*terms().Window.Seconds()+q.Burst)*(1+terms().Overshoot) + terms().Slack
+		for i := range uses {
+			sum := 0
+			for j := i; j < len(uses) && uses[j].at.Sub(uses[i].at) <= terms().Window; j++ {
+				sum += uses[j].n
+			}
+			if float64(sum) > bound {
+				t.Fatalf("%d requests in a window, at most %.1f are allowed", sum, bound)
+			}
+		}
+	})
+}
+
+func TestLedgerLetsThroughWhatTheQuotaAllows(t *testing.T) {
+	for _, q := range []Quota{{Rate: 2, Burst: 2}, {Rate: 248, Burst: 248}, {Rate: 30, Burst: 0}} {
+		now := begin()
+		l := NewLedger(now, q, terms(), 1.0/3)
+		taken := 0
+		for range 10_000 {
+			now = now.Add(time.Millisecond)
+			taken += l.Take(now, 10)
+		}
+		if want := 0.98 * 10 * q.Rate / 3; float64(taken) < want {
+			t.Errorf("%+v: %d requests in 10 s, want %.1f", q, taken, want)
+		}
+	}
+}
+
+// Those who are refused are told to come back one after the other, as fast as the quota
+// pays for them.
+func TestRefusedRequestsComeBackInOrder(t *testing.T) {
+	now := begin()
+	l := NewLedger(now, Quota{Rate: 10, Burst: 10}, Terms{}, 1)
+	first, step := l.Refuse(now, 3)
+	if first != 100*time.Millisecond || step != 100*time.Millisecond {
+		t.Errorf("first after %v, others %v later", first, step)
+	}
+	if next, _ := l.Refuse(now.Add(50*time.Millisecond), 1); next != 350*time.Millisecond {
+		t.Errorf("the fourth comes back after %v more", next)
+	}
+}
+
+// A lower quota leaves none of what the higher one had saved up.
+func TestLowerQuotaBindsAtOnce(t *testing.T) {
+	now := begin()
+	l := NewLedger(now, Quota{Rate: 1000, Burst: 1000}, terms(), 1)
+	now = now.Add(10 * time.Second)
+	l.Configure(now, Quota{Rate: 10, Burst: 10}, terms(), 1)
+	if got := l.Take(now, 1000); got > 10 {
+		t.Errorf("%d requests were paid for", got)
+	}
+}
