spread, entry: nodes that can't know the newest keys refuse requests with keys

Cause: where a removal of keys must bind every node, in touch or not, a node that heard nothing went on with the keys it had.

Where platform.keys_within_ms is set, each node keeps until when its table was the newest for certain. That counts from when a question was put, to the store or to another node, not from when its answer was read, so that no delay on the way and no pause of the process makes it younger.

Weighed: the age of confirmations that digests carry already (an answer that lay in a socket while the process stood still counted as fresh); each node asking the store itself (calls grow with the nodes).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -55,6 +55,9 @@
 	// Doubts reports whether the table in force may no longer be the newest one; nil
 	// takes every table for the newest.
 	Doubts func(now time.Time) bool
+	// KeysKnown reports whether the keys of the table in force may be gone by; nil says
+	// always.
+	KeysKnown func(now time.Time) bool
 	// Blame is what the node knows of requests under which servers have ended; nil
 	// blames none.
 	Blame Blame
--- a/entry/key.go
+++ b/entry/key.go
@@ -28,9 +28,15 @@
 	}
 	h.Del(fasthttp.HeaderAuthorization)
 	public := d.route != nil && d.route.Public
+	known := e.settings.KeysKnown == nil || e.settings.KeysKnown(time.Now())
+	if !known {
+		holder = nil
+	}
 	switch {
 	case holder != nil, public:
 		return holder, true
+	case named && !known:
+		e.refuseForNow(ctx, "this node can't know whether it has the newest keys")
 	case named:
 		e.refuseKey(ctx, "the key is not known")
 	default:
--- a/node/parts.go
+++ b/node/parts.go
@@ -31,6 +31,7 @@
 		Versions:          n.versions,
 		Confirmed:         func(now time.Time) (time.Duration, bool) { return n.spread.ConfirmedAge(now) },
 		Doubts:            n.doubts,
+		KeysKnown:         n.keysKnown,
 	}
 }
 
@@ -73,6 +74,7 @@
 		Register:            s.Sidecar.Control != "",
 		AskLimit:            askLimit,
 		InForce:             s.Platform.InForce,
+		ProvenWithin:        s.Platform.KeysWithin,
 		WatchWait:           watchWait(s),
 		StaleAfter:          watchWait(s) + 6*time.Second,
 		PollEvery:           5 * time.Minute,
--- a/node/suspend.go
+++ b/node/suspend.go
@@ -29,3 +29,10 @@
 	n.lookForSuspension(now)
 	return n.spread.Doubts(now)
 }
+
+// keysKnown reports whether the keys in force may be gone by. A request may come before
+// the next tick after a suspension.
+func (n *Node) keysKnown(now time.Time) bool {
+	n.lookForSuspension(now)
+	return n.spread.ProvenNewest(now)
+}
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -64,7 +64,11 @@
 			defer h.mu.Unlock()
 			f(h.view)
 		},
-		Of:       func(string) (tenant.Quota, bool) { h.fleet.mu.Lock(); defer h.fleet.mu.Unlock(); return h.fleet.quota, true },
+		Of: func(string) (tenant.Quota, bool) {
+			h.fleet.mu.Lock()
+			defer h.fleet.mu.Unlock()
+			return h.fleet.quota, true
+		},
 		Isolated: h.isolated,
 	})
 }
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -64,6 +64,7 @@
 	{"platform.limit_ms", "bound of each call to the platform", false, millis(func(s *Settings) *time.Duration { return &s.Platform.Limit }, 10, 60_000)},
 	{"platform.in_force_ms", "how soon after its acceptance a change must be in force at every node; connections to the platform are checked accordingly", false, millis(func(s *Settings) *time.Duration { return &s.Platform.InForce }, 100, 60_000)},
 	{"platform.evacuations", "whether availability zones may be evacuated; watching for that costs calls", false, truth(func(s *Settings) *bool { return &s.Platform.Evacuations })},
+	{"platform.keys_within_ms", "how soon after its acceptance a change of keys must bind every node, also one that has not heard of it and then refuses requests with keys; 0 for no such bound", false, millis(func(s *Settings) *time.Duration { return &s.Platform.KeysWithin }, 0, 600_000)},
 	{"limits.header_bytes", "bound of a request's head", false, integer(func(s *Settings) *int { return &s.Limits.HeaderBytes }, 1<<10, 1<<20)},
 	{"limits.body_bytes", "bound of a request's body", false, integer(func(s *Settings) *int { return &s.Limits.BodyBytes }, 1, 1<<33)},
 	{"limits.connections", "bound of the callers' open connections", false, integer(func(s *Settings) *int { return &s.Limits.Connections }, 1, 1_000_000)},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -131,6 +131,10 @@
 	// Evacuations says that availability zones may be evacuated, which is watched by
 	// calls of its own.
 	Evacuations bool
+	// KeysWithin is how soon after its acceptance a change of keys must bind every node,
+	// also those that have not heard of it: a node that can't know whether it has the
+	// newest keys then refuses requests with keys. 0 lets it go on with those it has.
+	KeysWithin time.Duration
 }
 
 // Limits bound what callers may ask of a node.
--- a/spread/exchange.go
+++ b/spread/exchange.go
@@ -51,6 +51,7 @@
 // nobody else.
 func (s *Spread) exchange(target member.Record, greeting bool) bool {
 	s.Counters.Exchanges.Add(1)
+	asked := time.Now()
 	l, reply, err := s.askDigest(target, greeting)
 	now := time.Now()
 	if err != nil {
@@ -61,6 +62,7 @@
 	s.noteExchange(now)
 	s.View(func(v *member.View) { v.Reached(target.Host) })
 	s.learn(now, reply.Digest)
+	s.learnProof(asked, reply.Digest)
 	s.compareBlame(l, target.Host, s.settings.AskLimit, false)
 	if len(reply.Records) > 0 {
 		s.merge(now, reply.Records)
--- a/spread/handover.go
+++ b/spread/handover.go
@@ -106,7 +106,7 @@
 func (s *Spread) Resumed(now time.Time, slept time.Duration) {
 	s.mu.Lock()
 	s.resumed = now
-	for _, heard := range []*time.Time{&s.confirmed, &s.ownConfirmed, &s.othersConfirmed, &s.exchanged} {
+	for _, heard := range []*time.Time{&s.confirmed, &s.proven, &s.ownConfirmed, &s.othersConfirmed, &s.exchanged} {
 		if !heard.IsZero() {
 			*heard = heard.Add(-slept)
 		}
--- a/spread/message.go
+++ b/spread/message.go
@@ -49,6 +49,9 @@
 	// Evacuations are those in force at the sender: a few bytes, so that they need no
 	// question of their own.
 	Evacuations store.Evacuations
+	// ProvenMillis is how long ago the generation was the newest for certain; 0 if that is
+	// not known.
+	ProvenMillis int64
 }
 
 // hashStart is how much of a table's hash a digest holds, in characters.
--- a/spread/round.go
+++ b/spread/round.go
@@ -72,7 +72,7 @@
 		case <-timer.C:
 			if retell > 0 {
 				s.round(number, announceTo)
-				due, retell = s.sooner(time.Now().Add(s.settings.Interval)), retell-1
+				due, retell = s.sooner(time.Now().Add(s.roundInterval())), retell-1
 				break
 			}
 			s.round(number, 1)
@@ -95,7 +95,7 @@
 // untilNext is the time to the next round with a jitter of a fifth, so that nodes
 // that started together do not stay in step.
 func (s *Spread) untilNext() time.Duration {
-	interval := s.settings.Interval
+	interval := s.roundInterval()
 	if s.takeHastened() {
 		interval /= hastenFactor
 	}
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -48,6 +48,9 @@
 	// Blame is what the node knows of requests under which servers have ended; nil for
 	// a node that neither learns nor tells of any.
 	Blame Blame
+	// ProvenWithin is how young the proof must be that the table is the newest, for those
+	// that may not go on with an older one; 0 if nobody needs a proof.
+	ProvenWithin time.Duration
 	// TableBytesPerSecond bounds the bytes of tables given to other nodes.
 	TableBytesPerSecond int
 }
@@ -125,6 +128,8 @@
 	// evacuations are those in force.
 	evacuations store.Evacuations
 	confirmed   time.Time
+	// proven is until when the table in force was the newest for certain.
+	proven time.Time
 	// ownConfirmed is when this node confirmed it, and othersConfirmed when
 	// another one did.
 	ownConfirmed, othersConfirmed time.Time
@@ -247,6 +252,9 @@
 	if !s.confirmed.IsZero() {
 		d.ConfirmedMillis = now.Sub(s.confirmed).Milliseconds()
 	}
+	if !s.proven.IsZero() {
+		d.ProvenMillis = now.Sub(s.proven).Milliseconds() + 1 // Rounded up.
+	}
 	return d
 }
 
--- a/spread/watch.go
+++ b/spread/watch.go
@@ -93,7 +93,7 @@
 func (s *Spread) watchOnce(ctx context.Context, w *watchState, watching bool, rank int) {
 	wait, most := time.Duration(0), backoffMost
 	if watching {
-		wait, most = s.settings.WatchWait, s.backoffOnDuty()
+		wait, most = s.tableWait(), s.backoffOnDuty()
 	}
 	tag, err := s.readTable(ctx, w.tag, wait)
 	w.nextPoll = time.Now().Add(s.jitter(s.settings.PollEvery))
@@ -159,6 +159,7 @@
 	if tag == "" {
 		wait = 0
 	}
+	asked := time.Now()
 	o, changed, err := s.watch(ctx, store.TableKey, tag, wait)
 	if errors.Is(err, store.ErrNotFound) && o.Tag != "" {
 		if s.holder.Current() == nil {
@@ -183,6 +184,7 @@
 		tag = o.Tag
 	}
 	s.confirm()
+	s.prove(asked)
 	return tag, nil
 }
 
