admit, gate: a tenant that asks for much takes no room from the others

Cause: within a priority a gate's queue told nobody apart: a tenant that suddenly sends many times as much as usual fills it, and all are refused alike.

What waits is now dispatched by what its tenant has had of the server in the last second or so for its weight, least first; a ticket's expected wait counts only those that go before it, so that the one above its share is refused early; and where the queue is full the newest of the tenant that has had clearly more gives way. Weights are the tenants' rates relative to their mean. Without tenants the order is as before.

Weighed: deficit round robin over a queue for each tenant (the same shares, but the order within a priority, newest first, would hold in each tenant's queue only, and a queue of 18 holds hardly two of one tenant); shares by requests in flight (a tenant with one request a second would not be told from one with forty).

--- a/admit/queue.go
+++ b/admit/queue.go
@@ -46,6 +46,10 @@
 	Patient bool
 	// Call says that a request which is running elsewhere waits for this one.
 	Call bool
+	// Tenant is whose request it is, and Weight its part of the server beside other
+	// tenants', relative to theirs; 0 stands for 1. Blank if nobody is told apart.
+	Tenant string
+	Weight float64
 	// MaxWait bounds the time in the queue; 0 leaves it to the expected wait.
 	MaxWait time.Duration
 	// Value is the caller's own, so that it can tell tickets apart.
@@ -108,6 +112,7 @@
 	service   average
 	// callService is the average of calls alone.
 	callService average
+	shares      shares
 }
 
 // NewQueue returns an idle queue.
@@ -198,7 +203,7 @@
 		q.refuse(t, Draining)
 	case !now.Before(t.Deadline):
 		q.refuse(t, Expired)
-	case q.hasRoom(now, t) && q.ahead(t.level()) == 1:
+	case q.hasRoom(now, t) && q.ahead(t) == 1:
 		q.dispatch(now, t)
 	case !q.meetsWait(now, t):
 		q.refuse(t, Overload)
@@ -206,6 +211,9 @@
 		q.push(now, t)
 	default:
 		evicted = q.popNewestBelow(t.level())
+		if evicted == nil {
+			evicted = q.popAboveShare(t)
+		}
 		if evicted == nil {
 			q.refuse(t, Overload)
 			return nil
@@ -224,7 +232,7 @@
 	left := q.expire(now)
 	for p := range q.waiting {
 		for len(q.waiting[p]) > 0 && q.hasRoom(now, q.waiting[p][0]) {
-			next := q.next(p)
+			next := q.next(now, p)
 			t := q.waiting[p][next]
 			q.remove(p, next)
 			q.dispatch(now, t)
@@ -239,13 +247,20 @@
 // is likely to miss its aim wherever it goes, and handing out the oldest first makes
 // all of them late. Calls keep their order, since the request above waits for all of
 // its calls.
-func (q *Queue) next(level int) int {
+//
+// Before that, the tenant that has had the least for its weight goes first.
+func (q *Queue) next(now time.Time, level int) int {
 	waiting := q.waiting[level]
 	newest := len(waiting) - 1
-	if waiting[newest].Call || waiting[newest].MaxWait == 0 {
-		return 0
+	oldestFirst := waiting[newest].Call || waiting[newest].MaxWait == 0
+	next, least := newest, q.shares.of(now, waiting[newest])
+	for i := newest - 1; i >= 0; i-- {
+		used := q.shares.of(now, waiting[i])
+		if used < least || (used == least && oldestFirst) {
+			next, least = i, used
+		}
 	}
-	return newest
+	return next
 }
 
 // hasRoom reports whether a ticket may be dispatched now. A call may fill slots
@@ -333,7 +348,7 @@
 
 func (q *Queue) push(now time.Time, t *Ticket) {
 	t.state = Queued
-	t.patience = now.Add(patienceFactor*q.wait(now, t.level()) + patienceLeast)
+	t.patience = now.Add(patienceFactor*q.wait(now, t) + patienceLeast)
 	if t.MaxWait > 0 {
 		t.patience = now.Add(t.MaxWait)
 	}
@@ -362,6 +377,24 @@
 	return nil
 }
 
+// popAboveShare removes the newest ticket of the tenant that has had the most for its
+// weight, if that is clearly more than a ticket's own tenant has had; else it returns nil.
+func (q *Queue) popAboveShare(t *Ticket) *Ticket {
+	level := t.level()
+	most, at := q.shares.last(t)+clearlyMore, -1
+	for i, other := range q.waiting[level] {
+		if used := q.shares.last(other); used >= most {
+			most, at = used, i
+		}
+	}
+	if at < 0 {
+		return nil
+	}
+	evicted := q.waiting[level][at]
+	q.remove(level, at)
+	return evicted
+}
+
 func (q *Queue) expire(now time.Time) []*Ticket {
 	var expired []*Ticket
 	for p := range q.waiting {
@@ -399,6 +432,7 @@
 	}
 	q.inFlight++
 	q.pace.take(now)
+	q.shares.add(now, t)
 }
 
 func (q *Queue) refuse(t *Ticket, cause Cause) {
--- a/admit/wait.go
+++ b/admit/wait.go
@@ -27,7 +27,7 @@
 	if q.settings.NoDeadlineBound {
 		return true
 	}
-	return q.wait(now, t.level())+q.service.value <= t.Deadline.Sub(now)
+	return q.wait(now, t)+q.service.value <= t.Deadline.Sub(now)
 }
 
 // meetsWait reports whether t may be queued by what it must wait. A bounded
@@ -37,29 +37,39 @@
 	if t.MaxWait == 0 {
 		return q.meetsDeadline(now, t)
 	}
-	return t.Patient || t.Call || q.expectedWait(now, t.level()) <= t.MaxWait
+	return t.Patient || t.Call || q.expectedWait(now, t) <= t.MaxWait
 }
 
 // expectedWait is one interval for each that goes before a new ticket, and at
 // least as long as a stalled server has answered nothing.
-func (q *Queue) expectedWait(now time.Time, level int) time.Duration {
-	return max(time.Duration(q.ahead(level))*q.interval(), q.Stalled(now), q.coldWait(now, q.ahead(level)))
+func (q *Queue) expectedWait(now time.Time, t *Ticket) time.Duration {
+	ahead := q.ahead(t)
+	return max(time.Duration(ahead)*q.interval(), q.Stalled(now), q.coldWait(now, ahead))
 }
 
-// ahead counts a new ticket and those that go before it.
-func (q *Queue) ahead(level int) int {
+// ahead counts a new ticket and those that go before it. Of its own level these are all
+// but those of tenants that have had more for their weight.
+func (q *Queue) ahead(t *Ticket) int {
 	ahead := 1
-	for i := range level + 1 {
+	level := t.level()
+	for i := range level {
 		ahead += len(q.waiting[i])
 	}
+	used := q.shares.last(t)
+	for _, other := range q.waiting[level] {
+		if q.shares.last(other) <= used {
+			ahead++
+		}
+	}
 	return ahead
 }
 
 // wait is the time that a new ticket is expected to queue: one interval for
 // each that goes before it, and at least as long as the server has answered
 // nothing.
-func (q *Queue) wait(now time.Time, level int) time.Duration {
-	return max(time.Duration(q.ahead(level))*q.interval(), now.Sub(q.lastDone), q.coldWait(now, q.ahead(level)))
+func (q *Queue) wait(now time.Time, t *Ticket) time.Duration {
+	ahead := q.ahead(t)
+	return max(time.Duration(ahead)*q.interval(), now.Sub(q.lastDone), q.coldWait(now, ahead))
 }
 
 // interval is the expected time between two answers at the present limit.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -77,6 +77,9 @@
 	MeasureAfter time.Duration
 	// ClockStep moves the time of day that the gate reads, for tests.
 	ClockStep time.Duration
+	// Weight returns a tenant's part of a busy server relative to the other tenants'; nil
+	// gives all the same.
+	Weight func(tenant string) float64
 	// Blame is what the node knows of requests under which servers have ended; nil
 	// blames none.
 	Blame Blame
@@ -312,6 +315,10 @@
 		j.ticket.Call = true
 		j.ticket.MaxWait = max(j.ticket.MaxWait, time.Until(s.Deadline)/callWaitShare)
 	}
+	j.ticket.Tenant = s.Request.Tenant
+	if g.settings.Weight != nil && j.ticket.Tenant != "" {
+		j.ticket.Weight = g.settings.Weight(j.ticket.Tenant)
+	}
 	j.ticket.Priority = min(table.Priority(s.Request.Priority), table.Bulk)
 	g.mu.Lock()
 	j.ticket.Value = j
--- a/node/parts.go
+++ b/node/parts.go
@@ -48,6 +48,7 @@
 		FailedBelow:     n.entry.FailedSince,
 		Dialect:         n.dialect,
 		News:            n.wakeUp,
+		Weight:          n.tenantWeight,
 		Recorder:        n.recorder,
 		Blame:           &n.blame,
 		WrongServer:     func(name string) { go n.lostServer(name) },
--- a/node/quota.go
+++ b/node/quota.go
@@ -42,3 +42,13 @@
 	}
 	return tenant.Quota{Rate: float64(t.Rate), Burst: float64(t.Burst)}, true
 }
+
+// tenantWeight is a tenant's part of a busy server by the table in force.
+func (n *Node) tenantWeight(name string) float64 {
+	if current := n.holder.Current(); current != nil {
+		if t := current.Table.Tenant(name); t != nil {
+			return t.Weight
+		}
+	}
+	return 1
+}
--- a/table/tenant.go
+++ b/table/tenant.go
@@ -28,6 +28,9 @@
 	Burst int
 	// Keys are the fingerprints of the keys that name the tenant.
 	Keys []tenant.Fingerprint
+	// Weight is the tenant's part of a busy server relative to the other tenants', by
+	// their rates: 1 is the mean, also of one without a rate.
+	Weight float64
 }
 
 // Limited reports whether the tenant has a quota.
@@ -68,13 +71,30 @@
 	sort.Slice(tenants, func(i, j int) bool { return tenants[i].Name < tenants[j].Name })
 	t.keyed, t.tenants = keyed, tenants
 	t.holders = map[tenant.Fingerprint]*Tenant{}
+	mean := meanRate(tenants)
 	for i := range tenants {
+		tenants[i].Weight = 1
+		if tenants[i].Limited() {
+			tenants[i].Weight = float64(tenants[i].Rate) / mean
+		}
 		for _, key := range tenants[i].Keys {
 			t.holders[key] = &tenants[i]
 		}
 	}
 }
 
+// meanRate is the mean rate of those tenants that have one.
+func meanRate(tenants []Tenant) float64 {
+	sum, limited := 0, 0
+	for i := range tenants {
+		if tenants[i].Limited() {
+			sum += tenants[i].Rate
+			limited++
+		}
+	}
+	return float64(sum) / float64(max(limited, 1))
+}
+
 // The columns of tenants.
 const (
 	colTenant = "tenant"
