entry, node, cmd: operators see tenants and quotas over all nodes

Purpose: who is near its quota, and whose requests fail, in one command at night.

Entries count each tenant's requests of the last ten seconds; any node adds up what all nodes counted (/v1/tenants, `ryehaven quota`, `ryehaven tenant list`). Names come from the table alone, which bounds them. Gathering over nodes, which the burn had for itself, is one function now.

--- a/cmd/ryehaven/main.go
+++ b/cmd/ryehaven/main.go
@@ -43,6 +43,8 @@
 	Evacuate evacuateCommand `cmd:"" help:"Ask that the backend servers of an availability zone get nothing, or take that back."`
 	Status   statusCommand   `cmd:"" help:"Print what nodes say of themselves."`
 	Burn     burnCommand     `cmd:"" help:"Print the service-level burn of all nodes."`
+	Tenant   tenantCommand   `cmd:"" help:"Read tenants' keys and what they send."`
+	Quota    quotaCommand    `cmd:"" help:"Print which tenants are near their quotas, over all nodes and by host."`
 	Settings settingsCommand `cmd:"" help:"List the keys of a node's settings file as a table in Markdown."`
 	Metrics  metricsCommand  `cmd:"" help:"List what nodes count, with units, as a table in Markdown."`
 	Explain  explainCommand  `cmd:"" help:"Tell the story of one request from the logs of nodes."`
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -117,6 +117,8 @@
 	// lookedAt is when callers were last looked at.
 	lookedAt time.Time
 
+	tenants tenantMeters
+
 	traitsMu sync.Mutex
 	traits   map[string]*traits
 }
@@ -180,6 +182,7 @@
 	e.services = services
 	if e.table != t {
 		e.dropTraits(t)
+		e.tenants.keep(t)
 	}
 	e.table = t
 }
--- a/entry/handle.go
+++ b/entry/handle.go
@@ -54,6 +54,7 @@
 	r.prepareBody()
 	e.watch(r)
 	defer e.unwatch(r)
+	defer func() { e.tenants.count(time.Now(), holder, ctx.Response.StatusCode()) }()
 	if !e.charge(r, holder) {
 		return
 	}
--- /dev/null
+++ b/entry/tenants.go
@@ -0,0 +1,105 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/ryehaven/ryehaven/table"
+)
+
+// TenantsWindow is the time over which tenants' requests are counted, in whole seconds.
+const TenantsWindow = 10 * time.Second
+
+// TenantCount counts a tenant's requests at an entry.
+type TenantCount struct {
+	// Requests counts all, OverQuota those refused since the tenant was above its quota,
+	// and Failed others that ended without an answer of a server or with its failure.
+	Requests, OverQuota, Failed int
+}
+
+func (c *TenantCount) add(other TenantCount) {
+	c.Requests += other.Requests
+	c.OverQuota += other.OverQuota
+	c.Failed += other.Failed
+}
+
+// tenantMeter counts by seconds. Its zero value is empty.
+type tenantMeter struct {
+	seconds [TenantsWindow / time.Second]TenantCount
+	last    int64
+}
+
+// at returns the count of a second and forgets those that are too old.
+func (m *tenantMeter) at(second int64) *TenantCount {
+	length := int64(len(m.seconds))
+	for s := max(m.last+1, second-length+1); s <= second; s++ {
+		m.seconds[s%length] = TenantCount{}
+	}
+	m.last = max(m.last, second)
+	return &m.seconds[second%length]
+}
+
+// tenantMeters count for each tenant. The zero value is empty.
+type tenantMeters struct {
+	mu     sync.Mutex
+	meters map[string]*tenantMeter
+}
+
+// count takes a request that was answered with a status of its server or of the node.
+func (t *tenantMeters) count(now time.Time, holder *table.Tenant, status int) {
+	if holder == nil {
+		return
+	}
+	c := TenantCount{Requests: 1}
+	switch {
+	case status == fasthttp.StatusTooManyRequests:
+		c.OverQuota = 1
+	case status >= fasthttp.StatusInternalServerError:
+		c.Failed = 1
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m := t.meters[holder.Name]
+	if m == nil {
+		if t.meters == nil {
+			t.meters = map[string]*tenantMeter{}
+		}
+		m = &tenantMeter{}
+		t.meters[holder.Name] = m
+	}
+	m.at(now.Unix()).add(c)
+}
+
+// keep forgets the tenants that a table does not have.
+func (t *tenantMeters) keep(current *table.Table) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name := range t.meters {
+		if current.Tenant(name) == nil {
+			delete(t.meters, name)
+		}
+	}
+}
+
+// Tenants returns the counts of the last TenantsWindow of every tenant that had requests.
+func (e *Entry) Tenants(now time.Time) map[string]TenantCount {
+	t := &e.tenants
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	counts := map[string]TenantCount{}
+	for name, m := range t.meters {
+		m.at(now.Unix())
+		var sum TenantCount
+		for _, c := range m.seconds {
+			sum.add(c)
+		}
+		if sum.Requests > 0 {
+			counts[name] = sum
+		}
+	}
+	return counts
+}
--- a/node/admin.go
+++ b/node/admin.go
@@ -28,6 +28,8 @@
 		writeJSON(ctx, n.Status())
 	case query.BurnPath:
 		writeJSON(ctx, n.gatherBurn(time.Now()))
+	case query.TenantsPath:
+		writeJSON(ctx, n.gatherTenants(time.Now()))
 	case query.TablePath:
 		n.handleTable(ctx)
 	default:
--- a/node/ask.go
+++ b/node/ask.go
@@ -24,17 +24,20 @@
 type burnCounts map[string][]burn.Count
 
 const (
-	burnLimit = time.Second
-	// burnAtOnce bounds the nodes that are asked at a time.
-	burnAtOnce = 32
+	// gatherLimit bounds the wait for a node's answer.
+	gatherLimit = time.Second
+	// gatherAtOnce bounds the nodes that are asked at a time.
+	gatherAtOnce = 32
 )
 
 // Ask implements peer.Handler.
 func (n *Node) Ask(_ peer.Identity, topic wire.Topic, payload []byte) ([]byte, error) {
-	if topic == topicBurn {
+	switch topic {
+	case topicBurn:
 		return msgpack.Marshal(burnCounts(n.entry.Burn(time.Now())))
-	}
-	if topic == quota.Topic {
+	case topicTenants:
+		return msgpack.Marshal(n.entry.Tenants(time.Now()))
+	case quota.Topic:
 		return n.quotas.Answer(payload)
 	}
 	reply, ok, err := n.spread.Ask(topic, payload)
@@ -46,6 +49,15 @@
 
 // gatherBurn adds up the counts of every node that answers.
 func (n *Node) gatherBurn(now time.Time) query.Burn {
+	sums := burnCounts{}
+	sums.add(n.entry.Burn(now))
+	answered, missing := gather(n, topicBurn, func(_ string, counts burnCounts) { sums.add(counts) })
+	return query.Burn{Answered: answered, Missing: missing, Services: n.burnByService(sums)}
+}
+
+// gather asks every other node a question and hands over each answer, one at a time. It
+// returns how many nodes have answered, this one among them, and which have not.
+func gather[T any](n *Node, topic wire.Topic, take func(host string, answer T)) (answered int, missing []string) {
 	var others []member.Record
 	n.spread.View(func(v *member.View) {
 		for _, r := range v.All() {
@@ -54,43 +66,39 @@
 			}
 		}
 	})
-	sums := burnCounts{}
-	sums.add(n.entry.Burn(now))
-	report := query.Burn{Answered: 1}
+	answered = 1
 	var mu sync.Mutex
 	var wait sync.WaitGroup
-	slots := make(chan struct{}, burnAtOnce)
+	slots := make(chan struct{}, gatherAtOnce)
 	for _, r := range others {
 		slots <- struct{}{}
 		wait.Go(func() {
 			defer func() { <-slots }()
-			counts, err := n.askBurn(r.Address)
+			answer, err := askNode[T](n, r.Address, topic)
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
-				report.Missing = append(report.Missing, r.Host)
+				missing = append(missing, r.Host)
 				return
 			}
-			report.Answered++
-			sums.add(counts)
+			answered++
+			take(r.Host, answer)
 		})
 	}
 	wait.Wait()
-	report.Services = n.burnByService(sums)
-	return report
+	return answered, missing
 }
 
-func (n *Node) askBurn(address string) (burnCounts, error) {
-	conn, err := n.dialer.Get(address, burnLimit)
+func askNode[T any](n *Node, address string, topic wire.Topic) (answer T, err error) {
+	conn, err := n.dialer.Get(address, gatherLimit)
 	if err != nil {
-		return nil, err
+		return answer, err
 	}
-	payload, err := conn.Ask(topicBurn, nil, burnLimit)
+	payload, err := conn.Ask(topic, nil, gatherLimit)
 	if err != nil {
-		return nil, err
+		return answer, err
 	}
-	var counts burnCounts
-	return counts, msgpack.Unmarshal(payload, &counts)
+	return answer, msgpack.Unmarshal(payload, &answer)
 }
 
 // add sums counts of another node. Windows that only one side knows, after a
--- a/query/query.go
+++ b/query/query.go
@@ -21,6 +21,7 @@
 const (
 	StatusPath  = "/v1/status"
 	BurnPath    = "/v1/burn"
+	TenantsPath = "/v1/tenants"
 	TablePath   = "/v1/table"
 	MetricsPath = "/debug/vars"
 	HealthPath  = "/healthz"
@@ -113,6 +114,37 @@
 	Rate float64 `json:"rate"`
 }
 
+// Tenants are the tenants' requests at all nodes that answered.
+type Tenants struct {
+	Tenants []Tenant `json:"tenants"`
+	// Seconds is the time that the counts are of.
+	Seconds float64 `json:"seconds"`
+	// Answered counts the nodes whose counts are in; Missing names the others.
+	Answered int      `json:"answered"`
+	Missing  []string `json:"missing,omitempty"`
+}
+
+// Tenant is what one tenant sent of late.
+type Tenant struct {
+	Name string `json:"tenant"`
+	// Rate and Burst are its quota, 0 if it has none, and Keys how many it has.
+	Rate  int `json:"rate_per_s"`
+	Burst int `json:"burst"`
+	Keys  int `json:"keys"`
+	TenantCounts
+	// Used is the share of its quota's rate that was let through.
+	Used float64 `json:"used"`
+	// Hosts are the counts by the host that took the requests.
+	Hosts map[string]TenantCounts `json:"hosts,omitempty"`
+}
+
+// TenantCounts count requests: all, those above the quota, and others that failed.
+type TenantCounts struct {
+	Requests  int `json:"requests"`
+	OverQuota int `json:"over_quota"`
+	Failed    int `json:"failed"`
+}
+
 // limit bounds a question to a node; a burn report waits for other nodes.
 const limit = 5 * time.Second
 
@@ -126,6 +158,11 @@
 	return get[Burn](admin, BurnPath)
 }
 
+// GetTenants asks a node for the tenants' requests at all nodes.
+func GetTenants(admin string) (Tenants, error) {
+	return get[Tenants](admin, TenantsPath)
+}
+
 // GetTable asks a node for the text of the table in force.
 func GetTable(admin string) ([]byte, error) {
 	return fetch(admin, TablePath)
