tenant, quota: a quota's burst is paid in each window

Now the bucket is filled faster, by the burst a window at most and as far as the bound has room beside it and what a new ledger starts with. That is less (a fifth of the margin), and nothing in a node's first window: it can't know what it paid for in its life before.

--- a/node/quota.go
+++ b/node/quota.go
@@ -17,6 +17,7 @@
 		Ask:      n.askQuota,
 		View:     func(f func(v *member.View)) { n.spread.View(f) },
 		Of:       n.quotaOf,
+		Started:  n.started,
 		Isolated: func(now time.Time) bool { return n.spread.Isolated(now) },
 	}
 }
--- a/quota/keep.go
+++ b/quota/keep.go
@@ -29,21 +29,26 @@
 	q.mu.Unlock()
 	l.mu.Lock()
 	if begins {
-		l.begin(now, quota, q.settings.Terms, part)
+		l.begin(now, q.settings.Started, quota, q.settings.Terms, part)
 	}
 	l.Configure(now, quota, q.settings.Terms, part)
 	return l
 }
 
-// begin starts a ledger that another node has kept. What it starts with it has once in a
-// window, however often the two take turns. It is called with the ledger's lock held.
-func (l *ledger) begin(now time.Time, quota tenant.Quota, terms tenant.Terms, part float64) {
+// begin starts a ledger that another node has kept, or this one in a life before. What it
+// starts with it has once in a window, however often nodes take turns. It is called with
+// the ledger's lock held.
+func (l *ledger) begin(now, started time.Time, quota tenant.Quota, terms tenant.Terms, part float64) {
 	l.Ledger = tenant.NewLedger(now, quota, terms, part)
-	if !l.begun.IsZero() && now.Sub(l.begun) <= terms.Window {
+	switch {
+	case !l.begun.IsZero() && now.Sub(l.begun) <= terms.Window:
 		l.Empty(now)
-		return
+	case now.Sub(started) <= terms.Window:
+		l.Empty(started)
+		l.begun = now
+	default:
+		l.begun = now
 	}
-	l.begun = now
 }
 
 // part is the part of each quota that this node's zone has.
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -23,6 +23,9 @@
 	View func(f func(v *member.View))
 	// Of returns a tenant's quota by the table in force.
 	Of func(name string) (tenant.Quota, bool)
+	// Started is when the node's process began: until a window later it can't know what
+	// it has paid for in its life before.
+	Started time.Time
 	// Isolated reports whether the node has reached no other one of late.
 	Isolated func(now time.Time) bool
 }
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -57,8 +57,9 @@
 // restart has the host's node forget everything.
 func (h *host) restart() {
 	h.quotas = New(Settings{
-		Terms: h.fleet.terms,
-		Ask:   h.ask,
+		Terms:   h.fleet.terms,
+		Started: time.Now(),
+		Ask:     h.ask,
 		View: func(f func(*member.View)) {
 			h.mu.Lock()
 			defer h.mu.Unlock()
@@ -290,6 +291,7 @@
 func TestWhatDidNotRunIsNotLost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(3, tenant.Quota{Rate: 1, Burst: 1})
+		time.Sleep(10 * time.Second)
 		q := f.hosts[0].quotas
 		taken := 0
 		for q.Take("t", f.quota, nil).Paid {
--- a/tenant/ledger.go
+++ b/tenant/ledger.go
@@ -23,16 +23,18 @@
 	return t.Overshoot*(q.Rate*t.Window.Seconds()+q.Burst) + t.Slack
 }
 
+// How the margin is used.
 const (
-	// startShare is the part of the margin that a new ledger starts with, so that a
-	// change of the node that keeps it refuses nobody: the ledger before it, which has
-	// gone with its node, may have paid out all that it had. Two changes fit in a window.
-	startShare = 0.5
-	// capShare is the part of the margin by which a ledger may save up more than its
-	// part of the burst, so that small parts can be collected before they run over, for
-	// capTime at most.
-	capShare = 0.25
+	// startShare is the part with which a new ledger starts, so that a change of the node
+	// that keeps it refuses nobody: the ledger before it, which has gone with its node, may
+	// have paid out all that it had.
+	startShare = 0.2
+	// capShare bounds what a ledger may save up beside its part of the burst, so that
+	// small parts can be collected before they run over, for capTime at most.
+	capShare = 0.2
 	capTime  = 200 * time.Millisecond
+	// spareShare is left for hosts that come and go, by which parts differ for a moment.
+	spareShare = 0.05
 )
 
 // Ledger is a token bucket of a part of one tenant's quota. It is not safe for
@@ -76,11 +78,21 @@
 	l.level = min(l.level, l.most)
 }
 
+// set takes a quota. What a window allows is the rate and the burst; a bucket of just
+// these pays the burst once and then the rate alone, and refuses a tenant that goes on
+// asking for what its windows have room for. So the bucket is filled faster, as far as
+// both it and its burst keep below the bound.
 func (l *Ledger) set(q Quota, terms Terms, part float64) {
 	l.quota = q
+	margin := part * terms.margin(q)
+	burst := part * q.Burst
 	l.rate = part * q.Rate
-	collect := min(capShare*part*terms.margin(q), 1+l.rate*capTime.Seconds())
-	l.most = max(part*q.Burst, collect, l.least)
+	l.most = max(burst, min(capShare*margin, 1+l.rate*capTime.Seconds()))
+	if terms.Window > 0 {
+		room := (1-startShare-spareShare)*margin - (l.most - burst)
+		l.rate += max(min(burst, room), 0) / terms.Window.Seconds()
+	}
+	l.most = max(l.most, l.least)
 }
 
 func (l *Ledger) fill(now time.Time) {
