pipeline, node: requests of a caller that does not wait for answers run at the same time

A caller's connection that was seen to carry more before an answer was sent is read ahead from then on; up to eight requests without a body, for routes whose requests may run more than once, are begun at once. The library still takes each in its turn and sends the answers in order; an answer is found by all of its request's head, byte for byte, so that nothing a caller writes can give it to another. What may run once waits for its turn. A planned stop closes no connection with begun requests. Other connections cost a look at the socket for each request.

Weighed: a caller port of our own in place of the library (all of its limits, streaming and closing anew); a virtual connection for each request (answers would have to be held whole).

--- a/entry/request.go
+++ b/entry/request.go
@@ -185,6 +185,17 @@
 // a seventh measured better than a fifth and a quarter (docs/OVERLOAD.md).
 const refuseShare = 7
 
+// MayRepeat reports whether a request is one for a route whose requests may run more than
+// once.
+func (e *Entry) MayRepeat(ctx *fasthttp.RequestCtx) bool {
+	path, _, _ := strings.Cut(string(ctx.Request.RequestURI()), "?")
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	name, _, _ := strings.Cut(string(ctx.Host()), ":")
+	route := e.table.Match(strings.ToLower(name), path)
+	return route != nil && route.Repeatable
+}
+
 func budgetOf(h *fasthttp.RequestHeader, dialect *header.Dialect, policy table.Policy, most time.Duration) (time.Duration, string) {
 	text := string(h.Peek(dialect.Deadline))
 	if text == "" {
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -24,6 +24,13 @@
 	return waiting
 }
 
+// Unread reports whether the other side has sent bytes that were not read yet. It never
+// waits.
+func Unread(c net.Conn) bool {
+	_, bytes := look(c)
+	return bytes
+}
+
 // look reports whether a read would wait, or find bytes; neither means that
 // the connection has ended.
 func look(c net.Conn) (waiting, bytes bool) {
--- a/node/callers.go
+++ b/node/callers.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/ryehaven/ryehaven/header"
+	"github.com/ryehaven/ryehaven/pipeline"
 )
 
 const (
@@ -33,11 +34,15 @@
 		Name: "ryehaven",
 		Handler: func(ctx *fasthttp.RequestCtx) {
 			n.arrived()
-			n.entry.Handle(ctx)
+			n.handleInTurn(ctx)
 			ctx.Response.Header.Set("Keep-Alive", "timeout="+strconv.Itoa(int(n.idleLimit().Seconds())))
-			if n.stopping.Load() {
+			c := ctx.Conn().(*callerConn)
+			if n.stopping.Load() && !c.ahead.Begun() {
 				ctx.SetConnectionClose()
 			}
+			if ctx.IsGet() || ctx.IsHead() {
+				c.ahead.LookAhead()
+			}
 		},
 		HeaderReceived: func(*fasthttp.RequestHeader) fasthttp.RequestConfig {
 			return fasthttp.RequestConfig{ReadTimeout: limits.MaxDeadline}
@@ -119,13 +124,17 @@
 		return nil, err
 	}
 	l.node.openConns.Add(1)
-	return &callerConn{Conn: c, node: l.node}, nil
+	ahead := pipeline.New(c, l.node.beginAhead)
+	served := &callerConn{Conn: ahead, ahead: ahead, node: l.node}
+	ahead.Served = served
+	return served, nil
 }
 
 // callerConn bounds each write, so that a caller that does not read cannot
 // hold its connection for good, and counts itself out when closed.
 type callerConn struct {
 	net.Conn
+	ahead *pipeline.Conn
 	node  *Node
 	close sync.Once
 	// lingers says that the caller may still be sending when the node closes.
--- /dev/null
+++ b/pipeline/ahead_test.go
@@ -0,0 +1,126 @@
+// SPDX-License-Identifier: MIT
+
+package pipeline
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"pgregory.net/rapid"
+)
+
+// pieces are what a caller may send, in any order and with any cuts.
+var pieces = []string{
+	"GET /a HTTP/1.1\r\nHost: h\r\n\r\n",
+	"HEAD /b HTTP/1.1\r\nHost: h\r\nX: y\r\n\r\n",
+	"POST /c HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nGET /",
+	"POST /d HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+	"GET /e HTTP/1.1\nHost: h\n\n",
+	"GET /f HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nxy",
+	"\r\n", "NONSENSE\r\n\r\n", "GET / HTTP/1.1\r\nConnection: upgrade\r\nHost: h\r\n\r\n",
+	"GET /g HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n\r\n", "\x00\xff",
+}
+
+// Whatever is sent, in whatever pieces, the library reads just that.
+func TestReadingAheadChangesNoByte(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := strings.Join(rapid.SliceOfN(rapid.SampledFrom(pieces), 0, 40).Draw(t, "pieces"), "")
+		near, far := net.Pipe()
+		defer far.Close()
+		var begun int
+		c := New(near, func(*fasthttp.RequestCtx) <-chan struct{} {
+			begun++
+			done := make(chan struct{})
+			close(done)
+			return done
+		})
+		a := newAhead(c)
+		c.ahead.Store(a)
+		go a.run()
+		go func() {
+			for rest := text; rest != ""; {
+				n := min(1+len(text)%97, len(rest))
+				if _, err := io.WriteString(far, rest[:n]); err != nil {
+					return
+				}
+				rest = rest[n:]
+			}
+			far.Close()
+		}()
+		got, err := io.ReadAll(c)
+		if err != nil || string(got) != text {
+			t.Fatalf("read %q, %v, want %q", got, err, text)
+		}
+		if begun > mostBegun {
+			t.Fatalf("%d requests were begun, at most %d may wait", begun, mostBegun)
+		}
+	})
+}
+
+// A request whose head is not that of the one that was begun gets no answer of it.
+func TestAnswerGoesToItsOwnRequestOnly(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	done := make(chan struct{})
+	close(done)
+	c := New(near, func(ctx *fasthttp.RequestCtx) <-chan struct{} {
+		ctx.SetBodyString("answer")
+		return done
+	})
+	a := newAhead(c)
+	c.ahead.Store(a)
+	a.mu.Lock()
+	a.unread = []byte(pieces[0])
+	a.parse()
+	a.mu.Unlock()
+	read := func(text string) *fasthttp.Request {
+		r := &fasthttp.Request{}
+		if err := r.Header.Read(bufio.NewReader(strings.NewReader(text))); err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+	for _, other := range []string{
+		"GET /a HTTP/1.1\r\nHost: other\r\n\r\n", "GET /a HTTP/1.1\r\nHost: h\r\nX: y\r\n\r\n", "HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n", "GET /a?b HTTP/1.1\r\nHost: h\r\n\r\n",
+	} {
+		if _, ok := c.Take(read(other)); ok {
+			t.Errorf("%q got the answer", other)
+		}
+	}
+	if !c.Begun() {
+		t.Fatal("the request was not begun")
+	}
+	if answer, ok := c.Take(read(pieces[0])); !ok || string(answer.Body()) != "answer" || c.Begun() {
+		t.Error("the request did not get its answer, once")
+	}
+}
+
+// A read ends at its deadline, with what has come of a request, and then without.
+func TestReadEndsAtItsDeadline(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	c := New(near, func(*fasthttp.RequestCtx) <-chan struct{} { return nil })
+	a := newAhead(c)
+	c.ahead.Store(a)
+	go a.run()
+	if _, err := io.WriteString(far, "GET /half"); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.SetReadDeadline(time.Unix(1, 0)); err != nil {
+		t.Fatal(err)
+	}
+	p := make([]byte, 100)
+	if n, err := c.Read(p); err == nil && string(p[:n]) != "GET /half" {
+		t.Errorf("read %q", p[:n])
+	}
+	if _, err := c.Read(p); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("read ends with %v", err)
+	}
+}
