quota, tenant, soak: one ledger for each zone, whoever reaches its keeper

A keeper that did not answer in 60 ms was replaced at once, by each node for itself, so that a zone had several ledgers that all filled up.

Now the keeper of a ledger is chosen among the zone's nodes that take work, whether it is reached or not; only one that has not been reached for a window is passed over. A node that does not reach its keeper asks those of other zones, which pay from their own, and then has the floor: a fifth of the margin for all hosts together. A node that is asked for a ledger that it does not keep passes the question on once, and keeps none itself. A ledger that is begun fills up from when its node became the keeper, so that an idle tenant is not refused after a quiet time.

The soak has tenants (`--tenants`): one with many times its quota, which changes with each version, and one whose key does; its oracle holds what servers saw against the keys that callers sent, keys against their versions, and quotas in every window.

Two more faults in the tests of a fleet: connections silent again and again, a third of the hosts cut off in turns.

--- a/cmd/ryehaven-soak/main.go
+++ b/cmd/ryehaven-soak/main.go
@@ -29,6 +29,7 @@
 	Length      time.Duration `default:"20s" help:"How long faults are injected in each run."`
 	Work        time.Duration `help:"How long servers work on a request; 4 ms if not given."`
 	Spells      bool          `help:"Let servers be four times slower for some hundred milliseconds at a time."`
+	Tenants     bool          `help:"Have routes ask for tenants' keys, with a tenant above its quota and keys that change with every version."`
 	Stops       bool          `help:"Play planned stops, one or two each 0.7 s, in place of the seeds' schedules."`
 	Programs    string        `help:"Directory of the built commands; they are built if not given."`
 	Older       string        `help:"Directory of the commands of an earlier version, which all nodes begin with; each restart upgrades one."`
@@ -161,6 +162,7 @@
 		Steps:    steps,
 		Work:     args.Work,
 		Spells:   args.Spells,
+		Tenants:  args.Tenants,
 	})
 	if err != nil {
 		return report, err
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -19,6 +19,11 @@
 	// Since is the version that introduced the route, for requests that only
 	// show which configuration is in force; 0 for others.
 	Since int
+	// Key is the caller's, as a request has it; KeyOf is the version that alone has it, 0
+	// if all have, and Improper says that the request may be rejected for its key.
+	Key      string
+	KeyOf    int
+	Improper bool
 	// Began is when its first byte was written, Sent when its last was, and Done when its
 	// end was known.
 	Began, Sent, Done time.Time
@@ -87,6 +92,8 @@
 type History struct {
 	// Services are the hosts' services.
 	Services []string
+	// Tenants says that the configuration had tenants.
+	Tenants  bool
 	Calls    []Call
 	Arrivals []Arrival
 	Acks     []Ack
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -123,6 +123,9 @@
 	if h.site.options.Older == "" || h.upgraded {
 		text = fmt.Sprintf("[cold]\novershoot = %d\nslack = %d\n", coldOvershoot, coldSlack)
 	}
+	if h.site.options.Tenants {
+		text += quotaSettings()
+	}
 	if h.clock != 0 {
 		text += fmt.Sprintf("[experiment]\nclock_step_ms = %d\n", h.clock.Milliseconds())
 	}
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -21,6 +21,11 @@
 	body       string
 	repeatable bool
 	since      int
+	// key is the caller's; blank stands for the steady tenant's. keyOf is the version that
+	// alone has it, 0 if all have, and improper says that it may be rejected.
+	key      string
+	keyOf    int
+	improper bool
 }
 
 // deadlineMs is how long callers wait.
@@ -60,6 +65,10 @@
 		}
 		wait.Go(func() { s.runProbes(ctx, h) })
 		wait.Go(func() { s.runSteady(ctx, h) })
+		if s.options.Tenants {
+			wait.Go(func() { s.runHot(ctx, h) })
+			wait.Go(func() { s.runGuest(ctx, h) })
+		}
 	}
 	wait.Wait()
 }
@@ -154,6 +163,9 @@
 		Body:       r.body,
 		Repeatable: r.repeatable,
 		Since:      r.since,
+		Key:        r.key,
+		KeyOf:      r.keyOf,
+		Improper:   r.improper,
 	}
 	if r.body != "" {
 		call.Method = "POST"
@@ -165,7 +177,7 @@
 func (s *site) transact(call *Call, conn *countedConn, reader *bufio.Reader) {
 	conn.written.Store(0)
 	call.Began = time.Now()
-	call.Reply = emulator.Call{Method: call.Method, Path: call.URI, ID: call.ID, Body: call.Body, DeadlineMs: deadlineMs}.SendOn(conn, reader)
+	call.Reply = emulator.Call{Method: call.Method, Path: call.URI, ID: call.ID, Body: call.Body, DeadlineMs: deadlineMs, Fields: s.credentials(call.Key)}.SendOn(conn, reader)
 	call.Done = time.Now()
 	if written := conn.written.Load(); written != 0 {
 		call.Sent = time.Unix(0, written)
@@ -193,12 +205,21 @@
 // runSteady sends requests at a steady rate, each on a connection of its own, so that
 // those which wait don't keep others from being sent.
 func (s *site) runSteady(ctx context.Context, h *host) {
+	s.sendOpenly(ctx, h, steadyEvery, func(n int) request {
+		return request{uri: fmt.Sprint("/read/", n%100), repeatable: true}
+	})
+}
+
+// sendOpenly sends a request in each so much time while the host is ready, whether those
+// before were answered or not.
+func (s *site) sendOpenly(ctx context.Context, h *host, every time.Duration, next func(n int) request) {
 	var wait sync.WaitGroup
 	for n := 0; ctx.Err() == nil; n++ {
 		if h.ready.Load() {
-			wait.Go(func() { s.send(h, request{uri: fmt.Sprint("/read/", n%100), repeatable: true}) })
+			r := next(n)
+			wait.Go(func() { s.send(h, r) })
 		}
-		pause(ctx, steadyEvery)
+		pause(ctx, every)
 	}
 	wait.Wait()
 }
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -32,6 +32,8 @@
 	PromiseDenied   = "proper requests are not rejected as wrong"
 	PromiseService  = "service while connections are silent"
 	PromiseCrash    = "requests that crash servers are stopped"
+	PromiseTenant   = "keys name their tenants and end with their version"
+	PromiseQuota    = "quotas over all nodes"
 )
 
 // Check returns every promise that a history breaks.
@@ -50,6 +52,7 @@
 	o.checkCold()
 	o.checkCrashes()
 	o.checkEvacuations()
+	o.checkTenants()
 	o.checkEnds()
 	return o.found
 }
--- a/internal/soak/oracle_config.go
+++ b/internal/soak/oracle_config.go
@@ -121,6 +121,9 @@
 	if c.Reply.Err != nil || c.Left || c.Reply.Seal != "" || status < 300 || status >= 500 || promisesNotRun(status) {
 		return false
 	}
+	if c.Improper && status == fasthttp.StatusUnauthorized {
+		return false
+	}
 	return c.Since == 0 || status != fasthttp.StatusNotFound
 }
 
--- a/internal/soak/play.go
+++ b/internal/soak/play.go
@@ -39,6 +39,9 @@
 	// Spells lets servers be four times slower for some hundred milliseconds at a time,
 	// as those are that share their hosts with others.
 	Spells bool
+	// Tenants has routes ask for keys: a tenant that sends many times its quota and one
+	// whose key each version changes send beside the others.
+	Tenants bool
 	// Bounds are the times of the promises; zero stands for UsualBounds.
 	Bounds Bounds
 }
--- a/internal/soak/service.go
+++ b/internal/soak/service.go
@@ -133,8 +133,11 @@
 }
 
 // isOwed reports whether a request counts as one that should be served: it came to a
-// node, its caller waited, and every version allows it.
-func isOwed(c *Call) bool { return !c.Sent.IsZero() && !c.Left && c.Since == 0 }
+// node, its caller waited, every version allows it, and its tenant is not one that goes
+// beyond its quota.
+func isOwed(c *Call) bool {
+	return !c.Sent.IsZero() && !c.Left && c.Since == 0 && !c.Improper && c.Key != hotKey
+}
 
 // costsNothing reports whether nothing but silences of all hosts was done in a time
 // that costs service. Planned work costs none while it leaves each service a host.
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -134,6 +134,7 @@
 func startSite(o Options) (*site, error) {
 	s := &site{options: o, work: cmp.Or(o.Work, usualWork), storeFaults: map[Kind]int{}, evacuated: map[string]bool{}}
 	s.history.Attempts = attempts
+	s.history.Tenants = s.options.Tenants
 	if err := s.start(); err != nil {
 		s.close()
 		return nil, err
@@ -234,8 +235,7 @@
 
 // writeConfiguration writes the newest version. It is called with the lock held.
 func (s *site) writeConfiguration() {
-	s.store.Put("config", "main", emulator.ColdConfiguration(s.serial, services, routesOf(s.serial),
-		emulator.ColdService{StartS: coldStart, PerS: coldPerSecond}))
+	s.store.Put("config", "main", s.configuration(s.serial))
 }
 
 // newest returns the newest version of the configuration.
--- a/member/sample.go
+++ b/member/sample.go
@@ -119,12 +119,12 @@
 }
 
 // Keeper returns the node of a zone that keeps what a name stands for: the first by
-// rendezvous hashing of those that take work and can be reached. Nodes with the same view
-// agree on it.
-func (v *View) Keeper(now time.Time, zone, name string) (keeper Record, ok bool) {
+// rendezvous hashing of those that take work. Nodes that know the same hosts agree on it,
+// whichever of them they reach; only one that could not be reached for so long is left out.
+func (v *View) Keeper(now time.Time, zone, name string, lostFor time.Duration) (keeper Record, ok bool) {
 	var most uint64
 	for host, e := range v.entries {
-		if e.Zone != zone || e.State != Live || (host != v.self && now.Before(e.aloneUntil)) {
+		if !v.keeps(now, e, zone, lostFor) {
 			continue
 		}
 		weight := rendezvous(name, host)
@@ -135,6 +135,21 @@
 	return keeper, ok
 }
 
+// Keepers is a number for all nodes of a zone that Keeper chooses from.
+func (v *View) Keepers(now time.Time, zone string, lostFor time.Duration) (sum uint64) {
+	for host, e := range v.entries {
+		if v.keeps(now, e, zone, lostFor) {
+			sum += hostHash(host)
+		}
+	}
+	return sum
+}
+
+func (v *View) keeps(now time.Time, e *entry, zone string, lostFor time.Duration) bool {
+	lost := e.Host != v.self && !e.lostSince.IsZero() && now.Sub(e.lostSince) > lostFor
+	return e.Zone == zone && e.State == Live && !lost
+}
+
 // Zones returns how many hosts each zone has, with those that can't be reached.
 func (v *View) Zones() map[string]int {
 	zones := map[string]int{}
--- a/quota/keep.go
+++ b/quota/keep.go
@@ -17,10 +17,11 @@
 		quota = tenant.Quota{Rate: float64(m.Rate), Burst: float64(m.Burst)}
 	}
 	part := q.part()
+	since := q.keptSince(now)
 	q.mu.Lock()
 	l := q.ledgers[m.Tenant]
 	if l == nil {
-		l = &ledger{pausedUntil: map[string]time.Time{}, retired: true}
+		l = &ledger{lenders: lenders{}, retired: true}
 		q.ledgers[m.Tenant] = l
 	}
 	l.used = now
@@ -29,26 +30,38 @@
 	q.mu.Unlock()
 	l.mu.Lock()
 	if begins {
-		l.begin(now, q.settings.Started, quota, q.settings.Terms, part)
+		l.begin(now, since, quota, q.settings.Terms, part)
 	}
 	l.Configure(now, quota, q.settings.Terms, part)
 	return l
 }
 
-// begin starts a ledger that another node has kept, or this one in a life before. What it
-// starts with it has once in a window, however often nodes take turns. It is called with
-// the ledger's lock held.
-func (l *ledger) begin(now, started time.Time, quota tenant.Quota, terms tenant.Terms, part float64) {
-	l.Ledger = tenant.NewLedger(now, quota, terms, part)
-	switch {
-	case !l.begun.IsZero() && now.Sub(l.begun) <= terms.Window:
-		l.Empty(now)
-	case now.Sub(started) <= terms.Window:
-		l.Empty(started)
-		l.begun = now
-	default:
-		l.begun = now
+// begin starts a ledger that another node has kept, or this one in a life before; since
+// then this node would have kept it. What it starts with beside, it has once in a window,
+// however often nodes take turns. It is called with the ledger's lock held.
+func (l *ledger) begin(now, since time.Time, quota tenant.Quota, terms tenant.Terms, part float64) {
+	l.Ledger = tenant.NewLedger(since, quota, terms, part)
+	if now.Sub(l.begun) <= terms.Window {
+		l.Empty(since)
+		return
+	}
+	l.begun = now
+}
+
+// keptSince is since when the choice of keepers in this node's zone has not changed, and
+// this life of the node has been one of them.
+func (q *Quotas) keptSince(now time.Time) time.Time {
+	var sum uint64
+	q.settings.View(func(v *member.View) { sum = v.Keepers(now, v.Self().Zone, q.settings.Terms.Window) })
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if sum != q.keepers {
+		q.keepers, q.changed = sum, now
+	}
+	if q.changed.Before(q.settings.Started) {
+		return q.settings.Started
 	}
+	return q.changed
 }
 
 // part is the part of each quota that this node's zone has.
@@ -74,37 +87,45 @@
 	}
 	l.borrowing = true
 	l.mu.Unlock()
-	paid += q.borrow(l, m, m.Want-paid)
+	paid += q.borrow(l.lenders, m, m.Want-paid)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.borrowing = false
 	return replyOf(time.Now(), l.Ledger, m.Want, paid)
 }
 
-// borrow asks the keepers of other zones to pay for requests.
-func (q *Quotas) borrow(l *ledger, m *question, want int) (paid int) {
+// lenders are keepers by their zones, with until when each is not asked.
+type lenders map[string]time.Time
+
+func (l lenders) pauses(now time.Time, zone string) bool { return now.Before(l[zone]) }
+
+func (l lenders) pause(zone string) { l[zone] = time.Now().Add(pauseFor) }
+
+// borrow asks the keepers of other zones to pay for requests, and returns for how many
+// they did.
+func (q *Quotas) borrow(l lenders, m *question, want int) (paid int) {
 	now := time.Now()
 	var keepers []member.Record
 	q.settings.View(func(v *member.View) {
 		own := v.Self().Zone
 		for zone := range v.Zones() {
-			if zone == own {
+			if zone == own || l.pauses(now, zone) {
 				continue
 			}
-			if keeper, ok := v.Keeper(now, zone, m.Tenant); ok {
+			if keeper, ok := v.Keeper(now, zone, m.Tenant, q.settings.Terms.Window); ok {
 				keepers = append(keepers, keeper)
 			}
 		}
 	})
 	for _, keeper := range keepers {
-		if paid == want || now.Before(l.pausedUntil[keeper.Zone]) {
-			continue
+		if paid == want {
+			break
 		}
 		next := *m
 		next.Purpose, next.Want = lend, want-paid
 		r, err := q.askKeeper(keeper, &next, lendLimit)
 		if err != nil || r.Paid < next.Want {
-			l.pausedUntil[keeper.Zone] = time.Now().Add(lendPause)
+			l.pause(keeper.Zone)
 		}
 		paid += r.Paid
 	}
@@ -133,11 +154,12 @@
 		names = append(names, name)
 	}
 	q.mu.Unlock()
+	q.keptSince(now)
 	var others []string
 	q.settings.View(func(v *member.View) {
 		self := v.Self()
 		for _, name := range names {
-			if keeper, ok := v.Keeper(now, self.Zone, name); ok && keeper.Host != self.Host {
+			if keeper, ok := v.Keeper(now, self.Zone, name, q.settings.Terms.Window); ok && keeper.Host != self.Host {
 				others = append(others, name)
 			}
 		}
--- a/quota/message.go
+++ b/quota/message.go
@@ -17,7 +17,7 @@
 const (
 	// take asks the keeper of the own zone to pay for requests.
 	take purpose = iota
-	// passed is take, passed on by a node that knows another keeper.
+	// passed is take, passed on by a node that is not the keeper.
 	passed
 	// lend asks the keeper of another zone to pay from what it has.
 	lend
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -23,8 +23,7 @@
 	View func(f func(v *member.View))
 	// Of returns a tenant's quota by the table in force.
 	Of func(name string) (tenant.Quota, bool)
-	// Started is when the node's process began: until a window later it can't know what
-	// it has paid for in its life before.
+	// Started is when the node's process began.
 	Started time.Time
 	// Isolated reports whether the node has reached no other one of late.
 	Isolated func(now time.Time) bool
@@ -41,10 +40,10 @@
 	// askLimit bounds the wait for a keeper: some round trips between zones. A caller
 	// waits for it.
 	askLimit = 60 * time.Millisecond
-	// lendLimit bounds the wait for another zone's keeper, and lendPause is how long one
+	// lendLimit bounds the wait for another zone's keeper, and pauseFor is how long one
 	// that has nothing, or does not answer, is not asked again.
 	lendLimit = 40 * time.Millisecond
-	lendPause = 100 * time.Millisecond
+	pauseFor  = 100 * time.Millisecond
 	// spareFor is how long what was paid for a request that did not run pays for another
 	// one at the same node, and mostSpare bounds how many.
 	spareFor  = time.Second
@@ -65,6 +64,10 @@
 	lines   map[string]*line
 	ledgers map[string]*ledger
 	ticked  time.Time
+	// keepers stands for the nodes of this zone that keep ledgers, and changed is when
+	// that was last seen to change.
+	keepers uint64
+	changed time.Time
 }
 
 // line is where a tenant's requests at this node wait for the keeper's answer.
@@ -74,9 +77,13 @@
 	// spare is what was paid for requests that did not run, until spareUntil.
 	spare      int
 	spareUntil time.Time
-	// floor pays while no keeper can be reached; nil until then.
-	floor *tenant.Ledger
-	used  time.Time
+	// floor pays while no keeper can be reached; nil until then. floorUsed is when it
+	// last did.
+	floor     *tenant.Ledger
+	floorUsed time.Time
+	// lenders are the keepers that settle asks.
+	lenders lenders
+	used    time.Time
 }
 
 // claim is a request that waits. Its answer is sent once.
@@ -86,11 +93,10 @@
 type ledger struct {
 	mu sync.Mutex
 	*tenant.Ledger
-	// borrowing says that other zones are being asked, and pausedUntil is until when each
-	// is not.
-	borrowing   bool
-	pausedUntil map[string]time.Time
-	used        time.Time
+	// borrowing says that other zones are being asked.
+	borrowing bool
+	lenders   lenders
+	used      time.Time
 	// begun is when it was last begun with something in it, and retired says that another
 	// node keeps the tenant's ledger now, guarded by the lock of Quotas.
 	begun   time.Time
@@ -150,7 +156,7 @@
 func (q *Quotas) line(name string, now time.Time) *line {
 	l := q.lines[name]
 	if l == nil {
-		l = &line{}
+		l = &line{lenders: lenders{}}
 		q.lines[name] = l
 	}
 	l.used = now
@@ -184,29 +190,26 @@
 
 func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
 
-// keepersAsked is how many keepers are asked, one after the other, while those before do
-// not answer.
-const keepersAsked = 2
-
-// ask asks the keeper of the own zone, or the next one if it does not answer.
+// ask asks the keeper of the own zone and, if that does not answer, those of others. It is
+// called by one goroutine of a line at a time.
 func (q *Quotas) ask(name string, quota tenant.Quota, l *line, want int) reply {
+	now := time.Now()
 	m := question{Tenant: name, Want: want, Rate: int(quota.Rate), Burst: int(quota.Burst)}
-	for range keepersAsked {
-		now := time.Now()
-		keeper, self, ok := q.keeper(now, name)
-		switch {
-		case !ok:
-			return q.askFloor(name, quota, l, want)
-		case keeper.Host == self.Host && q.settings.Isolated(now):
-			return q.askFloor(name, quota, l, want)
-		case keeper.Host == self.Host:
-			return q.pay(&m)
+	keeper, self, ok := q.keeper(now, name)
+	if ok && keeper.Host == self.Host {
+		if q.settings.Isolated(now) {
+			return q.askFloor(name, quota, l, want, 0)
 		}
-		if r, err := q.askKeeper(keeper, &m, askLimit); err == nil {
+		return q.pay(&m)
+	}
+	if ok && !l.lenders.pauses(now, self.Zone) {
+		r, err := q.askKeeper(keeper, &m, askLimit)
+		if err == nil {
 			return r
 		}
+		l.lenders.pause(self.Zone)
 	}
-	return q.askFloor(name, quota, l, want)
+	return q.askFloor(name, quota, l, want, q.borrow(l.lenders, &m, want))
 }
 
 // keeper returns the node that keeps a tenant's ledger for this node's zone, and this
@@ -214,12 +217,12 @@
 func (q *Quotas) keeper(now time.Time, name string) (keeper, self member.Record, ok bool) {
 	q.settings.View(func(v *member.View) {
 		self = v.Self()
-		keeper, ok = v.Keeper(now, self.Zone, name)
+		keeper, ok = v.Keeper(now, self.Zone, name, q.settings.Terms.Window)
 	})
 	return keeper, self, ok
 }
 
-// askKeeper asks another node, which is left alone for a moment if it does not answer.
+// askKeeper asks another node.
 func (q *Quotas) askKeeper(keeper member.Record, m *question, limit time.Duration) (r reply, err error) {
 	q.Counters.Asked.Add(1)
 	payload, err := q.settings.Ask(keeper.Address, encode(m), limit)
@@ -237,19 +240,18 @@
 	return r, nil
 }
 
-// askFloor pays from the part of a single host.
-func (q *Quotas) askFloor(name string, quota tenant.Quota, l *line, want int) reply {
+// askFloor pays from the part of a single host, after others have paid for some.
+func (q *Quotas) askFloor(name string, quota tenant.Quota, l *line, want, paid int) reply {
 	hosts := 0
 	q.settings.View(func(v *member.View) { hosts = v.Len() })
-	part := 1 / float64(max(hosts, 1))
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := time.Now()
-	if l.floor == nil {
-		l.floor = tenant.NewFloor(now, quota, part)
+	if l.floor == nil || now.Sub(l.floorUsed) > q.settings.Terms.Window {
+		l.floor = tenant.NewFloor(now, quota, q.settings.Terms, hosts)
 	}
-	l.floor.Configure(now, quota, tenant.Terms{}, part)
-	return replyOf(now, l.floor, want, 0)
+	l.floorUsed = now
+	return replyOf(now, l.floor, want, paid)
 }
 
 // replyOf takes from a ledger for some requests, some of which are paid for already.
@@ -279,26 +281,21 @@
 	return encode(&r), nil
 }
 
+// errNotKeeper says that a node does not keep the ledger that it was asked for.
+var errNotKeeper = eris.New("this node does not keep the tenant's ledger")
+
 func (q *Quotas) answer(m *question) (reply, error) {
-	now := time.Now()
-	if m.Purpose == passed {
-		return q.pay(m), nil
-	}
-	keeper, self, ok := q.keeper(now, m.Tenant)
+	keeper, self, ok := q.keeper(time.Now(), m.Tenant)
 	switch {
-	case !ok || keeper.Host == self.Host:
-		if m.Purpose == lend {
-			return q.lend(m), nil
-		}
+	case ok && keeper.Host == self.Host && m.Purpose == lend:
+		return q.lend(m), nil
+	case ok && keeper.Host == self.Host:
 		return q.pay(m), nil
-	case m.Purpose == lend:
-		return reply{}, nil
+	case !ok || m.Purpose != take:
+		return reply{}, errNotKeeper
 	}
-	// The asker knows another keeper than this node does, or can't reach it.
+	// The asker knows other hosts than this node does.
 	next := *m
 	next.Purpose = passed
-	if r, err := q.askKeeper(keeper, &next, askLimit/2); err == nil {
-		return r, nil
-	}
-	return q.pay(m), nil
+	return q.askKeeper(keeper, &next, askLimit/2)
 }
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -28,6 +28,7 @@
 type host struct {
 	fleet  *fleet
 	name   string
+	number int
 	zone   int
 	mu     sync.Mutex
 	view   *member.View
@@ -46,7 +47,7 @@
 		records = append(records, member.Record{Host: fmt.Sprint("h", i), Zone: fmt.Sprint("z", i%3), Address: fmt.Sprint(i), Incarnation: 1, Version: 1, State: member.Live})
 	}
 	for i, r := range records {
-		h := &host{fleet: f, name: r.Host, zone: i % 3, view: member.NewView(r)}
+		h := &host{fleet: f, name: r.Host, number: i, zone: i % 3, view: member.NewView(r)}
 		h.view.Merge(time.Now(), records)
 		f.hosts = append(f.hosts, h)
 		h.restart()
@@ -236,7 +237,7 @@
 		},
 		"the keeper is cut off": func(f *fleet, at time.Duration) {
 			if at == 3*time.Second {
-				keeper, _ := f.hosts[0].view.Keeper(time.Now(), "z0", "t")
+				keeper, _ := f.hosts[0].view.Keeper(time.Now(), "z0", "t", time.Hour)
 				f.cut = hosts(keeper.Host)
 			}
 		},
@@ -247,6 +248,15 @@
 				}
 			}
 		},
+		"all connections go silent for a moment, again and again": func(f *fleet, at time.Duration) {
+			f.cut = func(_, _ *host) bool { return at%time.Second < 200*time.Millisecond }
+		},
+		"a host in three is cut off, others in turn": func(f *fleet, at time.Duration) {
+			turn := int(at / time.Second)
+			f.cut = func(from, to *host) bool {
+				return (from.number+turn)%3 == 0 || (to.number+turn)%3 == 0
+			}
+		},
 		"a cut that comes and goes": func(f *fleet, at time.Duration) {
 			f.cut = func(_, _ *host) bool { return false }
 			if at%(2*time.Second) < time.Second {
--- a/tenant/ledger.go
+++ b/tenant/ledger.go
@@ -33,6 +33,8 @@
 	// small parts can be collected before they run over, for capTime at most.
 	capShare = 0.2
 	capTime  = 200 * time.Millisecond
+	// floorShare is the part that all hosts together have while they reach no ledger.
+	floorShare = 0.2
 	// spareShare is left for hosts that come and go, by which parts differ for a moment.
 	spareShare = 0.05
 )
@@ -42,10 +44,10 @@
 type Ledger struct {
 	quota Quota
 	rate  float64
-	// most is what can be saved up, never below least.
-	most, least float64
-	level       float64
-	at          time.Time
+	// most is what can be saved up.
+	most  float64
+	level float64
+	at    time.Time
 	// next is when the next request that is refused should come back.
 	next time.Time
 }
@@ -58,11 +60,13 @@
 	return l
 }
 
-// NewFloor returns a ledger that starts empty and can save up at least one request, for a
-// node that nobody can vouch for.
-func NewFloor(now time.Time, q Quota, part float64) *Ledger {
-	l := &Ledger{at: now, least: 1}
-	l.set(q, Terms{}, part)
+// NewFloor returns a ledger for a host that reaches no other one's: a small part of the
+// margin, from empty, so that all hosts together keep below the bound.
+func NewFloor(now time.Time, q Quota, terms Terms, hosts int) *Ledger {
+	l := &Ledger{at: now, quota: q, most: 1}
+	if terms.Window > 0 {
+		l.rate = floorShare * terms.margin(q) / terms.Window.Seconds() / float64(max(hosts, 1))
+	}
 	return l
 }
 
@@ -89,10 +93,9 @@
 	l.rate = part * q.Rate
 	l.most = max(burst, min(capShare*margin, 1+l.rate*capTime.Seconds()))
 	if terms.Window > 0 {
-		room := (1-startShare-spareShare)*margin - (l.most - burst)
+		room := (1-startShare-floorShare-spareShare)*margin - (l.most - burst)
 		l.rate += max(min(burst, room), 0) / terms.Window.Seconds()
 	}
-	l.most = max(l.most, l.least)
 }
 
 func (l *Ledger) fill(now time.Time) {
