blame: a request of another tenant is another request

Cause (by reading): the caller's credentials are part of what stands for a request under which servers have ended; where there are tenants, they end at the entry, so that one tenant's request got the refusals of another's with the same path and body.

The tenant's name counts in their place; without tenants nothing changes. The test fails before: the same print.

--- a/blame/print.go
+++ b/blame/print.go
@@ -44,6 +44,9 @@
 	write(r.Service)
 	write(r.Method)
 	write(r.URI)
+	if r.Tenant != "" {
+		write(r.Tenant) // Its key ends at the entry, and with it the caller's field.
+	}
 	for _, f := range r.Header {
 		if name := strings.ToLower(f.Name); name == hostField || callerFields[name] {
 			write(name)
--- a/blame/print_test.go
+++ b/blame/print_test.go
@@ -43,6 +43,7 @@
 		"query":   func(r *wire.Request) { r.URI = "/orders/x?y=2" },
 		"host":    func(r *wire.Request) { r.Header[0].Value = "i" },
 		"caller":  func(r *wire.Request) { r.Header[1].Value = "you" },
+		"tenant":  func(r *wire.Request) { r.Tenant = "t" },
 		"body":    func(r *wire.Request) { r.Body = []byte("bodz") },
 		"length":  func(r *wire.Request) { r.Length = 5 },
 		"a part moved to the next": func(r *wire.Request) {
