--- a/cmd/ryehaven-soak/main.go
+++ b/cmd/ryehaven-soak/main.go
@@ -30,6 +30,7 @@
 	Work        time.Duration `help:"How long servers work on a request; 4 ms if not given."`
 	Spells      bool          `help:"Let servers be four times slower for some hundred milliseconds at a time."`
 	Tenants     bool          `help:"Have routes ask for tenants' keys, with a tenant above its quota and keys that change with every version."`
+	Pipelining  bool          `help:"Have a caller on each host send requests without waiting for answers."`
 	Stops       bool          `help:"Play planned stops, one or two each 0.7 s, in place of the seeds' schedules."`
 	Programs    string        `help:"Directory of the built commands; they are built if not given."`
 	Older       string        `help:"Directory of the commands of an earlier version, which all nodes begin with; each restart upgrades one."`
@@ -163,6 +164,8 @@
 		Work:     args.Work,
 		Spells:   args.Spells,
 		Tenants:  args.Tenants,
+
+		Pipelining: args.Pipelining,
 	})
 	if err != nil {
 		return report, err
--- a/cmd/ryehaven/tenant.go
+++ b/cmd/ryehaven/tenant.go
@@ -50,11 +50,8 @@
 // Run prints a line a tenant.
 func (c *tenantListCommand) Run() error {
 	report, err := query.GetTenants(c.Node)
-	if err != nil {
-		return err
-	}
-	if c.JSON {
-		return printJSON(report)
+	if err != nil || c.JSON {
+		return printOr(err, report)
 	}
 	sort.SliceStable(report.Tenants, func(i, j int) bool { return failedShare(report.Tenants[i]) > failedShare(report.Tenants[j]) })
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
@@ -77,11 +74,8 @@
 // Run prints who is nearest to its quota, over all nodes and by host.
 func (c *quotaCommand) Run() error {
 	report, err := query.GetTenants(c.Node)
-	if err != nil {
-		return err
-	}
-	if c.JSON {
-		return printJSON(report)
+	if err != nil || c.JSON {
+		return printOr(err, report)
 	}
 	sort.SliceStable(report.Tenants, func(i, j int) bool { return report.Tenants[i].Used > report.Tenants[j].Used })
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
@@ -115,6 +109,14 @@
 	return strings.Join(parts, " ")
 }
 
+// printOr prints a report as JSON unless there is an error.
+func printOr(err error, report query.Tenants) error {
+	if err != nil {
+		return err
+	}
+	return printJSON(report)
+}
+
 // closeReport ends a table and says of how many nodes it is.
 func closeReport(w *tabwriter.Writer, report query.Tenants) error {
 	if err := w.Flush(); err != nil {
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -28,6 +28,9 @@
 	// end was known.
 	Began, Sent, Done time.Time
 	Reply             emulator.Reply
+	// Behind says that it was sent behind another one on its connection that had not been
+	// answered.
+	Behind bool
 	// Left says that the caller closed its connection before an answer.
 	Left bool
 }
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -65,6 +65,9 @@
 		}
 		wait.Go(func() { s.runProbes(ctx, h) })
 		wait.Go(func() { s.runSteady(ctx, h) })
+		if s.options.Pipelining {
+			wait.Go(func() { s.runPipelining(ctx, h) })
+		}
 		if s.options.Tenants {
 			wait.Go(func() { s.runHot(ctx, h) })
 			wait.Go(func() { s.runGuest(ctx, h) })
@@ -177,13 +180,18 @@
 func (s *site) transact(call *Call, conn *countedConn, reader *bufio.Reader) {
 	conn.written.Store(0)
 	call.Began = time.Now()
-	call.Reply = emulator.Call{Method: call.Method, Path: call.URI, ID: call.ID, Body: call.Body, DeadlineMs: deadlineMs, Fields: s.credentials(call.Key)}.SendOn(conn, reader)
+	call.Reply = s.emulated(call).SendOn(conn, reader)
 	call.Done = time.Now()
 	if written := conn.written.Load(); written != 0 {
 		call.Sent = time.Unix(0, written)
 	}
 }
 
+// emulated is a call as a caller sends it.
+func (s *site) emulated(call *Call) emulator.Call {
+	return emulator.Call{Method: call.Method, Path: call.URI, ID: call.ID, Body: call.Body, DeadlineMs: deadlineMs, Fields: s.credentials(call.Key)}
+}
+
 // send sends one request on a connection of its own.
 func (s *site) send(h *host, r request) Call {
 	call := s.newCall(h, r)
--- a/internal/soak/play.go
+++ b/internal/soak/play.go
@@ -42,6 +42,8 @@
 	// Tenants has routes ask for keys: a tenant that sends many times its quota and one
 	// whose key each version changes send beside the others.
 	Tenants bool
+	// Pipelining has a caller on each host that does not wait for answers.
+	Pipelining bool
 	// Bounds are the times of the promises; zero stands for UsualBounds.
 	Bounds Bounds
 }
--- /dev/null
+++ b/tenant/bench_test.go
@@ -0,0 +1,16 @@
+// SPDX-License-Identifier: MIT
+
+package tenant
+
+import (
+	"fmt"
+	"testing"
+)
+
+// BenchmarkFingerprint is what a node computes of a key for each request.
+func BenchmarkFingerprint(b *testing.B) {
+	key := []byte(fmt.Sprintf("%020d", 7))
+	for b.Loop() {
+		FingerprintOf(key)
+	}
+}
