admit, gate, entry: a refusal above a tenant's share is told; keys are looked at before each try

Cause (read): a tenant refused above its share got the reason of a full server, so that its entry took the server for full and sent other tenants elsewhere, and an operator could not tell the two. A request that was refused at one server went to the next although its key had been taken away meanwhile. Tenants' requests were counted by the time of day, which jumps.

The reason is told (`refused: share`); it moves the request on as overload does and does not mark the server. Before each further try the key is looked up in the table in force. Counts go by the steady clock.

--- a/admit/queue.go
+++ b/admit/queue.go
@@ -28,6 +28,8 @@
 	NoCause Cause = iota
 	// Overload: it could not have met its deadline, or the queue is full.
 	Overload
+	// AboveShare: as Overload, but a tenant that has had less would have found room.
+	AboveShare
 	// Expired: its deadline has passed.
 	Expired
 	// Draining: the server takes no new work.
@@ -206,19 +208,20 @@
 	case q.hasRoom(now, t) && q.ahead(t) == 1:
 		q.dispatch(now, t)
 	case !q.meetsWait(now, t):
-		q.refuse(t, Overload)
+		q.refuse(t, q.whyFull(now, t))
 	case q.queued < q.settings.Queue:
 		q.push(now, t)
 	default:
+		cause := Overload
 		evicted = q.popNewestBelow(t.level())
 		if evicted == nil {
-			evicted = q.popAboveShare(t)
+			evicted, cause = q.popAboveShare(t), AboveShare
 		}
 		if evicted == nil {
 			q.refuse(t, Overload)
 			return nil
 		}
-		q.refuse(evicted, Overload)
+		q.refuse(evicted, cause)
 		q.push(now, t)
 	}
 	return evicted
--- a/admit/share_test.go
+++ b/admit/share_test.go
@@ -149,3 +149,33 @@
 		t.Errorf("served %v, want three to one", served)
 	}
 }
+
+// A refusal says whether it is for the tenant's share, so that the server is not taken for
+// full by those who have had less.
+func TestRefusalAboveAShareIsToldFromAFullServer(t *testing.T) {
+	q := NewQueue(Settings{Slots: 1, Queue: 2, FixedLimit: true})
+	q.service.add(10 * time.Millisecond)
+	offer := func(tenant string, wait time.Duration) (*Ticket, *Ticket) {
+		ticket := &Ticket{Deadline: start.Add(time.Second), MaxWait: wait, Tenant: tenant}
+		return ticket, q.Offer(start, ticket)
+	}
+	const one, three = 15 * time.Millisecond, 35 * time.Millisecond
+	for _, tenant := range []string{"a", "b", "hot", "hot", "hot"} {
+		if ticket, _ := offer(tenant, one); ticket.State() == Dispatched {
+			q.Done(start, ticket, true)
+		}
+	}
+	offer("hot", one) // It is at work; two of others wait.
+	offer("a", three)
+	offer("b", three)
+	if ticket, _ := offer("hot", one); ticket.Cause() != AboveShare {
+		t.Errorf("the hot tenant is refused for cause %d, want its share", ticket.Cause())
+	}
+	q.Flush()
+	for range 2 {
+		offer("hot", three)
+	}
+	if ticket, evicted := offer("a", three); ticket.State() != Queued || evicted == nil || evicted.Cause() != AboveShare {
+		t.Errorf("the other tenant is in state %d; gave way: %+v", ticket.State(), evicted)
+	}
+}
--- a/admit/wait.go
+++ b/admit/wait.go
@@ -47,6 +47,20 @@
 	return max(time.Duration(ahead)*q.interval(), q.Stalled(now), q.coldWait(now, ahead))
 }
 
+// whyFull is why a ticket that does not meet its wait is refused: by its tenant's share if
+// one of a tenant that has had nothing would meet it.
+func (q *Queue) whyFull(now time.Time, t *Ticket) Cause {
+	if q.shares.last(t) == 0 {
+		return Overload
+	}
+	other := *t
+	other.Tenant = ""
+	if q.meetsWait(now, &other) {
+		return AboveShare
+	}
+	return Overload
+}
+
 // ahead counts a new ticket and those that go before it. Of its own level these are all
 // but those of tenants that have had more for their weight.
 func (q *Queue) ahead(t *Ticket) int {
--- a/entry/handle.go
+++ b/entry/handle.go
@@ -25,11 +25,11 @@
 		e.refuseUnknown(ctx)
 		return
 	}
-	holder, ok := e.authenticate(ctx, d)
+	who, ok := e.authenticate(ctx, d)
 	if !ok {
 		return
 	}
-	r, fault := e.newRequest(ctx, d, holder)
+	r, fault := e.newRequest(ctx, d, who)
 	if fault != "" {
 		e.refuseBad(ctx, fasthttp.StatusBadRequest, fault)
 		return
@@ -54,13 +54,13 @@
 	r.prepareBody()
 	e.watch(r)
 	defer e.unwatch(r)
-	defer func() { e.tenants.count(time.Now(), holder, ctx.Response.StatusCode()) }()
-	if !e.charge(r, holder) {
+	defer func() { e.tenants.count(time.Now(), who.tenant, ctx.Response.StatusCode()) }()
+	if !e.charge(r) {
 		return
 	}
 	result := e.run(r)
 	e.unwatch(r)
-	e.settle(r, holder, result)
+	e.settle(r, result)
 	e.reply(r, result)
 }
 
@@ -130,6 +130,9 @@
 	var res result
 	var answered *attempt
 	for {
+		if res.last != nil && !e.stillHolds(r) {
+			break
+		}
 		if !e.judge(r) {
 			e.Counters.Blamed.Add(1)
 			res.blamedFor = r.blamedFor
--- a/entry/key.go
+++ b/entry/key.go
@@ -14,27 +14,43 @@
 // challenge says in a 401 how a caller names itself, as RFC 9110 section 11.6.1 asks.
 const challenge = `Bearer realm="ryehaven"`
 
-// authenticate returns whose request it is by its key; nil if no key says and none is
+// identity is whose request it is, by which key. Its zero value is nobody's.
+type identity struct {
+	tenant *table.Tenant
+	key    tenant.Fingerprint
+}
+
+// holds reports whether a table still has the identity's key for the same tenant.
+func (i identity) holds(t *table.Table) bool {
+	if i.tenant == nil {
+		return true
+	}
+	now := t.Holder(i.key)
+	return now != nil && now.Name == i.tenant.Name
+}
+
+// authenticate returns whose request it is by its key; nobody's if no key says and none is
 // asked for. If ok is false, it has answered. Whatever the fields say, they end here: a
 // server gets the tenant's name and never a key, also one that is no longer known.
-func (e *Entry) authenticate(ctx *fasthttp.RequestCtx, d destination) (holder *table.Tenant, ok bool) {
+func (e *Entry) authenticate(ctx *fasthttp.RequestCtx, d destination) (who identity, ok bool) {
 	if !d.table.Keyed() {
-		return nil, true
+		return who, true
 	}
 	h := &ctx.Request.Header
 	key, named := tenant.Credential(h.PeekAll(fasthttp.HeaderAuthorization))
 	if named {
-		holder = d.table.Holder(tenant.FingerprintOf(key))
+		who.key = tenant.FingerprintOf(key)
+		who.tenant = d.table.Holder(who.key)
 	}
 	h.Del(fasthttp.HeaderAuthorization)
 	public := d.route != nil && d.route.Public
 	known := e.settings.KeysKnown == nil || e.settings.KeysKnown(time.Now())
 	if !known {
-		holder = nil
+		who.tenant = nil
 	}
 	switch {
-	case holder != nil, public:
-		return holder, true
+	case who.tenant != nil, public:
+		return who, true
 	case named && !known:
 		e.refuseForNow(ctx, "this node can't know whether it has the newest keys")
 	case named:
@@ -42,7 +58,7 @@
 	default:
 		e.refuseKey(ctx, "the route asks for one Authorization field with one bearer key")
 	}
-	return nil, false
+	return identity{}, false
 }
 
 // refuseKey answers a request whose key names nobody. An old table may not know a key
@@ -56,3 +72,11 @@
 	ctx.Response.Header.Set(fasthttp.HeaderWWWAuthenticate, challenge)
 	e.refuseBad(ctx, fasthttp.StatusUnauthorized, detail)
 }
+
+// stillHolds reports whether the key of a request is in force: one whose key was taken away
+// meanwhile is not sent again.
+func (e *Entry) stillHolds(r *request) bool {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	return r.who.holds(e.table)
+}
--- a/entry/quota.go
+++ b/entry/quota.go
@@ -10,7 +10,6 @@
 
 	"github.com/ryehaven/ryehaven/event"
 	"github.com/ryehaven/ryehaven/header"
-	"github.com/ryehaven/ryehaven/table"
 	"github.com/ryehaven/ryehaven/tenant"
 )
 
@@ -24,7 +23,8 @@
 
 // charge has the quota of the request's tenant pay for it. If that does not, it has
 // answered.
-func (e *Entry) charge(r *request, holder *table.Tenant) (paid bool) {
+func (e *Entry) charge(r *request) (paid bool) {
+	holder := r.who.tenant
 	if e.settings.Quotas == nil || !holder.Limited() {
 		return true
 	}
@@ -48,7 +48,8 @@
 }
 
 // settle gives back what was paid for a request that no server has run.
-func (e *Entry) settle(r *request, holder *table.Tenant, res result) {
+func (e *Entry) settle(r *request, res result) {
+	holder := r.who.tenant
 	if e.settings.Quotas == nil || !holder.Limited() || res.mayHaveRun {
 		return
 	}
--- a/entry/request.go
+++ b/entry/request.go
@@ -24,6 +24,7 @@
 	caller   net.Conn
 	gone     chan struct{}
 	service  *service
+	who      identity
 	began    time.Time
 	deadline time.Time
 	// route is nil when the table has no routes.
@@ -116,7 +117,7 @@
 
 // newRequest reads what the caller wants. The string is a fault to tell the
 // caller, or blank.
-func (e *Entry) newRequest(ctx *fasthttp.RequestCtx, d destination, holder *table.Tenant) (*request, string) {
+func (e *Entry) newRequest(ctx *fasthttp.RequestCtx, d destination, who identity) (*request, string) {
 	s, route := d.service, d.route
 	s.mu.Lock()
 	policy := s.policy
@@ -142,8 +143,8 @@
 		priority, repeatable = route.Priority, route.Repeatable
 		budget = min(budget, route.Timeout)
 	}
-	if holder != nil && holder.Priority != nil {
-		priority = *holder.Priority
+	if who.tenant != nil && who.tenant.Priority != nil {
+		priority = *who.tenant.Priority
 	}
 	began := ctx.Time()
 	r := &request{
@@ -151,6 +152,7 @@
 		caller:   ctx.Conn(),
 		gone:     make(chan struct{}),
 		service:  s,
+		who:      who,
 		began:    began,
 		deadline: began.Add(budget),
 		message: wire.Request{
@@ -163,8 +165,8 @@
 			Caller:     e.settings.Caller,
 		},
 	}
-	if holder != nil {
-		r.message.Tenant = holder.Name
+	if who.tenant != nil {
+		r.message.Tenant = who.tenant.Name
 	}
 	if dialect.Strict() {
 		r.message.Tag = string(h.Peek(dialect.RequestID))
--- a/entry/tenants.go
+++ b/entry/tenants.go
@@ -47,6 +47,16 @@
 type tenantMeters struct {
 	mu     sync.Mutex
 	meters map[string]*tenantMeter
+	// since is when the first was counted: seconds count from then, by the steady clock.
+	since time.Time
+}
+
+// second is the number of a time's second. It is called with the lock held.
+func (t *tenantMeters) second(now time.Time) int64 {
+	if t.since.IsZero() {
+		t.since = now
+	}
+	return int64(now.Sub(t.since) / time.Second)
 }
 
 // count takes a request that was answered with a status of its server or of the node.
@@ -71,7 +81,7 @@
 		m = &tenantMeter{}
 		t.meters[holder.Name] = m
 	}
-	m.at(now.Unix()).add(c)
+	m.at(t.second(now)).add(c)
 }
 
 // keep forgets the tenants that a table does not have.
@@ -92,7 +102,7 @@
 	defer t.mu.Unlock()
 	counts := map[string]TenantCount{}
 	for name, m := range t.meters {
-		m.at(now.Unix())
+		m.at(t.second(now))
 		var sum TenantCount
 		for _, c := range m.seconds {
 			sum.add(c)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -367,6 +367,8 @@
 		return wire.ReasonDraining
 	case admit.Canceled:
 		return wire.ReasonCanceled
+	case admit.AboveShare:
+		return wire.ReasonShare
 	}
 	if g.queue.InFlight() < g.queue.Limit() && g.queue.Cold(time.Now()) {
 		return wire.ReasonCold
--- a/wire/message.go
+++ b/wire/message.go
@@ -265,10 +265,13 @@
 	ReasonSuspect Reason = 10
 	// ReasonBlamed: servers have ended under the request, and it is not run for a while.
 	ReasonBlamed Reason = 11
+	// ReasonShare: the request's tenant has had more than its share of a server that is
+	// short, and others have room there.
+	ReasonShare Reason = 12
 )
 
 // Reasons is above every Reason, for arrays by reason.
-const Reasons = 12
+const Reasons = 13
 
 var reasonNames = map[Reason]string{
 	ReasonOverload: "overload",
@@ -282,11 +285,14 @@
 	ReasonCold:     "cold",
 	ReasonSuspect:  "suspect",
 	ReasonBlamed:   "blamed",
+	ReasonShare:    "share",
 }
 
 // Full reports whether the server had no room for the request now, so that another
 // one, or the same a little later, may take it.
-func (r Reason) Full() bool { return r == ReasonOverload || r == ReasonShed || r == ReasonCold }
+func (r Reason) Full() bool {
+	return r == ReasonOverload || r == ReasonShed || r == ReasonCold || r == ReasonShare
+}
 
 // String returns the reason's name in headers and counters.
 func (r Reason) String() string {
