--- a/quota/message.go
+++ b/quota/message.go
@@ -3,6 +3,8 @@
 package quota
 
 import (
+	"bytes"
+
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/ryehaven/ryehaven/wire"
@@ -25,8 +27,6 @@
 
 // question asks that a tenant's requests are paid for.
 type question struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Tenant  string
 	Purpose purpose
 	Want    int
@@ -37,16 +37,17 @@
 
 // reply says how many requests are paid for, and when the others should come back.
 type reply struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Paid                    int
 	FirstMicros, StepMicros int64
 }
 
 func encode(v any) []byte {
-	payload, err := msgpack.Marshal(v)
-	if err != nil {
+	var b bytes.Buffer
+	e := msgpack.NewEncoder(&b)
+	e.UseArrayEncodedStructs(true)
+	e.UseCompactInts(true)
+	if err := e.Encode(v); err != nil {
 		panic(err) // The messages hold only strings and numbers.
 	}
-	return payload
+	return b.Bytes()
 }
