--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,10 +22,23 @@
 	hosts []*host
 	terms tenant.Terms
 	quota tenant.Quota
-	// cut reports whether a host can't reach another one.
+	// cut reports whether a host can't reach another one; see setCut.
 	cut func(from, to *host) bool
 }
 
+func (f *fleet) setCut(cut func(from, to *host) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut = cut
+}
+
+func (f *fleet) isCut(from, to *host) bool {
+	f.mu.Lock()
+	cut := f.cut
+	f.mu.Unlock()
+	return cut(from, to)
+}
+
 type host struct {
 	fleet  *fleet
 	name   string
@@ -32,7 +46,7 @@
 	zone   int
 	mu     sync.Mutex
 	view   *member.View
-	quotas *Quotas
+	quotas atomic.Pointer[Quotas]
 }
 
 // roundTrip is how long a question takes.
@@ -57,7 +71,7 @@
 
 // restart has the host's node forget everything.
 func (h *host) restart() {
-	h.quotas = New(Settings{
+	h.quotas.Store(New(Settings{
 		Terms:   h.fleet.terms,
 		Started: time.Now(),
 		Ask:     h.ask,
@@ -72,12 +86,12 @@
 			return h.fleet.quota, true
 		},
 		Isolated: h.isolated,
-	})
+	}))
 }
 
 func (h *host) isolated(time.Time) bool {
 	for _, other := range h.fleet.hosts {
-		if other != h && !h.fleet.cut(h, other) {
+		if other != h && !h.fleet.isCut(h, other) {
 			return false
 		}
 	}
@@ -89,12 +103,12 @@
 		if fmt.Sprint(other.name) != "h"+address {
 			continue
 		}
-		if h.fleet.cut(h, other) || h.fleet.cut(other, h) {
+		if h.fleet.isCut(h, other) || h.fleet.isCut(other, h) {
 			time.Sleep(limit)
 			return nil, errCut
 		}
 		time.Sleep(roundTrip)
-		return other.quotas.Answer(payload)
+		return other.quotas.Load().Answer(payload)
 	}
 	return nil, errCut
 }
@@ -119,7 +133,7 @@
 		}
 		var able []*host
 		for _, h := range f.hosts {
-			h.quotas.Tick(time.Now())
+			h.quotas.Load().Tick(time.Now())
 			if d.chosen(h, at) {
 				able = append(able, h)
 			}
@@ -129,7 +143,7 @@
 			next++
 			asked++
 			wait.Go(func() {
-				if h.quotas.Take("t", f.quotaNow(), nil).Paid {
+				if h.quotas.Load().Take("t", f.quotaNow(), nil).Paid {
 					mu.Lock()
 					paid = append(paid, time.Since(began))
 					mu.Unlock()
@@ -222,23 +236,25 @@
 	tests := map[string]func(f *fleet, at time.Duration){
 		"a zone is cut off": func(f *fleet, at time.Duration) {
 			if at == 3*time.Second {
-				f.cut = zoneOf(0)
+				f.setCut(zoneOf(0))
 			}
 		},
 		"all zones are cut from each other": func(f *fleet, at time.Duration) {
 			if at == 3*time.Second {
-				f.cut = func(from, to *host) bool { return from.zone != to.zone }
+				f.setCut(func(from, to *host) bool { return from.zone != to.zone })
 			}
 		},
 		"two zones can't reach each other": func(f *fleet, at time.Duration) {
 			if at == 3*time.Second {
-				f.cut = func(from, to *host) bool { return from.zone+to.zone == 1 && from.zone != to.zone }
+				f.setCut(func(from, to *host) bool { return from.zone+to.zone == 1 && from.zone != to.zone })
 			}
 		},
 		"the keeper is cut off": func(f *fleet, at time.Duration) {
 			if at == 3*time.Second {
+				f.hosts[0].mu.Lock()
 				keeper, _ := f.hosts[0].view.Keeper(time.Now(), "z0", "t", time.Hour)
-				f.cut = hosts(keeper.Host)
+				f.hosts[0].mu.Unlock()
+				f.setCut(hosts(keeper.Host))
 			}
 		},
 		"all forget": func(f *fleet, at time.Duration) {
@@ -249,18 +265,18 @@
 			}
 		},
 		"all connections go silent for a moment, again and again": func(f *fleet, at time.Duration) {
-			f.cut = func(_, _ *host) bool { return at%time.Second < 200*time.Millisecond }
+			f.setCut(func(_, _ *host) bool { return at%time.Second < 200*time.Millisecond })
 		},
 		"a host in three is cut off, others in turn": func(f *fleet, at time.Duration) {
 			turn := int(at / time.Second)
-			f.cut = func(from, to *host) bool {
+			f.setCut(func(from, to *host) bool {
 				return (from.number+turn)%3 == 0 || (to.number+turn)%3 == 0
-			}
+			})
 		},
 		"a cut that comes and goes": func(f *fleet, at time.Duration) {
-			f.cut = func(_, _ *host) bool { return false }
+			f.setCut(func(_, _ *host) bool { return false })
 			if at%(2*time.Second) < time.Second {
-				f.cut = zoneOf(0)
+				f.setCut(zoneOf(0))
 			}
 		},
 		"a lower quota": func(f *fleet, at time.Duration) {
@@ -302,7 +318,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(3, tenant.Quota{Rate: 1, Burst: 1})
 		time.Sleep(10 * time.Second)
-		q := f.hosts[0].quotas
+		q := f.hosts[0].quotas.Load()
 		taken := 0
 		for q.Take("t", f.quota, nil).Paid {
 			taken++
