--- a/gate/gate.go
+++ b/gate/gate.go
@@ -4,7 +4,6 @@
 
 import (
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -12,7 +11,6 @@
 	"github.com/ryehaven/ryehaven/admit"
 	"github.com/ryehaven/ryehaven/backend"
 	"github.com/ryehaven/ryehaven/event"
-	"github.com/ryehaven/ryehaven/header"
 	"github.com/ryehaven/ryehaven/measure"
 	"github.com/ryehaven/ryehaven/peer"
 	"github.com/ryehaven/ryehaven/table"
@@ -36,84 +34,6 @@
 	DrainZone
 )
 
-// Settings of a gate that do not come from its row.
-type Settings struct {
-	// IdleLimit of connections kept to the server.
-	IdleLimit time.Duration
-	DialLimit time.Duration
-	// BodyIdleLimit bounds the time that a body makes no progress.
-	BodyIdleLimit time.Duration
-	// AbandonedLimit bounds a request that is not repeatable and whose entry
-	// has stopped waiting.
-	AbandonedLimit time.Duration
-	// FlushAfter is how long after the start of a drain what is still queued
-	// is refused.
-	FlushAfter time.Duration
-	// FixedLimit keeps the limit at the row's slots. NoDeadlineBound queues what
-	// cannot meet its deadline, for comparison.
-	FixedLimit      bool
-	NoDeadlineBound bool
-	// Dialect is spoken with the server.
-	Dialect header.Dialect
-	// Recorder writes what became of requests; nil writes nothing.
-	Recorder *event.Recorder
-	// News is called when the gate has something to tell entries at once; it
-	// must not wait and may be nil.
-	News func()
-	// WrongServer is called when another server than the row's answers at its
-	// address; it must not wait and may be nil.
-	WrongServer func(name string)
-	// ChecksPerSecond bounds the calls that ask the server for its speed before a
-	// request is handed over; 0 allows none.
-	ChecksPerSecond float64
-	// ColdOvershoot and ColdSlack bound what the server gets in a second while it is
-	// cold: that many times its row's ColdPerSecond, and so many more.
-	ColdOvershoot, ColdSlack float64
-	// Since is when an earlier gate to the same server may have sent it something
-	// last; the zero time stands for the gate's own start.
-	Since time.Time
-	// MeasureAfter is how long after the last answer the server is measured,
-	// while there is demand; 0 measures whenever the budget allows it.
-	MeasureAfter time.Duration
-	// ClockStep moves the time of day that the gate reads, for tests.
-	ClockStep time.Duration
-	// Weight returns a tenant's part of a busy server relative to the other tenants'; nil
-	// gives all the same.
-	Weight func(tenant string) float64
-	// Blame is what the node knows of requests under which servers have ended; nil
-	// blames none.
-	Blame Blame
-	// FailedBelow reports whether a request that this host sent on to another
-	// service has failed since a time; it may be nil. A server error is then
-	// taken for the echo of that failure, which was retried already.
-	FailedBelow func(since time.Time) bool
-}
-
-// Counters counts what one gate did.
-type Counters struct {
-	// Received counts requests; each ends in one of the next three.
-	Received, Answered, Refused, Reset atomic.Int64
-	// RefusedBy counts refusals by wire.Reason.
-	RefusedBy [wire.Reasons]atomic.Int64
-	// Evicted counts queued requests that made room for more urgent ones.
-	Evicted atomic.Int64
-	// Dispatched counts requests handed to the server.
-	Dispatched atomic.Int64
-	// Measured counts measuring calls, MeasureFailed those without an answer.
-	Measured, MeasureFailed atomic.Int64
-	// BadReports counts reports of a server that could not be read.
-	BadReports atomic.Int64
-	// Mute counts connections to the server that stayed silent while it answered on a
-	// new one, and Silent questions that it answered on no connection.
-	Mute, Silent atomic.Int64
-	// Ended counts ends of the server that left requests without an answer.
-	Ended atomic.Int64
-	// Severed counts requests on such connections that were no longer waited for.
-	Severed atomic.Int64
-	// Checked counts those that were made before a request was handed over.
-	Checked atomic.Int64
-}
-
 // Gate is the way to one backend server.
 type Gate struct {
 	Counters Counters
--- a/quota/doc.go
+++ b/quota/doc.go
@@ -7,8 +7,9 @@
 // name. A node asks it for each request of the tenant, with one question for all that
 // wait at the moment; a keeper that has nothing left asks those of the other zones.
 //
-// Nothing is kept elsewhere. If a keeper is lost, the next node of its zone starts a new
-// ledger with little in it. If zones can't reach each other, each goes on with its part;
-// so the sum stays below the bound whoever can reach whom. A node that reaches nobody has
-// the part of a single host.
+// Nothing is kept elsewhere. If a keeper can't be reached, nodes ask those of other zones,
+// and after a window the next node of the zone starts a new ledger with little in it. If
+// zones can't reach each other, each goes on with its part; so the sum stays below the
+// bound whoever can reach whom. A node that reaches no keeper has a small part of what the
+// bound allows beyond the quota.
 package quota
--- a/quota/message.go
+++ b/quota/message.go
@@ -2,13 +2,7 @@
 
 package quota
 
-import (
-	"bytes"
-
-	"github.com/vmihailenco/msgpack/v5"
-
-	"github.com/ryehaven/ryehaven/wire"
-)
+import "github.com/ryehaven/ryehaven/wire"
 
 // Topic carries a question and is answered with a reply.
 const Topic wire.Topic = "quota"
@@ -40,14 +34,3 @@
 	Paid                    int
 	FirstMicros, StepMicros int64
 }
-
-func encode(v any) []byte {
-	var b bytes.Buffer
-	e := msgpack.NewEncoder(&b)
-	e.UseArrayEncodedStructs(true)
-	e.UseCompactInts(true)
-	if err := e.Encode(v); err != nil {
-		panic(err) // The messages hold only strings and numbers.
-	}
-	return b.Bytes()
-}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -12,6 +12,7 @@
 
 	"github.com/ryehaven/ryehaven/member"
 	"github.com/ryehaven/ryehaven/tenant"
+	"github.com/ryehaven/ryehaven/wire"
 )
 
 // Settings of a node's Quotas.
@@ -225,7 +226,7 @@
 // askKeeper asks another node.
 func (q *Quotas) askKeeper(keeper member.Record, m *question, limit time.Duration) (r reply, err error) {
 	q.Counters.Asked.Add(1)
-	payload, err := q.settings.Ask(keeper.Address, encode(m), limit)
+	payload, err := q.settings.Ask(keeper.Address, wire.EncodeControl(m), limit)
 	if err == nil {
 		err = msgpack.Unmarshal(payload, &r)
 	}
@@ -278,7 +279,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return encode(&r), nil
+	return wire.EncodeControl(&r), nil
 }
 
 // errNotKeeper says that a node does not keep the ledger that it was asked for.
--- a/spread/answer.go
+++ b/spread/answer.go
@@ -53,7 +53,7 @@
 	if r.Digest.Root != d.Root && compares {
 		r.Sums, r.Known = s.sums()
 	}
-	return d.Host, encode(&r), nil
+	return d.Host, wire.EncodeControl(&r), nil
 }
 
 // acceptsGreeter reports whether a node that greets this one should compare all
@@ -96,7 +96,7 @@
 	if err := decode(payload, &m); err != nil {
 		return "", nil, err
 	}
-	return m.Host, encode(s.marks(m.Buckets)), nil
+	return m.Host, wire.EncodeControl(s.marks(m.Buckets)), nil
 }
 
 // marks returns this node's marks of some buckets.
@@ -111,7 +111,7 @@
 	if err := decode(payload, &m); err != nil {
 		return "", nil, err
 	}
-	return m.Host, encode(s.compare(&m)), nil
+	return m.Host, wire.EncodeControl(s.compare(&m)), nil
 }
 
 // recordsAtOnce bounds the member records of one message, at about 80 bytes each.
@@ -135,7 +135,7 @@
 	s.merge(now, m.Records)
 	s.learn(now, m.Digest)
 	s.pullFrom(m.Digest)
-	return m.Digest.Host, encode(&recordsMessage{Records: s.wanted(m.Wanted)}), nil
+	return m.Digest.Host, wire.EncodeControl(&recordsMessage{Records: s.wanted(m.Wanted)}), nil
 }
 
 // wanted returns the records that another node asked for.
@@ -199,5 +199,5 @@
 		return nil, errBusy
 	}
 	s.Counters.TablesServed.Add(1)
-	return encode(&reply), nil
+	return wire.EncodeControl(&reply), nil
 }
--- a/spread/blame.go
+++ b/spread/blame.go
@@ -71,7 +71,7 @@
 }
 
 func (s *Spread) askBlame(l link, host string, m *blameMessage, limit time.Duration) (reply blameMessage, err error) {
-	payload := encode(m)
+	payload := wire.EncodeControl(m)
 	s.countSent(host, len(payload))
 	answer, err := l.Ask(TopicBlame, payload, limit)
 	if err != nil {
@@ -88,7 +88,7 @@
 		return nil, err
 	}
 	if s.settings.Blame == nil {
-		return encode(&blameMessage{Sum: m.Sum}), nil
+		return wire.EncodeControl(&blameMessage{Sum: m.Sum}), nil
 	}
 	s.mergeBlame(m.Records)
 	now := time.Now()
@@ -96,7 +96,7 @@
 	if reply.Sum != m.Sum {
 		reply.Records = s.settings.Blame.Records(now)
 	}
-	return encode(&reply), nil
+	return wire.EncodeControl(&reply), nil
 }
 
 // mergeBlame takes records and tells others if there was news.
--- a/spread/exchange.go
+++ b/spread/exchange.go
@@ -91,7 +91,7 @@
 
 // ask puts a question to a node and decodes its reply.
 func (s *Spread) ask(l link, host string, topic wire.Topic, question, reply any) error {
-	payload := encode(question)
+	payload := wire.EncodeControl(question)
 	s.countSent(host, len(payload))
 	answer, err := l.Ask(topic, payload, s.settings.AskLimit)
 	if err != nil {
--- a/spread/message.go
+++ b/spread/message.go
@@ -94,17 +94,6 @@
 	Deflated   []byte
 }
 
-func encode(v any) []byte {
-	var b bytes.Buffer
-	e := msgpack.NewEncoder(&b)
-	e.UseArrayEncodedStructs(true)
-	e.UseCompactInts(true)
-	if err := e.Encode(v); err != nil {
-		panic(err) // The messages hold only strings, bytes and numbers.
-	}
-	return b.Bytes()
-}
-
 func decode(payload []byte, v any) error {
 	return eris.Wrap(msgpack.Unmarshal(payload, v), "decode control message")
 }
--- a/spread/spread_test.go
+++ b/spread/spread_test.go
@@ -16,6 +16,7 @@
 	"github.com/ryehaven/ryehaven/member"
 	"github.com/ryehaven/ryehaven/peer"
 	"github.com/ryehaven/ryehaven/table"
+	"github.com/ryehaven/ryehaven/wire"
 )
 
 func snapshot(t *testing.T, g table.Generation, mark string) *table.Snapshot {
@@ -170,7 +171,7 @@
 	if !s.isolated(now.Add(2 * time.Second)) {
 		t.Error("not isolated although no round reached anybody")
 	}
-	if _, _, err := s.Ask(TopicDigest, encode(&digest{Host: "other"})); err != nil {
+	if _, _, err := s.Ask(TopicDigest, wire.EncodeControl(&digest{Host: "other"})); err != nil {
 		t.Fatal(err)
 	}
 	if s.isolated(time.Now()) {
@@ -183,7 +184,7 @@
 	s := newSpread(t, 1000)
 	s.View(func(v *member.View) { v.SetSelfState(member.Gone) })
 	question := marksMessage{Host: "other", Buckets: 1, Marks: []member.Mark{{Host: 64, Incarnation: 1}}}
-	if _, _, err := s.Ask(TopicCompare, encode(&question)); err != nil {
+	if _, _, err := s.Ask(TopicCompare, wire.EncodeControl(&question)); err != nil {
 		t.Fatal(err)
 	}
 }
