wire, peer: a request's need and a server's room travel between nodes

A gate knew of a request its deadline and its priority only, and an entry of a server what rides on answers: nothing told when an answer is due, or which requests find room.

A request now carries a Need (when its answer is due, what it takes, how long ago its caller first asked), packed with its fields and only to nodes that know it; those who sent one are told of the Room at the server when that changes. A node of an older build gets neither. Settings overload.whole, by_aim and returns will switch on what is decided by them; nothing is decided by them yet.

Ruled out: new fields in Request and Load, which older builds refuse as arrays of another length; a digest, which is a second old. Tests of wire, peer, gate, entry, balance, node and settings pass; what it costs in bytes was not measured.

--- a/balance/pool.go
+++ b/balance/pool.go
@@ -47,7 +47,10 @@
 	slowSince time.Time
 	quick     int
 	// heardAt is when the gate last told of its server's slowness.
-	heardAt        time.Time
+	heardAt time.Time
+	// room is what the gate said of it last, at roomAt.
+	room           wire.Room
+	roomAt         time.Time
 	report         wire.Load
 	reportAt       time.Time
 	ownAtReport    int
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -151,6 +151,7 @@
 	m.Patient = a.patient
 	m.Slowness = a.slowness
 	m.Again = a.again || r.reached > 0
+	m.Need = r.need(time.Now())
 	if !r.refuseBy.IsZero() {
 		m.Patient = r.waiting
 		m.WaitMicros = max(time.Until(r.refuseBy), time.Millisecond).Microseconds()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -64,6 +64,9 @@
 	// Quotas tells whether a request is within its tenant's quota; nil takes every one
 	// for that.
 	Quotas Quotas
+	// Whole admits a request by the room for the calls that it will make too, and Returns
+	// tells callers who come back from those who ask for the first time.
+	Whole, Returns bool
 	// NoTableRetryAfter is when to come back while the node has no table, or may have
 	// an old one.
 	NoTableRetryAfter time.Duration
--- a/entry/request.go
+++ b/entry/request.go
@@ -41,6 +41,8 @@
 	// due; nil and zero when no route says.
 	traits *traits
 	aim    time.Time
+	// age is how long before this try the caller first asked, as far as is known.
+	age time.Duration
 	// refuseBy is until when the request may wait for room; zero leaves it to
 	// the gates.
 	refuseBy time.Time
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -54,6 +54,8 @@
 	// saidStalled and saidSlowness are what entries were told last.
 	saidStalled  bool
 	saidSlowness int
+	// saidRoom is what they were told last of the room at the server.
+	saidRoom wire.Room
 	// callSlots is how many of the server's slots calls may fill.
 	callSlots int
 	// slowness is what the server said last, at toldAt.
@@ -90,6 +92,7 @@
 	g.row = row
 	g.queue = admit.NewQueue(g.bounds(row))
 	now := time.Now()
+	g.saidRoom = g.room(now)
 	since := settings.Since
 	if since.IsZero() {
 		since = now
--- a/gate/settings.go
+++ b/gate/settings.go
@@ -58,6 +58,8 @@
 	// Blame is what the node knows of requests under which servers have ended; nil
 	// blames none.
 	Blame Blame
+	// ByAim orders and refuses requests by when their answers are due.
+	ByAim bool
 	// FailedBelow reports whether a request that this host sent on to another
 	// service has failed since a time; it may be nil. A server error is then
 	// taken for the echo of that failure, which was retried already.
--- a/node/node.go
+++ b/node/node.go
@@ -173,6 +173,7 @@
 	n.entry = entry.New(n.entrySettings(), n.dialer)
 	n.dialer.OnNotice = n.entry.Notice
 	n.dialer.OnSlowness = n.entry.Slowness
+	n.dialer.OnRoom = n.entry.Room
 	n.notices = rate.NewLimiter(noticesPerSecond, noticesPerSecond)
 	n.holder = &spread.Holder{Log: n.log, OnTaken: n.apply}
 	n.spread = spread.New(n.spreadSettings(), n.log, n.holder, member.NewView(n.record(incarnation)), n.dialer, options.Store, n.viewChanged)
@@ -375,6 +376,9 @@
 		if slowness, ok := g.Slowness(now); ok {
 			n.told.Add(int64(n.peerServer.NotifyAll(slowness)))
 		}
+		if room, ok := g.Room(now); ok {
+			n.told.Add(int64(n.peerServer.NotifyRoom(room)))
+		}
 		notice, ok := g.Notice(now)
 		if !ok {
 			continue
--- a/node/parts.go
+++ b/node/parts.go
@@ -32,6 +32,8 @@
 		Confirmed:         func(now time.Time) (time.Duration, bool) { return n.spread.ConfirmedAge(now) },
 		Doubts:            n.doubts,
 		KeysKnown:         n.keysKnown,
+		Whole:             n.settings.Overload.Whole,
+		Returns:           n.settings.Overload.Returns,
 	}
 }
 
@@ -45,6 +47,7 @@
 		FlushAfter:      flushAfter,
 		FixedLimit:      !n.settings.Experiment.AdaptiveLimit,
 		NoDeadlineBound: n.settings.Experiment.NoDeadlineBound,
+		ByAim:           n.settings.Overload.ByAim,
 		FailedBelow:     n.entry.FailedSince,
 		Dialect:         n.dialect,
 		News:            n.wakeUp,
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -27,6 +27,8 @@
 	id        string
 	fences    bool
 	withdraws bool
+	// needs says that the peer knows wire.Need.
+	needs bool
 
 	nc       net.Conn
 	w        *writer
@@ -71,6 +73,7 @@
 type connHooks struct {
 	onNotice   func(n *wire.Notice)
 	onSlowness func(percent int)
+	onRoom     func(r *wire.Room)
 	// onNotArrived is called when the peer says that requests had not arrived on the
 	// connection that this one took the place of.
 	onNotArrived func()
@@ -101,6 +104,7 @@
 		id:        met.id,
 		fences:    met.version >= wire.VersionFence,
 		withdraws: met.version >= wire.VersionWithdraw,
+		needs:     met.version >= wire.VersionNeed,
 		spoke:     make(chan struct{}),
 		nc:        nc,
 		w:         newWriter(nc, counters),
@@ -147,6 +151,9 @@
 	c.watch()
 	r.ID = call.id
 	r.SentMicros = time.Since(c.opened).Microseconds()
+	if !c.needs {
+		r.Need = nil
+	}
 	call.out.left -= int64(len(r.Body))
 	if err := c.w.send(r); err != nil {
 		c.forget(call.id)
@@ -324,6 +331,11 @@
 			c.hooks.onSlowness(m.Percent)
 		}
 		return nil
+	case *wire.Room:
+		if c.hooks.onRoom != nil {
+			c.hooks.onRoom(m)
+		}
+		return nil
 	case *wire.Pong:
 		return nil
 	case *wire.Fenced:
--- a/peer/dialer.go
+++ b/peer/dialer.go
@@ -36,6 +36,8 @@
 	OnNotice func(n *wire.Notice)
 	// OnSlowness is called likewise with the address of the gate's node.
 	OnSlowness func(address string, percent int)
+	// OnRoom is called likewise.
+	OnRoom func(address string, r *wire.Room)
 	// OnSilent is called, in a goroutine of its own, when requests had not arrived on a
 	// connection whose node answers on another, and when such a connection has stayed
 	// silent; it may be nil.
@@ -259,6 +261,9 @@
 	if d.OnSlowness != nil {
 		hooks.onSlowness = func(percent int) { d.OnSlowness(address, percent) }
 	}
+	if d.OnRoom != nil {
+		hooks.onRoom = func(r *wire.Room) { d.OnRoom(address, r) }
+	}
 	return hooks
 }
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -213,9 +213,9 @@
 	// turn is held while a frame is taken, a newer connection's before an older one's.
 	turn sync.Mutex
 
-	// ready says that the handshake has ended, and used that a frame came since the
-	// last look.
-	ready, used atomic.Bool
+	// ready says that the handshake has ended, used that a frame came since the last
+	// look, and needs that the other side knows Need and Room.
+	ready, used, needs atomic.Bool
 
 	mu      sync.Mutex
 	streams map[uint64]*Stream
@@ -250,11 +250,21 @@
 // NotifyAll tells every node that has a connection here the slowness of the
 // server, and returns to how many it went.
 func (s *Server) NotifyAll(m *wire.Slowness) int {
+	return s.tell(m, func(a *accepted) bool { return a.ready.Load() })
+}
+
+// NotifyRoom tells every node that has sent a Need here what room the server has, and
+// returns to how many it went.
+func (s *Server) NotifyRoom(m *wire.Room) int {
+	return s.tell(m, func(a *accepted) bool { return a.needs.Load() })
+}
+
+func (s *Server) tell(m wire.Message, wanted func(a *accepted) bool) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	told := 0
 	for a := range s.conns {
-		if a.ready.Load() && a.w.send(m) == nil {
+		if wanted(a) && a.w.send(m) == nil {
 			told++
 		}
 	}
@@ -341,6 +351,9 @@
 		in:       newPipe(),
 		out:      newAllowance(),
 	}
+	if m.Need != nil {
+		a.needs.Store(true)
+	}
 	s.conn.Store(a)
 	if err := s.in.push(m.Body, m.Last); err != nil {
 		return err
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -35,6 +35,7 @@
 	Retries  Retries
 	Cold     Cold
 	Quotas   Quotas
+	Overload Overload
 	// Experiment switches parts off for comparison.
 	Experiment Experiment
 }
@@ -78,6 +79,17 @@
 	Slack     float64
 }
 
+// Overload switches on what nodes decide by the aims and priorities of routes while there
+// is more work than servers can do. The zero value decides none of it.
+type Overload struct {
+	// Whole admits a request by the room for the calls that it will make too.
+	Whole bool
+	// ByAim has gates order and refuse requests by when their answers are due.
+	ByAim bool
+	// Returns tells callers who come back from those who ask for the first time.
+	Returns bool
+}
+
 // Quotas says by how much tenants' quotas may be exceeded over all nodes, in a time of
 // Window.
 type Quotas struct {
--- a/wire/doc.go
+++ b/wire/doc.go
@@ -19,6 +19,12 @@
 // may send [Cancel] at any time and still waits for the gate's word; with [Withdraw] it
 // only asks that the request is not begun any more.
 //
+// # Scheduling
+//
+// A [Request] to a node that knows [VersionNeed] carries a [Need]: when its answer is due
+// and what it takes. The gate tells those who sent one, with [Room], for which requests
+// its server has room.
+//
 // # A connection in another's place
 //
 // With [Fence] the dialing side says on a new connection that an older one has gone
--- a/wire/message.go
+++ b/wire/message.go
@@ -16,8 +16,11 @@
 	VersionFence = 2
 	// VersionWithdraw is the one from which on it knows Withdraw too.
 	VersionWithdraw = 3
+	// VersionNeed is the one from which on it knows Need, and may send Room on a
+	// connection on which a Need came.
+	VersionNeed = 4
 	// VersionKnown is what this node knows on its accepting side.
-	VersionKnown = VersionWithdraw
+	VersionKnown = VersionNeed
 )
 
 // Kind tells messages apart.
@@ -42,6 +45,7 @@
 	KindReply     Kind = 31
 	KindNotice    Kind = 40
 	KindSlowness  Kind = 41
+	KindRoom      Kind = 42
 	KindFence     Kind = 50
 	KindFenced    Kind = 51
 )
@@ -151,6 +155,9 @@
 	// WaitMicros is how long the request may be queued at the gate; 0 leaves it
 	// to the gate.
 	WaitMicros int64
+	// Need is what the request asks beside; nil if the entry or the gate is too old to
+	// know. It travels within Packed.
+	Need *Need `msgpack:"-"`
 	// Packed stands for Header and some fields above on the way; see Encoder.
 	Packed []byte
 	// Slowness is what the entry takes the server's to be, in percent of usual. A
@@ -491,6 +498,8 @@
 		return new(Notice)
 	case KindSlowness:
 		return new(Slowness)
+	case KindRoom:
+		return new(Room)
 	case KindFence:
 		return new(Fence)
 	case KindFenced:
--- a/wire/pack.go
+++ b/wire/pack.go
@@ -6,6 +6,7 @@
 	"bytes"
 
 	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
 	"golang.org/x/net/http2/hpack"
 )
 
@@ -28,6 +29,7 @@
 	packMethod  = ":m"
 	packCaller  = ":c"
 	packTenant  = ":t"
+	packNeed    = ":n"
 )
 
 // ErrPacked says that packed fields cannot be read.
@@ -64,6 +66,9 @@
 		if m.Tenant != "" {
 			e.field(packTenant, m.Tenant)
 		}
+		if m.Need != nil {
+			e.once(packNeed, string(EncodeControl(m.Need)))
+		}
 		packed.Service, packed.Server, packed.Method, packed.Caller, packed.Tenant = "", "", "", "", ""
 		packed.Packed = e.fields(m.Header)
 		packed.Header = nil
@@ -88,6 +93,11 @@
 	return block
 }
 
+// once packs a field whose value is hardly ever the same again.
+func (e *Encoder) once(name, value string) {
+	_ = e.packer.WriteField(hpack.HeaderField{Name: name, Value: value, Sensitive: true})
+}
+
 func (e *Encoder) field(name, value string) {
 	h := e.habits[name]
 	if h == nil && len(e.habits) < maxHabits {
@@ -188,6 +198,11 @@
 				m.Caller = f.Value
 			case packTenant:
 				m.Tenant = f.Value
+			case packNeed:
+				m.Need = new(Need)
+				if failed := msgpack.Unmarshal([]byte(f.Value), m.Need); failed != nil {
+					return eris.Wrap(failed, "decode need")
+				}
 			default:
 				m.Header = append(m.Header, f)
 			}
