load, emulator: offered load from half to three times what servers can do

Nothing outside the users' bench showed how goodput goes with offered load where requests call other services: 'chain' has one kind of request and no aims.

--- a/cmd/ryehaven-load/main.go
+++ b/cmd/ryehaven-load/main.go
@@ -24,6 +24,7 @@
 	Spread   spreadCommand   `cmd:"" help:"Measure control cost and the time until a change is in force, against the number of nodes."`
 	Platform platformCommand `cmd:"" help:"Compare policies on an emulated site of the users' platform whose servers are slow in spells."`
 	Ablate   ablateCommand   `cmd:"" help:"Run scenarios with one part of the decisions switched off at a time."`
+	Overload overloadCommand `cmd:"" help:"Offer an emulated site from less to far more than its servers can do, with calls between services."`
 }
 
 func main() {
--- a/cmd/ryehaven-load/page.go
+++ b/cmd/ryehaven-load/page.go
@@ -40,7 +40,11 @@
 		}
 		page.Sections = append(page.Sections, section)
 	}
-	file, err := os.Create(c.Report)
+	return writePage(c.Report, page)
+}
+
+func writePage(path string, page report.Page) error {
+	file, err := os.Create(path)
 	if err != nil {
 		return eris.Wrap(err, "create report")
 	}
