--- /dev/null
+++ b/admit/origins_bench_test.go
@@ -0,0 +1,21 @@
+// SPDX-License-Identifier: MIT
+
+package admit
+
+import (
+	"fmt"
+	"testing"
+)
+
+func BenchmarkOriginsCall(b *testing.B) {
+	var o Origins
+	services := []string{"archive", "billing", "payroll", "search"}
+	for i := range 1000 {
+		for n := range 40 {
+			o.Call(fmt.Sprint(i), services[n%4])
+		}
+	}
+	for i := 0; b.Loop(); i++ {
+		o.Call("lookup", services[i%2])
+	}
+}
--- a/admit/origins_test.go
+++ b/admit/origins_test.go
@@ -3,6 +3,7 @@
 package admit
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -33,6 +34,46 @@
 	}
 }
 
+// A route of calls whose requests above are served by two of four services: none of its
+// calls was told from callers' requests, since they came from several services, and 10,098
+// of them were refused for overload at servers that keep slots for calls. Routes of callers
+// come from all services, also where one has few hosts.
+func TestRoutesOfSomeServicesAreCalls(t *testing.T) {
+	hosts := map[string]int{"archive": 28, "billing": 21, "payroll": 26, "search": 5}
+	var all, some []string
+	for service, n := range hosts {
+		for range n {
+			all = append(all, service)
+			if service == "archive" || service == "billing" {
+				some = append(some, service)
+			}
+		}
+	}
+	rng := rand.New(rand.NewPCG(1, 1))
+	const requests = 5000
+	found, wrong := 0, 0
+	var o Origins
+	for n := range requests {
+		if o.Call("fetch", all[rng.IntN(len(all))]) || o.Call("list", all[rng.IntN(len(all))]) {
+			wrong++
+		}
+		if o.Call("lookup", some[rng.IntN(len(some))]) && n >= 100 {
+			found++
+		}
+	}
+	if found < requests-100 || wrong > 0 {
+		t.Errorf("%d of %d calls were found after the first 100, and %d requests of callers taken for calls", found, requests-100, wrong)
+	}
+	for n := range 2 * originLeast {
+		if o.Call("lookup", "search") && n == 0 {
+			t.Error("a route that another service asks for is still taken for calls")
+		}
+		if o.Call("lookup", "payroll") {
+			t.Error("a route that all services ask for is taken for calls")
+		}
+	}
+}
+
 // Calls go before everything else, and wait where other requests are refused.
 func TestCallsGoFirst(t *testing.T) {
 	q := NewQueue(Settings{Slots: 1, Queue: 2, FixedLimit: true})
