admit, gate: requests go by what can still be in time, and calls get room

Under overload slots went to work that ended late or was cut at its deadline: a gate knew a request's deadline and urgency, not its aim and work, and began in a spell of its server what could only be late there. With overload.by_aim and a request's Need it now tells what can be in time at the server's present speed, what can only be late and what can't meet its deadline. The first goes before the second within a level of urgency, by least laxity; the second begins where slots are free beyond what recent requests need; the third is refused at once (reason late, counted as room that was lacking, so that the entry asks another server), or waits for the end of the spell if no other server is left. Calls that waited for longer than they take make the gate keep slots that callers' requests may not fill: by one more each window, half of the limit at most, less urgent requests giving way first.

--- /dev/null
+++ b/admit/order.go
@@ -0,0 +1,80 @@
+// SPDX-License-Identifier: MIT
+
+package admit
+
+import "time"
+
+// next is the place of the ticket of a level that goes first, or -1 if none may begin.
+//
+// What can still be in time goes before what can only be late. Among each, the tenant
+// that has had the least for its weight goes first, and then the one that must begin first
+// to be in time (least laxity): that collapses beyond saturation only where what can no
+// more be in time keeps its place. Of those without an aim the newest goes first where
+// the wait is bounded, as in adaptive LIFO (Maurer 2015): what has waited long is likely
+// to miss its aim wherever it goes, and handing out the oldest first makes all of them
+// late. Calls keep their order, since the request above waits for all of its calls.
+func (q *Queue) next(now time.Time, level int) int {
+	waiting := q.waiting[level]
+	first := -1
+	var best rank
+	for i := len(waiting) - 1; i >= 0; i-- {
+		t := waiting[i]
+		if q.held(now, t) {
+			continue
+		}
+		r := rank{late: q.prospect(now, t) == late, used: q.shares.of(now, t)}
+		if first < 0 || r.before(best) || (r == best && t.precedes(waiting[first])) {
+			first, best = i, r
+		}
+	}
+	return first
+}
+
+// rank is what decides between tickets of one level.
+type rank struct {
+	late bool
+	// used is what the ticket's tenant has had.
+	used float64
+}
+
+func (r rank) before(other rank) bool {
+	if r.late != other.late {
+		return other.late
+	}
+	return r.used < other.used
+}
+
+// precedes reports whether a ticket goes before a newer one of the same rank.
+func (t *Ticket) precedes(newer *Ticket) bool {
+	if t.Call || t.MaxWait == 0 {
+		return true
+	}
+	if t.Aim.IsZero() || newer.Aim.IsZero() {
+		return false
+	}
+	return !newer.Aim.Add(-newer.Work).Before(t.Aim.Add(-t.Work))
+}
+
+// ahead counts a new ticket and those that go before it: those of more urgent levels, and
+// of its own all but those of tenants that have had more for their weight, and those that
+// can only be late if it can be in time. What is held back goes before nothing.
+func (q *Queue) ahead(now time.Time, t *Ticket) int {
+	ahead := 1
+	level := t.level()
+	for i := range level {
+		for _, other := range q.waiting[i] {
+			if !q.held(now, other) {
+				ahead++
+			}
+		}
+	}
+	used := q.shares.last(t)
+	isLate := q.prospect(now, t) != inTime
+	for _, other := range q.waiting[level] {
+		if q.shares.last(other) > used || q.held(now, other) || (!isLate && q.prospect(now, other) == late) {
+			continue
+		}
+		ahead++
+	}
+	return ahead
+}
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -2,73 +2,7 @@
 
 package admit
 
-import (
-	"time"
-
-	"github.com/ryehaven/ryehaven/table"
-)
-
-// State is where a request is in its life.
-type State uint8
-
-// The states of a ticket.
-const (
-	Received State = iota
-	Queued
-	Dispatched
-	Answered
-	Refused
-)
-
-// Cause says why a ticket was refused.
-type Cause uint8
-
-// The causes of a refusal.
-const (
-	NoCause Cause = iota
-	// Overload: it could not have met its deadline, or the queue is full.
-	Overload
-	// AboveShare: as Overload, but a tenant that has had less would have found room.
-	AboveShare
-	// Expired: its deadline has passed.
-	Expired
-	// Draining: the server takes no new work.
-	Draining
-	// Canceled: the entry no longer wants the answer.
-	Canceled
-)
-
-// Ticket is one request's place in a Queue. The caller sets the exported
-// fields and owns the ticket; only the Queue changes its state.
-type Ticket struct {
-	Deadline time.Time
-	Priority table.Priority
-	// Patient tickets wait until their deadline, since no other server could
-	// take them.
-	Patient bool
-	// Call says that a request which is running elsewhere waits for this one.
-	Call bool
-	// Tenant is whose request it is, and Weight its part of the server beside other
-	// tenants', relative to theirs; 0 stands for 1. Blank if nobody is told apart.
-	Tenant string
-	Weight float64
-	// MaxWait bounds the time in the queue; 0 leaves it to the expected wait.
-	MaxWait time.Duration
-	// Value is the caller's own, so that it can tell tickets apart.
-	Value any
-
-	state      State
-	cause      Cause
-	dispatched time.Time
-	// patience is until when it waits in the queue; see Queue.wait.
-	patience time.Time
-}
-
-// State returns where the ticket is in its life.
-func (t *Ticket) State() State { return t.state }
-
-// Cause returns why the ticket was refused.
-func (t *Ticket) Cause() Cause { return t.cause }
+import "time"
 
 // Settings are a row's bounds. Slots must be at least 1.
 type Settings struct {
@@ -83,18 +17,8 @@
 	NoDeadlineBound bool
 	// Cold bounds what the server gets while it is cold.
 	Cold Rate
-}
-
-// levels is the number of orders in which tickets wait: calls, then one for each
-// priority.
-const levels = table.Priorities + 1
-
-// level is where a ticket waits.
-func (t *Ticket) level() int {
-	if t.Call {
-		return 0
-	}
-	return int(t.Priority) + 1
+	// CallRoom keeps slots for calls while they wait too long; see callRoom.
+	CallRoom bool
 }
 
 // Queue is the state of one gate. It is not safe for concurrent use.
@@ -103,7 +27,11 @@
 	limit    Limit
 	draining bool
 	inFlight int
-	queued   int
+	// callsInFlight are those of them that are calls.
+	callsInFlight int
+	// lateInFlight are those that could only be late when they began.
+	lateInFlight int
+	queued       int
 	// lastDone is when a request was last answered, or when the first of
 	// those in flight was dispatched.
 	lastDone time.Time
@@ -115,6 +43,10 @@
 	// callService is the average of calls alone.
 	callService average
 	shares      shares
+	// stretch is how many times longer than usual work takes now.
+	stretch  float64
+	offered  offered
+	callRoom callRoom
 }
 
 // NewQueue returns an idle queue.
@@ -200,12 +132,16 @@
 // Refused. A ticket of lower priority that had to make room for it is
 // returned, Refused.
 func (q *Queue) Offer(now time.Time, t *Ticket) (evicted *Ticket) {
+	t.offered = now
+	q.offered.add(now, t)
 	switch {
 	case q.draining:
 		q.refuse(t, Draining)
 	case !now.Before(t.Deadline):
 		q.refuse(t, Expired)
-	case q.hasRoom(now, t) && q.ahead(t) == 1:
+	case q.turnedAway(now, t) != NoCause:
+		q.refuse(t, q.turnedAway(now, t))
+	case !q.held(now, t) && q.hasRoom(now, t) && q.ahead(now, t) == 1:
 		q.dispatch(now, t)
 	case !q.meetsWait(now, t):
 		q.refuse(t, q.whyFull(now, t))
@@ -234,8 +170,11 @@
 func (q *Queue) Advance(now time.Time) []*Ticket {
 	left := q.expire(now)
 	for p := range q.waiting {
-		for len(q.waiting[p]) > 0 && q.hasRoom(now, q.waiting[p][0]) {
+		for {
 			next := q.next(now, p)
+			if next < 0 || !q.hasRoom(now, q.waiting[p][next]) {
+				break
+			}
 			t := q.waiting[p][next]
 			q.remove(p, next)
 			q.dispatch(now, t)
@@ -245,27 +184,6 @@
 	return left
 }
 
-// next is the place of the ticket of a level that goes first. Where the wait is
-// bounded the newest does, as in adaptive LIFO (Maurer 2015): what has waited long
-// is likely to miss its aim wherever it goes, and handing out the oldest first makes
-// all of them late. Calls keep their order, since the request above waits for all of
-// its calls.
-//
-// Before that, the tenant that has had the least for its weight goes first.
-func (q *Queue) next(now time.Time, level int) int {
-	waiting := q.waiting[level]
-	newest := len(waiting) - 1
-	oldestFirst := waiting[newest].Call || waiting[newest].MaxWait == 0
-	next, least := newest, q.shares.of(now, waiting[newest])
-	for i := newest - 1; i >= 0; i-- {
-		used := q.shares.of(now, waiting[i])
-		if used < least || (used == least && oldestFirst) {
-			next, least = i, used
-		}
-	}
-	return next
-}
-
 // hasRoom reports whether a ticket may be dispatched now. A call may fill slots
 // that others may not: the request above it holds one at its own server for as
 // long as the call waits.
@@ -276,6 +194,9 @@
 	if t.Call && q.callsWaitLong() {
 		return q.inFlight < max(q.Limit(), q.settings.CallSlots)
 	}
+	if !t.Call && q.inFlight-q.callsInFlight >= q.Limit()-q.kept(now, t) {
+		return false
+	}
 	return q.inFlight < q.Limit()
 }
 
@@ -290,6 +211,12 @@
 	t.state = Answered
 	busy := q.inFlight >= q.Limit()
 	q.inFlight--
+	if t.Call {
+		q.callsInFlight--
+	}
+	if t.beganLate {
+		q.lateInFlight--
+	}
 	q.lastDone = now
 	if !ok {
 		return
@@ -423,6 +350,8 @@
 		return Expired
 	case !now.Before(t.patience) && (!t.Patient || t.MaxWait > 0) && !q.settings.NoDeadlineBound:
 		return Overload
+	case q.prospect(now, t) == hopeless:
+		return q.turnedAway(now, t)
 	}
 	return NoCause
 }
@@ -434,11 +363,21 @@
 		q.lastDone = now
 	}
 	q.inFlight++
+	if t.Call {
+		q.callsInFlight++
+		q.callBegan(now, t)
+	}
+	if t.beganLate = q.prospect(now, t) == late; t.beganLate {
+		q.lateInFlight++
+	}
 	q.pace.take(now)
 	q.shares.add(now, t)
 }
 
 func (q *Queue) refuse(t *Ticket, cause Cause) {
+	if t.Call && (cause == Overload || cause == Expired || cause == Late) {
+		q.callRoom.refused()
+	}
 	t.state = Refused
 	t.cause = cause
 }
--- a/admit/share.go
+++ b/admit/share.go
@@ -67,7 +67,7 @@
 		return
 	}
 	s.at = now
-	factor := math.Exp(-passed.Seconds() / sharesFade.Seconds())
+	factor := fading(passed, sharesFade)
 	for tenant, used := range s.used {
 		if used *= factor; used < leastShare {
 			delete(s.used, tenant)
@@ -76,3 +76,8 @@
 		s.used[tenant] = used
 	}
 }
+
+// fading is what is left after a time of what fades to a third in another.
+func fading(passed, in time.Duration) float64 {
+	return math.Exp(-passed.Seconds() / in.Seconds())
+}
--- a/admit/wait.go
+++ b/admit/wait.go
@@ -43,7 +43,7 @@
 // expectedWait is one interval for each that goes before a new ticket, and at
 // least as long as a stalled server has answered nothing.
 func (q *Queue) expectedWait(now time.Time, t *Ticket) time.Duration {
-	ahead := q.ahead(t)
+	ahead := q.ahead(now, t)
 	return max(time.Duration(ahead)*q.interval(), q.Stalled(now), q.coldWait(now, ahead))
 }
 
@@ -61,28 +61,11 @@
 	return Overload
 }
 
-// ahead counts a new ticket and those that go before it. Of its own level these are all
-// but those of tenants that have had more for their weight.
-func (q *Queue) ahead(t *Ticket) int {
-	ahead := 1
-	level := t.level()
-	for i := range level {
-		ahead += len(q.waiting[i])
-	}
-	used := q.shares.last(t)
-	for _, other := range q.waiting[level] {
-		if q.shares.last(other) <= used {
-			ahead++
-		}
-	}
-	return ahead
-}
-
 // wait is the time that a new ticket is expected to queue: one interval for
 // each that goes before it, and at least as long as the server has answered
 // nothing.
 func (q *Queue) wait(now time.Time, t *Ticket) time.Duration {
-	ahead := q.ahead(t)
+	ahead := q.ahead(now, t)
 	return max(time.Duration(ahead)*q.interval(), now.Sub(q.lastDone), q.coldWait(now, ahead))
 }
 
--- a/explain/loss.go
+++ b/explain/loss.go
@@ -18,6 +18,7 @@
 	RefusedFull     Loss = "refused: servers full"
 	RefusedSlow     Loss = "refused: servers slow"
 	RefusedCold     Loss = "refused: servers cold"
+	RefusedLate     Loss = "refused: could not be in time"
 	RefusedLeaving  Loss = "refused: servers leave or their zone is evacuated"
 	RefusedTime     Loss = "refused: time was up"
 	RefusedStopping Loss = "refused: node stops"
@@ -99,6 +100,8 @@
 		return RefusedSlow
 	case "cold":
 		return RefusedCold
+	case "late":
+		return RefusedLate
 	case "draining":
 		return RefusedLeaving
 	case "deadline":
--- a/explain/summary_test.go
+++ b/explain/summary_test.go
@@ -35,6 +35,7 @@
 		{RefusedFull, entryLine("1", fmt.Sprintf(refused, "overload"))},
 		{RefusedSlow, entryLine("1", fmt.Sprintf(refused, "slow"))},
 		{RefusedCold, entryLine("1", fmt.Sprintf(refused, "cold"))},
+		{RefusedLate, entryLine("1", fmt.Sprintf(refused, "late"))},
 		{RefusedLeaving, entryLine("1", fmt.Sprintf(refused, "draining"))},
 		{RefusedTime, entryLine("1", fmt.Sprintf(refused, "deadline"))},
 		{RefusedOther, entryLine("1", fmt.Sprintf(refused, "connect"))},
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -110,6 +110,7 @@
 		Queue:           row.Queue,
 		FixedLimit:      g.settings.FixedLimit,
 		NoDeadlineBound: g.settings.NoDeadlineBound,
+		CallRoom:        g.settings.ByAim,
 		Cold:            admit.ColdRate(row.ColdPerSecond, g.settings.ColdOvershoot, g.settings.ColdSlack),
 	}
 }
@@ -242,6 +243,9 @@
 	if g.settings.Weight != nil && j.ticket.Tenant != "" {
 		j.ticket.Weight = g.settings.Weight(j.ticket.Tenant)
 	}
+	if g.settings.ByAim {
+		j.ticket.Aim, j.ticket.Work = j.aim(), j.work()
+	}
 	j.ticket.Priority = min(table.Priority(s.Request.Priority), table.Bulk)
 	g.mu.Lock()
 	j.ticket.Value = j
@@ -253,7 +257,9 @@
 		g.mu.Unlock()
 		return
 	}
-	evicted := g.queue.Offer(time.Now(), &j.ticket)
+	now := time.Now()
+	g.queue.SetStretch(g.stretch(now))
+	evicted := g.queue.Offer(now, &j.ticket)
 	left := []*admit.Ticket{&j.ticket}
 	if evicted != nil {
 		g.Counters.Evicted.Add(1)
@@ -292,6 +298,8 @@
 		return wire.ReasonCanceled
 	case admit.AboveShare:
 		return wire.ReasonShare
+	case admit.Late:
+		return wire.ReasonLate
 	}
 	if g.queue.InFlight() < g.queue.Limit() && g.queue.Cold(time.Now()) {
 		return wire.ReasonCold
@@ -419,6 +427,7 @@
 // called with the lock held.
 func (g *Gate) advance(now time.Time) {
 	g.excuse(now)
+	g.queue.SetStretch(g.stretch(now))
 	g.settle(g.queue.Advance(now))
 }
 
--- a/gate/room.go
+++ b/gate/room.go
@@ -33,13 +33,27 @@
 	if need == nil || need.AimMillis == 0 {
 		return time.Time{}
 	}
-	return j.stream.Received.Add(time.Duration(need.AimMillis) * time.Millisecond)
+	aim := j.stream.Received.Add(time.Duration(boundNeed(need.AimMillis)) * time.Millisecond)
+	if aim.After(j.stream.Deadline) {
+		return j.stream.Deadline // Nobody waits for it any longer.
+	}
+	return aim
 }
 
 // work is what the job usually takes at a server of usual speed; 0 if not known.
 func (j *job) work() time.Duration {
 	if need := j.stream.Request.Need; need != nil {
-		return time.Duration(need.WorkMillis) * time.Millisecond
+		return time.Duration(max(boundNeed(need.WorkMillis), 0)) * time.Millisecond
 	}
 	return 0
 }
+
+// mostNeed bounds the times of a Need in milliseconds, a day: an entry of another build may
+// say anything, and what lies beyond stands for it.
+const mostNeed = 24 * 60 * 60 * 1000
+
+func boundNeed(millis int64) int64 { return min(max(millis, -mostNeed), mostNeed) }
+
+// stretch is how many times longer than usual work takes now at the server, by its own
+// word. It is called with the lock held.
+func (g *Gate) stretch(now time.Time) float64 { return float64(g.slownessNow(now)) / 100 }
--- a/wire/message.go
+++ b/wire/message.go
@@ -275,10 +275,13 @@
 	// ReasonShare: the request's tenant has had more than its share of a server that is
 	// short, and others have room there.
 	ReasonShare Reason = 12
+	// ReasonLate: begun now the request would end after its deadline, or after its aim
+	// where requests that can be in time need the server.
+	ReasonLate Reason = 13
 )
 
 // Reasons is above every Reason, for arrays by reason.
-const Reasons = 13
+const Reasons = 14
 
 var reasonNames = map[Reason]string{
 	ReasonOverload: "overload",
@@ -293,12 +296,13 @@
 	ReasonSuspect:  "suspect",
 	ReasonBlamed:   "blamed",
 	ReasonShare:    "share",
+	ReasonLate:     "late",
 }
 
 // Full reports whether the server had no room for the request now, so that another
 // one, or the same a little later, may take it.
 func (r Reason) Full() bool {
-	return r == ReasonOverload || r == ReasonShed || r == ReasonCold || r == ReasonShare
+	return r == ReasonOverload || r == ReasonShed || r == ReasonCold || r == ReasonShare || r == ReasonLate
 }
 
 // String returns the reason's name in headers and counters.
