age, entry: a request that comes back keeps the aim of its first try

An entry counted the aim of every try from when it read it, so callers who came back after a refusal were late from their own side and in time by the entries' clocks.

Age is told in two ways. What was not served is kept, by what it asks and when its caller stops to wait; that moment is the same for all tries. Where that is not known (another node refused it), the least age is what the stated time falls short of those that first tries state, learned only while nobody may come back.

Ruled out: taking the exact times that many state for those of first tries.

A request waits for room as long as a first try, however old it is.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -95,6 +95,9 @@
 	NoKey atomic.Int64
 	// OverQuota counts requests above their tenant's quota; they are among NotRun.
 	OverQuota atomic.Int64
+	// Returned counts requests of callers who had asked before, and ReturnedAge is how long
+	// before, in milliseconds, added up.
+	Returned, ReturnedAge atomic.Int64
 	// TurnedAway counts requests that came too late for a stopping node; they
 	// are among NotRun.
 	TurnedAway atomic.Int64
@@ -122,6 +125,8 @@
 
 	tenants tenantMeters
 
+	returns returns
+
 	traitsMu sync.Mutex
 	traits   map[string]*traits
 }
@@ -138,6 +143,7 @@
 		services: map[string]*service{},
 		active:   map[*request]struct{}{},
 		traits:   map[string]*traits{},
+		returns:  newReturns(),
 	}
 }
 
--- a/entry/handle.go
+++ b/entry/handle.go
@@ -54,7 +54,10 @@
 	r.prepareBody()
 	e.watch(r)
 	defer e.unwatch(r)
-	defer func() { e.tenants.count(time.Now(), who.tenant, ctx.Response.StatusCode()) }()
+	defer func() {
+		e.tenants.count(time.Now(), who.tenant, ctx.Response.StatusCode())
+		e.keepUnserved(r, ctx.Response.StatusCode())
+	}()
 	if !e.charge(r) {
 		return
 	}
--- a/entry/record.go
+++ b/entry/record.go
@@ -58,6 +58,7 @@
 		Limit:      r.deadline.Sub(r.began),
 		RetryAfter: f.retryAfter,
 		Denied:     r.denied,
+		Age:        r.age,
 		Candidates: r.candidates,
 		Attempts:   r.trail,
 	}
--- a/entry/request.go
+++ b/entry/request.go
@@ -43,6 +43,10 @@
 	aim    time.Time
 	// age is how long before this try the caller first asked, as far as is known.
 	age time.Duration
+	// what stands for what the request asks, and ends is when its caller stops to wait, by
+	// which it is known when it comes back; zero if it states no time.
+	what uint64
+	ends time.Time
 	// refuseBy is until when the request may wait for room; zero leaves it to
 	// the gates.
 	refuseBy time.Time
@@ -141,6 +145,10 @@
 	if fault != "" {
 		return nil, fault
 	}
+	stated := budget
+	if len(h.Peek(dialect.Deadline)) == 0 {
+		stated = 0
+	}
 	if route != nil {
 		priority, repeatable = route.Priority, route.Repeatable
 		budget = min(budget, route.Timeout)
@@ -179,6 +187,7 @@
 		r.traits = e.traitsOf(route)
 		r.aim = began.Add(route.Aim)
 		r.refuseBy = began.Add(route.Aim / refuseShare)
+		e.learnAge(r, stated)
 	}
 	return r, ""
 }
--- /dev/null
+++ b/entry/returns.go
@@ -0,0 +1,116 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"hash/maphash"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/ryehaven/ryehaven/age"
+)
+
+// returns is what an entry keeps of requests that were not served, to know them when they
+// come back.
+type returns struct {
+	seed maphash.Seed
+
+	mu     sync.Mutex
+	memory age.Memory
+}
+
+func newReturns() returns { return returns{seed: maphash.MakeSeed()} }
+
+// learnAge tells how old the request is by what was kept of its former tries, or by the
+// time that its caller states, 0 if it states none. Its answer is due accordingly.
+func (e *Entry) learnAge(r *request, stated time.Duration) {
+	if !e.settings.Returns || stated <= 0 {
+		return
+	}
+	r.ends = r.began.Add(stated)
+	r.what = e.returns.hash(r)
+	known, ok := e.returns.find(r)
+	least := r.traits.learnStated(r.began, stated)
+	r.age = least
+	if ok {
+		r.age = r.began.Sub(known.First)
+	}
+	if r.age <= 0 {
+		return
+	}
+	e.Counters.Returned.Add(1)
+	e.Counters.ReturnedAge.Add(r.age.Milliseconds())
+	r.aim = r.aim.Add(-r.age)
+}
+
+// keepUnserved keeps a request that was not served, by the status of its answer, so that it
+// is known when it comes back.
+func (e *Entry) keepUnserved(r *request, status int) {
+	if r.ends.IsZero() || !mayComeBack(status) && !r.isGone() {
+		return
+	}
+	now := time.Now()
+	r.traits.unserved(now, r.ends)
+	e.returns.keep(now, r, age.Try{First: r.began.Add(-r.age)})
+}
+
+// mayComeBack reports whether a caller that got a status may send its request again.
+func mayComeBack(status int) bool {
+	switch status {
+	case fasthttp.StatusRequestTimeout, fasthttp.StatusMisdirectedRequest, fasthttp.StatusTooManyRequests:
+		return true
+	}
+	return status >= fasthttp.StatusInternalServerError
+}
+
+// isGone reports whether the caller has closed its connection.
+func (r *request) isGone() bool {
+	select {
+	case <-r.gone:
+		return true
+	default:
+		return false
+	}
+}
+
+// hash stands for what the request asks and who asks it.
+func (t *returns) hash(r *request) uint64 {
+	var h maphash.Hash
+	h.SetSeed(t.seed)
+	for _, part := range []string{r.route.Host, r.message.Method, r.message.URI, r.message.Tenant} {
+		_, _ = h.WriteString(part) // A hash takes everything.
+		_ = h.WriteByte(0)
+	}
+	return h.Sum64()
+}
+
+func (t *returns) find(r *request) (age.Try, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.memory.Find(r.began, r.what, r.ends)
+}
+
+func (t *returns) keep(now time.Time, r *request, try age.Try) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.memory.Keep(now, r.what, r.ends, try)
+}
+
+// learnStated takes the time that a request's caller states and returns the least that
+// the request can be old.
+func (t *traits) learnStated(now time.Time, stated time.Duration) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	least := t.stated.Least(stated)
+	t.stated.Observe(now, stated)
+	return least
+}
+
+// unserved takes note of a request that may come back until its caller stops to wait.
+func (t *traits) unserved(now, ends time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stated.Unserved(now, ends)
+}
--- a/entry/traits.go
+++ b/entry/traits.go
@@ -10,6 +10,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/ryehaven/ryehaven/age"
 	"github.com/ryehaven/ryehaven/balance"
 	"github.com/ryehaven/ryehaven/retry"
 	"github.com/ryehaven/ryehaven/table"
@@ -26,6 +27,8 @@
 	prior time.Duration
 	bytes float64
 	split split
+	// stated is what is known of the times that callers state to wait.
+	stated age.Usual
 	// latency holds the time of whole answers in histogramUnit; nil until there
 	// is one.
 	latency *hdrhistogram.Histogram
--- a/event/event.go
+++ b/event/event.go
@@ -132,6 +132,8 @@
 	Aim        time.Duration
 	Limit      time.Duration
 	RetryAfter time.Duration
+	// Age is how long before this try the caller first asked, as far as is known.
+	Age time.Duration
 	// Denied says that another attempt was not paid for by the budget.
 	Denied bool
 	// Print is alike for all tries of the request; blank unless servers have ended under
@@ -174,6 +176,9 @@
 	if r.RetryAfter > 0 {
 		e.AddFloat64("retry_after_ms", millis(r.RetryAfter))
 	}
+	if r.Age > 0 {
+		e.AddFloat64("age_ms", millis(r.Age))
+	}
 	if r.Denied {
 		e.AddBool("denied_by_budget", true)
 	}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -47,6 +47,8 @@
 		metric.Count("entry_caller_gone", "requests", "requests whose caller closed its connection", &c.CallerGone),
 		metric.Count("entry_awaited_speed", "requests", "requests that waited for the end of a server's slow spell", &c.AwaitedSpeed),
 		metric.Count("entry_blamed", "requests", "requests not sent to a server, or not again, since servers had ended under them", &c.Blamed),
+		metric.Count("entry_returned", "requests", "requests of callers who had asked before, by the time that they state", &c.Returned),
+		metric.Count("entry_returned_age", "ms", "how long before these callers had first asked, added up", &c.ReturnedAge),
 		metric.Count("entry_turned_away", "requests", "requests refused as not run because the node stops", &c.TurnedAway),
 		metric.Count("accept_failures", "connections", "connections that could not be accepted, for want of descriptors", &n.acceptFailures),
 		metric.Count("suspensions", "suspensions", "times that the host was found to have been suspended", &n.suspensions),
