wire, gate, balance: entries know of cold servers and their tokens

A gate told of a cold server by the slowness of its answers and by refusals only: entries sent to servers that had no token left, waited there, and asked the next one in vain. What awaits a request before it is sent (Pool.Outlook) knew neither.

wire.Room now tells for how long the server is cold, the time between two requests that it may get and how long one more would wait; numbers that a build lacks are 0. Entries count down by themselves and add what they send, so that only what differs from that is told: an end that moved by 200 ms, two requests more or fewer, at most each 250 ms. A node hears it with its first Need. Expected times count the wait; refusals for cold tell where no Room does. Outlook weighs loads against limits, token waits, levels and trouble, and the chance that the best few servers refuse.

Ruled out: tokens in Load, which older builds refuse as arrays of another length; excluding cold servers, which herds to the first warm one.

--- a/admit/wait.go
+++ b/admit/wait.go
@@ -21,6 +21,16 @@
 	return min(q.pace.untilRoom(now, requests), q.coldUntil.Sub(now))
 }
 
+// ColdRoom returns the time between two requests that a cold server may get, and how long
+// one more would wait until then: negative by an interval for each further one that may go
+// at once. Both are 0 while no cold rate binds.
+func (q *Queue) ColdRoom(now time.Time) (interval, wait time.Duration) {
+	if !q.Cold(now) {
+		return 0, 0
+	}
+	return q.pace.rate.interval(), q.pace.backlog(now, q.queued)
+}
+
 // meetsDeadline reports whether t would be answered in time behind those that
 // go before it.
 func (q *Queue) meetsDeadline(now time.Time, t *Ticket) bool {
--- a/balance/demand.go
+++ b/balance/demand.go
@@ -149,7 +149,12 @@
 
 // timeAt is the same at a speed of the server's.
 func (p *Pool) timeAt(now time.Time, s *Server, slowness float64, demand Demand) time.Duration {
-	busy := (p.load(now, s, demand.Work) + 1) / p.limit(s)
+	return p.timeUnder(now, s, slowness, demand, p.load(now, s, demand.Work))
+}
+
+// timeUnder is the same beside a load at the server.
+func (p *Pool) timeUnder(now time.Time, s *Server, slowness float64, demand Demand, load float64) time.Duration {
+	busy := (load + 1) / p.limit(s)
 	took := p.stretch(demand.Work, slowness)
 	took += time.Duration(busyCost * min(busy, 1) * float64(took))
 	if busy > 1 {
@@ -158,7 +163,7 @@
 	if !p.options.NoNotices {
 		took += s.stalled(now, demand.Work)
 	}
-	return took + s.Distance
+	return took + s.tokenWait(now) + s.Distance
 }
 
 // stretch is what work takes at a server that is slow when it begins. Servers do
--- /dev/null
+++ b/balance/outlook_test.go
@@ -0,0 +1,110 @@
+// SPDX-License-Identifier: MIT
+
+package balance
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/ryehaven/ryehaven/wire"
+)
+
+// all gives each server of a pool the same report and room.
+func all(p *Pool, load wire.Load, room wire.Room) {
+	for _, s := range p.servers {
+		report(p, start, s, load)
+		p.LearnRoom(start, s.Node, room)
+	}
+}
+
+func TestOutlook(t *testing.T) {
+	full := wire.Load{Limit: 12, InFlight: 12, Queued: 6, Slowness: 100, ServiceMicros: 190_000}
+	usedUp := wire.Room{Levels: 3, ColdMillis: 3000, TokenMillis: 55, TokenWaitMillis: 300}
+	stocked := usedUp
+	stocked.TokenWaitMillis = -110
+	warm := wire.Room{Levels: 3}
+	for _, c := range []struct {
+		name        string
+		load        wire.Load
+		room        wire.Room
+		demand      Demand
+		call        bool
+		least, most float64
+		took        time.Duration
+	}{
+		{"warm, idle", warmReport, warm, lookup, false, 0, 0.01, 185 * time.Millisecond},
+		{"warm, full, a call", full, warm, shortCall, true, 0, 0.05, 90 * time.Millisecond},
+		{"warm, calls wait, a call", full, wire.Room{Levels: 3, CallWaitMillis: 120}, shortCall, true, 0.95, 1, 200 * time.Millisecond},
+		{"warm, full, a request", full, warm, lookup, false, 0.9, 1, 400 * time.Millisecond},
+		{"all cold, tokens used up, a short call", coldReport, usedUp, shortCall, true, 0.99, 1, 350 * time.Millisecond},
+		{"all cold, tokens used up, a request", coldReport, usedUp, lookup, false, 0.99, 1, 600 * time.Millisecond},
+		{"all cold, tokens at hand, a short call", coldReport, stocked, shortCall, true, 0, 0.05, 80 * time.Millisecond},
+		{"all cold, tokens at hand, a request", coldReport, stocked, lookup, false, 0, 0.05, 350 * time.Millisecond},
+		{"no level finds room", warmReport, wire.Room{}, lookup, false, 1, 1, 185 * time.Millisecond},
+		{"no level finds room, a call", warmReport, wire.Room{}, shortCall, true, 0, 0.01, 44 * time.Millisecond},
+	} {
+		p := newTestPool(16, Options{})
+		all(p, c.load, c.room)
+		got := p.Outlook(start, c.demand, c.call)
+		if got.Refused < c.least || got.Refused > c.most {
+			t.Errorf("%s: refused with %.3f, want %g to %g", c.name, got.Refused, c.least, c.most)
+		}
+		if got.Took < c.took || got.Took > c.took*3/2 {
+			t.Errorf("%s: takes %s, want about %s", c.name, got.Took, c.took)
+		}
+	}
+}
+
+func TestOutlookOfAZone(t *testing.T) {
+	// A third of the servers is cold without tokens; the others have room.
+	p := newTestPool(15, Options{})
+	all(p, warmReport, wire.Room{Levels: 3})
+	for _, s := range p.servers[:5] {
+		report(p, start, s, coldReport)
+		p.LearnRoom(start, s.Node, wire.Room{Levels: 3, ColdMillis: 3000, TokenMillis: 55, TokenWaitMillis: 300})
+	}
+	if got := p.Outlook(start, lookup, false); got.Refused > 0.01 || got.Took > 250*time.Millisecond {
+		t.Errorf("%+v", got)
+	}
+}
+
+func TestOutlookOfServersInTrouble(t *testing.T) {
+	p := newTestPool(4, Options{})
+	all(p, warmReport, wire.Room{Levels: 3})
+	for _, s := range p.servers {
+		p.Suspect(start, s, true)
+	}
+	if got := p.Outlook(start, lookup, false); got.Refused < 0.1 || got.Refused > 0.9 || got.Took == math.MaxInt64 {
+		t.Errorf("all suspected: %+v", got)
+	}
+	for _, s := range p.servers {
+		s.Leaving = true
+	}
+	if got := p.Outlook(start, lookup, false); got.Refused != 1 {
+		t.Errorf("all leaving: %+v", got)
+	}
+	if got := NewPool(Options{}).Outlook(start, lookup, false); got.Refused != 1 {
+		t.Errorf("no server: %+v", got)
+	}
+	// Nothing was told yet by anyone: requests find out.
+	if got := newTestPool(4, Options{}).Outlook(start, lookup, false); got.Refused > 0.1 {
+		t.Errorf("nothing known: %+v", got)
+	}
+	if got := newTestPool(4, Options{}).Outlook(start, Demand{}, false); got.Refused > 0.1 {
+		t.Errorf("nothing known of the request: %+v", got)
+	}
+}
+
+func BenchmarkOutlook(b *testing.B) {
+	for _, n := range []int{4, 37, 300} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			p, _ := newPoolWithSpares(n, subsetNear+subsetFar)
+			all(p, coldReport, coldRoom)
+			for b.Loop() {
+				p.Outlook(start, demand, true)
+			}
+		})
+	}
+}
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -51,6 +51,7 @@
 	// room is what the gate said of it last, at roomAt.
 	room           wire.Room
 	roomAt         time.Time
+	tokens         tokens
 	report         wire.Load
 	reportAt       time.Time
 	ownAtReport    int
@@ -152,6 +153,7 @@
 		s.lastProgress = now
 	}
 	s.outstanding++
+	s.noteSent(now)
 	if s.Spare {
 		p.use(s)
 	}
@@ -260,7 +262,10 @@
 	switch r.Refused {
 	case wire.ReasonDraining, wire.ReasonNoServer:
 		s.drainingUntil = now.Add(drainingFor)
-	case wire.ReasonOverload, wire.ReasonShed, wire.ReasonCold:
+	case wire.ReasonCold:
+		s.noteCold(now, r.RetryAfter)
+		s.fullUntil = now.Add(min(r.RetryAfter, fullFor))
+	case wire.ReasonOverload, wire.ReasonShed:
 		s.fullUntil = now.Add(min(r.RetryAfter, fullFor))
 	case wire.ReasonConnect:
 		s.unreachableTil = now.Add(unreachableFor)
--- a/balance/room.go
+++ b/balance/room.go
@@ -12,7 +12,7 @@
 func (p *Pool) LearnRoom(now time.Time, node string, room wire.Room) {
 	for s := range p.all() {
 		if s.Node == node {
-			s.room, s.roomAt = room, now
+			s.learnRoom(now, room)
 		}
 	}
 }
--- a/balance/slowness.go
+++ b/balance/slowness.go
@@ -55,6 +55,9 @@
 // slowness is what is believed of a server's slowness, in percent.
 func (s *Server) slowness(now time.Time, usual float64) float64 {
 	if s.report.Slowness == 0 {
+		if s.Cold(now) > 0 {
+			return max(usual, coldSlowness)
+		}
 		return usual
 	}
 	age := now.Sub(s.heardAt) - heardFor
--- /dev/null
+++ b/gate/coldroom.go
@@ -0,0 +1,50 @@
+// SPDX-License-Identifier: MIT
+
+package gate
+
+import (
+	"time"
+
+	"github.com/ryehaven/ryehaven/wire"
+)
+
+// addCold adds what is known of the server's cold time to what entries hear. It is called
+// with the lock held.
+func (g *Gate) addCold(now time.Time, room *wire.Room) {
+	left := g.cold.ends().Sub(now)
+	if left <= 0 {
+		return
+	}
+	room.ColdMillis = (left + time.Millisecond - 1).Milliseconds()
+	interval, wait := g.queue.ColdRoom(now)
+	room.TokenMillis, room.TokenWaitMillis = interval.Milliseconds(), wait.Milliseconds()
+}
+
+// What is news of a cold server to entries, which count down by themselves what they were
+// told.
+const (
+	// coldNewsMillis is by how much the end of the cold time must have moved.
+	coldNewsMillis = 200
+	// tokenNews is by how many requests the room must have changed, and tokenNewsEvery
+	// how often that is told at most: each change goes to every entry.
+	tokenNews      = 2
+	tokenNewsEvery = 250 * time.Millisecond
+)
+
+// newsOfRoom reports whether entries that believe something of the room at the server,
+// told some time ago, must hear what it is.
+func newsOfRoom(believed, room wire.Room, ago time.Duration) bool {
+	cold := believed.ColdMillis - room.ColdMillis
+	wait := believed.TokenWaitMillis - room.TokenWaitMillis
+	switch {
+	case (believed.ColdMillis == 0) != (room.ColdMillis == 0), max(cold, -cold) > coldNewsMillis:
+		return true
+	case believed.TokenMillis != room.TokenMillis:
+		return true
+	case ago >= tokenNewsEvery && max(wait, -wait) > tokenNews*room.TokenMillis:
+		return true
+	}
+	believed.ColdMillis, room.ColdMillis = 0, 0
+	believed.TokenWaitMillis, room.TokenWaitMillis = 0, 0
+	return believed != room
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -54,8 +54,9 @@
 	// saidStalled and saidSlowness are what entries were told last.
 	saidStalled  bool
 	saidSlowness int
-	// saidRoom is what they were told last of the room at the server.
-	saidRoom wire.Room
+	// saidRoom is what they were told last of the room at the server, at saidRoomAt.
+	saidRoom   wire.Room
+	saidRoomAt time.Time
 	// callSlots is how many of the server's slots calls may fill.
 	callSlots int
 	// slowness is what the server said last, at toldAt.
@@ -92,7 +93,7 @@
 	g.row = row
 	g.queue = admit.NewQueue(g.bounds(row))
 	now := time.Now()
-	g.saidRoom = g.room(now)
+	g.saidRoom, g.saidRoomAt = g.room(now), now
 	since := settings.Since
 	if since.IsZero() {
 		since = now
--- a/gate/room.go
+++ b/gate/room.go
@@ -15,16 +15,18 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	room := g.room(now)
-	if room == g.saidRoom {
+	if !newsOfRoom(g.saidRoom.After(now.Sub(g.saidRoomAt)), room, now.Sub(g.saidRoomAt)) {
 		return nil, false
 	}
-	g.saidRoom = room
+	g.saidRoom, g.saidRoomAt = room, now
 	return &room, true
 }
 
 // room is the present one. It is called with the lock held.
-func (g *Gate) room(time.Time) wire.Room {
-	return wire.Room{Levels: int64(table.Priorities)}
+func (g *Gate) room(now time.Time) wire.Room {
+	room := wire.Room{Levels: int64(table.Priorities)}
+	g.addCold(now, &room)
+	return room
 }
 
 // aim is when the answer of a job is due; zero if its entry did not say.
--- /dev/null
+++ b/peer/room_test.go
@@ -0,0 +1,48 @@
+// SPDX-License-Identifier: MIT
+
+package peer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/ryehaven/ryehaven/wire"
+)
+
+// A node that sends its first Need after the room was told hears it too, counted down.
+func TestRoomIsToldWithTheFirstNeed(t *testing.T) {
+	server := &Server{
+		Self:           Identity{Host: "gate", Incarnation: 7, Key: testKey},
+		Counters:       new(Counters),
+		Handler:        &handler{request: func(s *Stream) { _ = s.Respond(&wire.Response{Status: 200, Last: true}) }},
+		HandshakeLimit: time.Second,
+		MaxConns:       10,
+	}
+	address := serve(t, server)
+	server.NotifyRoom(&wire.Room{Levels: 3, ColdMillis: 60_000, TokenMillis: 55, TokenWaitMillis: -110})
+	time.Sleep(20 * time.Millisecond)
+	heard := make(chan wire.Room, 4)
+	d := newDialer(t, testKey)
+	d.OnRoom = func(_ string, r *wire.Room) { heard <- *r }
+	c := connect(t, d, address)
+	for range 2 {
+		call, err := c.Start(&wire.Request{URI: "/", BudgetMicros: time.Minute.Microseconds(), Last: true, Need: &wire.Need{AimMillis: 100}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		wait(t, call)
+	}
+	select {
+	case r := <-heard:
+		if r.ColdMillis > 59_980 || r.ColdMillis < 50_000 || r.TokenMillis != 55 || r.TokenWaitMillis != -110 {
+			t.Errorf("heard %+v", r)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("nothing heard")
+	}
+	select {
+	case r := <-heard:
+		t.Errorf("heard again: %+v", r)
+	case <-time.After(50 * time.Millisecond):
+	}
+}
--- a/peer/server.go
+++ b/peer/server.go
@@ -58,6 +58,16 @@
 	// lastSweep is when all connections were last looked at.
 	lastSweep time.Time
 	wait      sync.WaitGroup
+
+	// room is what entries were told last of the room at this node's server; nil while
+	// nothing was.
+	room atomic.Pointer[saidRoom]
+}
+
+// saidRoom is a Room and when it was told.
+type saidRoom struct {
+	room wire.Room
+	at   time.Time
 }
 
 // Serve accepts connections until the listener is closed.
@@ -256,9 +266,19 @@
 // NotifyRoom tells every node that has sent a Need here what room the server has, and
 // returns to how many it went.
 func (s *Server) NotifyRoom(m *wire.Room) int {
+	s.room.Store(&saidRoom{room: *m, at: time.Now()})
 	return s.tell(m, func(a *accepted) bool { return a.needs.Load() })
 }
 
+// tellRoom tells a node that has just sent its first Need what the others know of the room
+// at the server.
+func (a *accepted) tellRoom(now time.Time) {
+	if said := a.server.room.Load(); said != nil {
+		room := said.room.After(now.Sub(said.at))
+		_ = a.w.send(&room) // A lost connection is noticed by its reader.
+	}
+}
+
 func (s *Server) tell(m wire.Message, wanted func(a *accepted) bool) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -351,8 +371,8 @@
 		in:       newPipe(),
 		out:      newAllowance(),
 	}
-	if m.Need != nil {
-		a.needs.Store(true)
+	if m.Need != nil && !a.needs.Swap(true) {
+		a.tellRoom(now)
 	}
 	s.conn.Store(a)
 	if err := s.in.push(m.Body, m.Last); err != nil {
--- a/wire/need.go
+++ b/wire/need.go
@@ -3,6 +3,8 @@
 package wire
 
 import (
+	"time"
+
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -25,7 +27,7 @@
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (n *Need) DecodeMsgpack(d *msgpack.Decoder) error {
-	return decodeNumbers(d, &n.AimMillis, &n.WorkMillis, &n.AgeMillis)
+	return decodeNumbers(d, 3, &n.AimMillis, &n.WorkMillis, &n.AgeMillis)
 }
 
 // Room tells entries unasked for which requests there is room now at the one backend
@@ -38,11 +40,30 @@
 	CallWaitMillis int64
 	// ColdMillis is for how much longer the server is cold; 0 once it is warm.
 	ColdMillis int64
+	// TokenMillis is the time between two requests that the server may get while it is
+	// cold; 0 if that is not bounded.
+	TokenMillis int64
+	// TokenWaitMillis is how long one more request would wait until the server may get
+	// it: negative by TokenMillis for each further one that it may get at once.
+	TokenWaitMillis int64
+}
+
+// After returns what holds some time after r was told, as long as nothing else is told.
+func (r Room) After(elapsed time.Duration) Room {
+	passed := max(elapsed.Milliseconds(), 0)
+	r.ColdMillis = max(r.ColdMillis-passed, 0)
+	if r.ColdMillis == 0 || r.TokenMillis <= 0 {
+		r.TokenMillis, r.TokenWaitMillis = 0, 0
+	}
+	if r.TokenWaitMillis > 0 {
+		r.TokenWaitMillis = max(r.TokenWaitMillis-passed, 0)
+	}
+	return r
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (r *Room) DecodeMsgpack(d *msgpack.Decoder) error {
-	return decodeNumbers(d, &r.Levels, &r.CallWaitMillis, &r.ColdMillis)
+	return decodeNumbers(d, 3, &r.Levels, &r.CallWaitMillis, &r.ColdMillis, &r.TokenMillis, &r.TokenWaitMillis)
 }
 
 // Kind implements Message.
@@ -54,22 +75,25 @@
 // maxNumbers bounds the numbers that a newer build may have added.
 const maxNumbers = 64
 
-// decodeNumbers reads an array of numbers. Those that a newer build has added at its end
-// are passed over.
-func decodeNumbers(d *msgpack.Decoder, into ...*int64) error {
+// decodeNumbers reads an array of least numbers or more. Those that a newer build has
+// added at its end are passed over, and those that an older build lacks become 0.
+func decodeNumbers(d *msgpack.Decoder, least int, into ...*int64) error {
 	n, err := d.DecodeArrayLen()
 	if err != nil {
 		return err
 	}
-	if n < len(into) || n > maxNumbers {
-		return eris.Wrapf(ErrNumbers, "%d, known are %d", n, len(into))
+	if n < least || n > maxNumbers {
+		return eris.Wrapf(ErrNumbers, "%d, want %d to %d", n, least, maxNumbers)
 	}
-	for _, at := range into {
+	for i, at := range into {
+		if *at = 0; i >= n {
+			continue
+		}
 		if *at, err = d.DecodeInt64(); err != nil {
 			return err
 		}
 	}
-	for range n - len(into) {
+	for range max(n-len(into), 0) {
 		if err := d.Skip(); err != nil {
 			return err
 		}
--- a/wire/need_test.go
+++ b/wire/need_test.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"testing"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -65,3 +66,48 @@
 		}
 	}
 }
+
+func TestRoomOfOlderBuilds(t *testing.T) {
+	for _, c := range []struct {
+		numbers []int64
+		want    Room
+		ok      bool
+	}{
+		{[]int64{3, 20, 700}, Room{Levels: 3, CallWaitMillis: 20, ColdMillis: 700}, true},
+		{[]int64{3, 20, 700, 55}, Room{Levels: 3, CallWaitMillis: 20, ColdMillis: 700, TokenMillis: 55}, true},
+		{[]int64{3, 20, 700, 55, -110, 9}, Room{Levels: 3, CallWaitMillis: 20, ColdMillis: 700, TokenMillis: 55, TokenWaitMillis: -110}, true},
+		{[]int64{3, 20}, Room{}, false},
+	} {
+		payload, err := msgpack.Marshal(c.numbers)
+		if err != nil {
+			t.Fatal(err)
+		}
+		room := Room{TokenMillis: 7, TokenWaitMillis: 7}
+		err = msgpack.Unmarshal(payload, &room)
+		if (err == nil) != c.ok || (c.ok && room != c.want) {
+			t.Errorf("%v: %+v, error %v", c.numbers, room, err)
+		}
+	}
+}
+
+func TestRoomCountsDown(t *testing.T) {
+	told := Room{Levels: 2, ColdMillis: 1000, TokenMillis: 55, TokenWaitMillis: 200}
+	for _, c := range []struct {
+		elapsed time.Duration
+		want    Room
+	}{
+		{-time.Second, told},
+		{0, told},
+		{150 * time.Millisecond, Room{Levels: 2, ColdMillis: 850, TokenMillis: 55, TokenWaitMillis: 50}},
+		{300 * time.Millisecond, Room{Levels: 2, ColdMillis: 700, TokenMillis: 55}},
+		{2 * time.Second, Room{Levels: 2}},
+	} {
+		if got := told.After(c.elapsed); got != c.want {
+			t.Errorf("after %s: %+v, want %+v", c.elapsed, got, c.want)
+		}
+	}
+	stocked := Room{ColdMillis: 1000, TokenMillis: 55, TokenWaitMillis: -110}
+	if got := stocked.After(100 * time.Millisecond); got.TokenWaitMillis != -110 {
+		t.Errorf("requests that may go at once: %+v", got)
+	}
+}
