admit: calls and callers' requests take turns at a cold server

A service whose servers are called from another one is bound by its tokens while they are cold: calls went first and took all of them.

While the cold rate binds, both get what the server may get in proportion to what comes of each; the least priority has no part and gets what is left. Where one side does not come, the other gets all: nothing is held back. A call that would get its token only after its wait is told at once, as nothing can bring it sooner.

Ruled out: half of the burst kept for calls and the urgent, which had gained nothing (docs/design/shifted.md): what binds is the rate over seconds. The bucket itself, which holds the bound of the sheet, is as it was.

--- a/admit/order.go
+++ b/admit/order.go
@@ -59,22 +59,86 @@
 // of its own all but those of tenants that have had more for their weight, and those that
 // can only be late if it can be in time. What is held back goes before nothing.
 func (q *Queue) ahead(now time.Time, t *Ticket) int {
-	ahead := 1
-	level := t.level()
-	for i := range level {
-		for _, other := range q.waiting[i] {
-			if !q.held(now, other) {
-				ahead++
-			}
-		}
-	}
+	own, level := 1, t.level()
 	used := q.shares.last(t)
 	isLate := q.prospect(now, t) != inTime
 	for _, other := range q.waiting[level] {
 		if q.shares.last(other) > used || q.held(now, other) || (!isLate && q.prospect(now, other) == late) {
 			continue
 		}
-		ahead++
+		own++
+	}
+	return q.behind(now, level, own)
+}
+
+// behind is the place among all of what is at a place among its own level. At a cold server
+// calls and callers' requests take turns.
+func (q *Queue) behind(now time.Time, level, own int) int {
+	place := own
+	for i := 1; i < level; i++ {
+		place += q.ready(now, i)
+	}
+	cold := q.Cold(now)
+	switch {
+	case level == 0 && cold:
+		return place + min(q.withPart(now), q.turns.othersBefore(place))
+	case level == 0:
+		return place
+	case hasPart(level) && cold:
+		return place + min(q.ready(now, 0), q.turns.callsBefore(place))
+	}
+	return place + q.ready(now, 0)
+}
+
+// ready counts the tickets of a level that are not held back.
+func (q *Queue) ready(now time.Time, level int) int {
+	n := 0
+	for _, t := range q.waiting[level] {
+		if !q.held(now, t) {
+			n++
+		}
+	}
+	return n
+}
+
+// withPart counts those that wait and have a part beside calls.
+func (q *Queue) withPart(now time.Time) int {
+	n := 0
+	for level := range q.waiting {
+		if hasPart(level) {
+			n += q.ready(now, level)
+		}
 	}
-	return ahead
+	return n
 }
+
+// nextLevel is the level whose turn it is and the place of the ticket that goes; the place
+// is below 0 if there is no room for any that waits. Calls go first, unless the server is
+// cold and callers' requests are behind.
+func (q *Queue) nextLevel(now time.Time) (level, place int) {
+	if q.Cold(now) && q.turns.othersFirst() {
+		for level := range levels {
+			if place := q.mayGo(now, level); hasPart(level) && place >= 0 {
+				return level, place
+			}
+		}
+	}
+	for level := range levels {
+		if place := q.mayGo(now, level); place >= 0 {
+			return level, place
+		}
+	}
+	return 0, -1
+}
+
+// mayGo is the place of the ticket of a level that may go now; below 0 if none may.
+func (q *Queue) mayGo(now time.Time, level int) int {
+	place := q.next(now, level)
+	if place < 0 || !q.hasRoom(now, q.waiting[level][place]) {
+		return -1
+	}
+	return place
+}
+
+// hasPart reports whether requests of a level have a part beside calls.
+func hasPart(level int) bool { return level > 0 && level < levels-1 }
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -39,6 +39,7 @@
 	// pace counts what the server gets, and coldUntil is until when that binds.
 	pace      pace
 	coldUntil time.Time
+	turns     turns
 	service   average
 	// callService is the average of calls alone.
 	callService average
@@ -134,6 +135,9 @@
 func (q *Queue) Offer(now time.Time, t *Ticket) (evicted *Ticket) {
 	t.offered = now
 	q.offered.add(now, t)
+	if q.Cold(now) && (t.Call || hasPart(t.level())) {
+		q.turns.came(t.Call)
+	}
 	switch {
 	case q.draining:
 		q.refuse(t, Draining)
@@ -169,17 +173,15 @@
 // them at once. It returns every ticket that left the queue.
 func (q *Queue) Advance(now time.Time) []*Ticket {
 	left := q.expire(now)
-	for p := range q.waiting {
-		for {
-			next := q.next(now, p)
-			if next < 0 || !q.hasRoom(now, q.waiting[p][next]) {
-				break
-			}
-			t := q.waiting[p][next]
-			q.remove(p, next)
-			q.dispatch(now, t)
-			left = append(left, t)
+	for {
+		p, next := q.nextLevel(now)
+		if next < 0 {
+			break
 		}
+		t := q.waiting[p][next]
+		q.remove(p, next)
+		q.dispatch(now, t)
+		left = append(left, t)
 	}
 	return left
 }
@@ -371,6 +373,9 @@
 		q.lateInFlight++
 	}
 	q.pace.take(now)
+	if q.Cold(now) && (t.Call || hasPart(t.level())) {
+		q.turns.went(t.Call)
+	}
 	q.shares.add(now, t)
 }
 
--- a/admit/wait.go
+++ b/admit/wait.go
@@ -47,7 +47,11 @@
 	if t.MaxWait == 0 {
 		return q.meetsDeadline(now, t)
 	}
-	return t.Patient || t.Call || q.expectedWait(now, t) <= t.MaxWait
+	if t.Call {
+		// That it gets nothing in time is known here, and another server may bear it.
+		return q.coldWait(now, q.ahead(now, t)) <= t.MaxWait
+	}
+	return t.Patient || q.expectedWait(now, t) <= t.MaxWait
 }
 
 // expectedWait is one interval for each that goes before a new ticket, and at
