balance, entry: what servers that are all cold can't bear is refused at once

A request that came while all servers were cold asked six or seven gates in vain, held for a seventh of its aim, and was told the time to the next token: all who were refused came back in the same 100 ms and were refused again. Those that were late in any case took tokens from those that were not.

With overload.whole, an entry now refuses at once a caller's request that no server can answer by its deadline, that surely finds no room, or that is late wherever it goes while room is scarce and it can still be answered once the servers are warm (balance.Pool.Later). Retry-After is when they are, spread over half of that; where the deadline leaves no time for that, some moment before it. Calls of the server beside the node are not held to it. Refusals by gates for want of room carry the same time. It acts only while every server of the service that was heard of is cold by its gate's word. Metric entry_refused_cold; losses names it as "refused: servers cold".

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -90,6 +90,9 @@
 	AwaitedSpeed atomic.Int64
 	// Blamed counts requests that were not sent since servers have ended under them.
 	Blamed atomic.Int64
+	// RefusedCold counts requests that were not sent since the servers are cold; they are
+	// among NotRun.
+	RefusedCold atomic.Int64
 	// NoKey counts requests without a key that the table knows; they are among
 	// BadRequests.
 	NoKey atomic.Int64
--- a/entry/handle.go
+++ b/entry/handle.go
@@ -125,11 +125,17 @@
 	mayHaveRun bool
 	// blamedFor is for how long it is not run since servers have ended under it.
 	blamedFor time.Duration
+	// coldFor is after which time to come back with a request that was not sent since
+	// the servers are cold.
+	coldFor time.Duration
 }
 
 // run makes attempts until one is final or the rules or the budget end them.
 func (e *Entry) run(r *request) result {
 	r.service.fresh(time.Now())
+	if after := e.refusedCold(r); after > 0 {
+		return result{coldFor: after}
+	}
 	var res result
 	var answered *attempt
 	for {
@@ -155,6 +161,7 @@
 		}
 	}
 	res.mayHaveRun = r.mayHaveRun
+	e.tellWarm(r, &res)
 	if res.last != nil && res.last.response == nil && answered != nil && !res.last.final {
 		res.last = answered // A server's own error says more than a refusal.
 	}
--- a/entry/reply.go
+++ b/entry/reply.go
@@ -99,6 +99,9 @@
 	if res.blamedFor > 0 && !res.mayHaveRun {
 		return blamed(res.blamedFor)
 	}
+	if res.coldFor > 0 {
+		return coldFailure(res.coldFor)
+	}
 	if res.last == nil {
 		return failure{
 			status:     fasthttp.StatusServiceUnavailable,
--- a/explain/loss.go
+++ b/explain/loss.go
@@ -118,6 +118,8 @@
 		return RefusedWrong
 	case strings.Contains(detail, "stops"):
 		return RefusedStopping
+	case strings.Contains(detail, "are cold"):
+		return RefusedCold
 	case strings.Contains(detail, "no table"):
 		return RefusedNoTable
 	}
--- a/explain/summary_test.go
+++ b/explain/summary_test.go
@@ -32,6 +32,7 @@
 		{RefusedStopping, entryLine("1", `"outcome":"not-run","status":503,"detail":"this node stops and could not wait for the answer"`)},
 		{RefusedWrong, entryLine("1", `"outcome":"not-run","status":404,"detail":"no service of the table is meant by the Host field and the path"`)},
 		{RefusedNoTable, entryLine("1", `"outcome":"not-run","status":503,"detail":"this node has no table yet"`)},
+		{RefusedCold, entryLine("1", `"outcome":"not-run","status":503,"detail":"the service's backend servers are cold and don't bear one more request now"`)},
 		{RefusedFull, entryLine("1", fmt.Sprintf(refused, "overload"))},
 		{RefusedSlow, entryLine("1", fmt.Sprintf(refused, "slow"))},
 		{RefusedCold, entryLine("1", fmt.Sprintf(refused, "cold"))},
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -35,6 +35,7 @@
 		metric.Count("entry_unknown", "requests", "requests whose outcome is unknown", &c.Unknown),
 		metric.Count("entry_bad_requests", "requests", "requests wrong in themselves", &c.BadRequests),
 		metric.Count("entry_unknown_keys", "requests", "requests rejected since no tenant holds their key, or they have none", &c.NoKey),
+		metric.Count("entry_refused_cold", "requests", "requests that were not sent since the servers are cold and don't bear them", &c.RefusedCold),
 		metric.Count("entry_over_quota", "requests", "requests refused since their tenant is above its quota", &c.OverQuota),
 		metric.Count("quota_asked", "questions", "questions to the keepers of tenants' quotas", &n.quotas.Counters.Asked),
 		metric.Count("quota_unanswered", "questions", "of these, without an answer", &n.quotas.Counters.Unanswered),
