wire, admit, balance, entry: tokens are told by level; callers told to come back are spread

An entry judged by the wait behind all that is queued at a cold server's gate, so that it refused urgent requests which the gate would have let in first; what was queued for tokens counted as queued for slots too; and those told to come back when the servers are warm came in one moment if their aim left little time then.

Room tells the wait for a token of calls and of each level of urgency, Demand says how urgent a request is, and Outlook turns levels away that Room says have no room. Whoever is refused is told the first of: in time once the servers are warm, in time before, by the deadline.

A request with a tenant's key is known not to be a call (calls carry none), and only those are refused at once: that a caller's address is this host's tells nothing where clients stand on it too (tried: it took all for calls and refused none).

--- a/admit/pace.go
+++ b/admit/pace.go
@@ -78,11 +78,11 @@
 // give takes a request back that did not go after all.
 func (p *pace) give() { p.tokens = min(p.tokens+1, p.rate.Burst) }
 
-// backlog is how long one more request behind others would wait for room: negative by an
+// untilNth is how long the n-th request from now on would wait for room: negative by an
 // interval for each further one that finds room at once.
-func (p *pace) backlog(now time.Time, others int) time.Duration {
+func (p *pace) untilNth(now time.Time, n int) time.Duration {
 	p.fill(now)
-	return time.Duration((float64(others+1) - p.tokens) * float64(p.rate.interval()))
+	return time.Duration((float64(n) - p.tokens) * float64(p.rate.interval()))
 }
 
 // untilRoom is how long it takes until there is room for a number of requests.
--- a/admit/wait.go
+++ b/admit/wait.go
@@ -22,13 +22,17 @@
 }
 
 // ColdRoom returns the time between two requests that a cold server may get, and how long
-// one more would wait until then: negative by an interval for each further one that may go
-// at once. Both are 0 while no cold rate binds.
-func (q *Queue) ColdRoom(now time.Time) (interval, wait time.Duration) {
+// one more of each level would wait until then: calls, then each priority. A wait is
+// negative by an interval for each further one that may go at once. All are 0 while no cold
+// rate binds.
+func (q *Queue) ColdRoom(now time.Time) (interval time.Duration, waits [levels]time.Duration) {
 	if !q.Cold(now) {
-		return 0, 0
+		return 0, waits
 	}
-	return q.pace.rate.interval(), q.pace.backlog(now, q.queued)
+	for level := range waits {
+		waits[level] = q.pace.untilNth(now, q.behind(now, level, 1+len(q.waiting[level])))
+	}
+	return q.pace.rate.interval(), waits
 }
 
 // meetsDeadline reports whether t would be answered in time behind those that
@@ -48,7 +52,6 @@
 		return q.meetsDeadline(now, t)
 	}
 	if t.Call {
-		// That it gets nothing in time is known here, and another server may bear it.
 		return q.coldWait(now, q.ahead(now, t)) <= t.MaxWait
 	}
 	return t.Patient || q.expectedWait(now, t) <= t.MaxWait
--- a/balance/cold.go
+++ b/balance/cold.go
@@ -55,7 +55,9 @@
 func bounded(room wire.Room) wire.Room {
 	room.ColdMillis = min(max(room.ColdMillis, 0), mostColdMillis)
 	room.TokenMillis = min(max(room.TokenMillis, 0), mostTokenMillis)
-	room.TokenWaitMillis = min(max(room.TokenWaitMillis, -mostTokenMillis), mostTokenMillis)
+	for _, wait := range room.TokenWaits() {
+		*wait = min(max(*wait, -mostTokenMillis), mostTokenMillis)
+	}
 	room.CallWaitMillis = min(max(room.CallWaitMillis, 0), mostTokenMillis)
 	return room
 }
@@ -78,9 +80,17 @@
 	s.tokens.refusedUntil = now.Add(min(max(retryAfter, 0), time.Duration(mostTokenMillis)*time.Millisecond))
 }
 
-// tokenWait is how long one more request would wait until the server may get it; 0 if it
-// may at once.
-func (s *Server) tokenWait(now time.Time) time.Duration {
+// level is the place of the demand's request among the levels of wire.Room.
+func (d *Demand) level() int {
+	if d.call {
+		return 0
+	}
+	return 1 + min(int(d.Priority), wire.RoomLevels-2)
+}
+
+// tokenWait is how long one more request of a level would wait until the server may get
+// it; 0 if it may at once.
+func (s *Server) tokenWait(now time.Time, level int) time.Duration {
 	cold := s.Cold(now)
 	if cold == 0 && (s.room.ColdMillis > 0 || !now.Before(s.tokens.refusedUntil)) {
 		return 0
@@ -88,7 +98,7 @@
 	wait := max(s.tokens.refusedUntil.Sub(now), 0)
 	if s.room.TokenMillis > 0 && cold > 0 {
 		room := s.room.After(now.Sub(s.roomAt))
-		told := time.Duration(room.TokenWaitMillis)*time.Millisecond + s.tokens.sentLeft(now)
+		told := time.Duration(*room.TokenWaits()[level])*time.Millisecond + s.tokens.sentLeft(now)
 		wait = max(wait, told)
 	}
 	if cold > 0 {
--- a/balance/demand.go
+++ b/balance/demand.go
@@ -6,6 +6,8 @@
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"github.com/ryehaven/ryehaven/table"
 )
 
 // Demand is what a request asks of whoever takes it. The zero value is a
@@ -18,6 +20,10 @@
 	Aim time.Duration
 	// Bytes is what such a request and its answer usually take between nodes.
 	Bytes float64
+	// Priority is how urgent it is among callers' requests.
+	Priority table.Priority
+	// call says that a request which is running elsewhere waits for it.
+	call bool
 }
 
 // Known reports whether the demand tells enough to weigh servers by it.
@@ -155,6 +161,10 @@
 // timeUnder is the same beside a load at the server.
 func (p *Pool) timeUnder(now time.Time, s *Server, slowness float64, demand Demand, load float64) time.Duration {
 	busy := (load + 1) / p.limit(s)
+	wait := s.tokenWait(now, demand.level())
+	if wait > 0 {
+		busy = min(busy, 1) // What is queued waits for tokens, not for a slot.
+	}
 	took := p.stretch(demand.Work, slowness)
 	took += time.Duration(busyCost * min(busy, 1) * float64(took))
 	if busy > 1 {
@@ -163,7 +173,7 @@
 	if !p.options.NoNotices {
 		took += s.stalled(now, demand.Work)
 	}
-	return took + s.tokenWait(now) + s.Distance
+	return took + wait + s.Distance
 }
 
 // stretch is what work takes at a server that is slow when it begins. Servers do
--- a/balance/later.go
+++ b/balance/later.go
@@ -14,16 +14,22 @@
 
 const (
 	// refusedSurely is from which chance on to be refused a request is not sent at all,
-	// and scarceFrom from which on its place counts for others.
+	// lateSurely from which chance on it is late wherever it goes, and scarceFrom from
+	// which chance to be refused on its place counts for others.
 	refusedSurely = 0.9
+	lateSurely    = 0.9
 	scarceFrom    = 0.25
 	// spreadShare is the part of the remaining cold time over which those who are told
 	// to come back once it has ended are spread, and leastSpread its least length: what
 	// was refused meanwhile comes beside what comes anyway.
 	spreadShare = 0.5
-	leastSpread = 100 * time.Millisecond
+	leastSpread = 500 * time.Millisecond
 	// warmTimes is how many times its work a request takes at a warm server that is busy.
 	warmTimes = 1.5
+	// windowLeast is how many times the wait for the first token the time must be within
+	// which a caller may come back before the servers are warm: the others do so too.
+	windowLeast = 4
+	leastWindow = 100 * time.Millisecond
 )
 
 // Later tells whether a caller's request had better not be sent now, since the servers are
@@ -39,9 +45,9 @@
 	switch {
 	case look.Took >= left, look.Refused >= refusedSurely:
 		return after, true
-	case look.Took > demand.Aim && look.Refused >= scarceFrom:
+	case lateness(look.Took, demand.Aim) >= lateSurely && look.Refused >= scarceFrom:
 		// It is late in any case; it goes first only if it can't be answered later.
-		return after, after+p.warmTime(demand) <= left
+		return after, after+warmTime(demand) <= left
 	}
 	return 0, false
 }
@@ -77,36 +83,40 @@
 	return sum / time.Duration(n), true
 }
 
-// comeBack is once the servers are warm, or if that leaves no time for the answer, some
-// time before that at which the request still can be answered.
+// comeBack is the first of these that leaves time for the answer: in time once the servers
+// are warm, in time before that, by its deadline once they are warm, by its deadline at all.
 func (p *Pool) comeBack(now time.Time, cold time.Duration, demand Demand, left time.Duration, draw float64) time.Duration {
-	spread := max(time.Duration(spreadShare*float64(cold)), leastSpread)
-	warm := cold + time.Duration(draw*float64(spread))
-	soonest := max(p.leastTokenWait(now), time.Millisecond)
-	latest := left - p.warmTime(demand)
-	switch {
-	case warm <= latest, !demand.Known():
-		return warm
-	case cold <= latest:
-		return cold + time.Duration(draw*float64(latest-cold))
+	between := func(from, to time.Duration) time.Duration { return from + time.Duration(draw*float64(to-from)) }
+	warm := cold + max(time.Duration(spreadShare*float64(cold)), leastSpread)
+	if !demand.Known() {
+		return between(cold, warm)
 	}
-	latest = left - demand.Work*coldSlowness/100
-	if soonest < latest {
-		return soonest + time.Duration(draw*float64(latest-soonest))
+	soonest := max(p.leastTokenWait(now, demand.level()), time.Millisecond)
+	warmTime := warmTime(demand)
+	coldTime := demand.Work * coldSlowness / 100
+	switch {
+	case warm <= demand.Aim-warmTime:
+		return between(cold, warm)
+	case windowLeast*max(soonest, leastWindow) <= demand.Aim-coldTime:
+		return between(soonest, demand.Aim-coldTime)
+	case warm <= left-warmTime:
+		return between(cold, warm)
+	case soonest <= left-coldTime:
+		return between(soonest, left-coldTime)
 	}
-	return warm // It can't be answered any more; whoever asks anew may be.
+	return between(cold, warm) // It can't be answered any more; whoever asks anew may be.
 }
 
-func (p *Pool) warmTime(demand Demand) time.Duration {
+func warmTime(demand Demand) time.Duration {
 	return time.Duration(warmTimes * float64(demand.Work))
 }
 
 // leastTokenWait is until when the first server may get one more request.
-func (p *Pool) leastTokenWait(now time.Time) time.Duration {
+func (p *Pool) leastTokenWait(now time.Time, level int) time.Duration {
 	least := time.Duration(math.MaxInt64)
 	for _, s := range p.servers {
 		if p.troubleOf(now, s) <= fullTrouble {
-			least = min(least, max(s.tokenWait(now), 0))
+			least = min(least, max(s.tokenWait(now, level), 0))
 		}
 	}
 	if least == math.MaxInt64 {
--- a/balance/outlook.go
+++ b/balance/outlook.go
@@ -23,6 +23,9 @@
 	// requests, and roomSpreadShare as a share of its limit.
 	roomSpread      = 0.5
 	roomSpreadShare = 0.05
+	// tokenSpread is the same for the tokens of a cold server: its gate tells of them a
+	// few times a second.
+	tokenSpread = 1.5
 	// asksFor is how many servers a request asks for room before it is refused.
 	asksFor = 4
 	// fullChance is the least chance to be refused where one was just now, and
@@ -36,7 +39,8 @@
 // that count are the ones where it finds it most likely. Those in trouble count only while
 // there are no others, as when one is picked.
 func (p *Pool) Outlook(now time.Time, demand Demand, call bool) Outlook {
-	look := p.look(now, demand, call)
+	demand.call = call
+	look := p.look(now, demand)
 	for _, s := range p.servers {
 		if t := p.troubleOf(now, s); t <= fullTrouble {
 			look.add(s, t)
@@ -57,7 +61,6 @@
 	pool   *Pool
 	now    time.Time
 	demand Demand
-	call   bool
 	// usual and mean are of all servers.
 	usual, mean float64
 	// took is the shortest time where there is room rather than not, and anywhere the
@@ -68,8 +71,8 @@
 	servers int
 }
 
-func (p *Pool) look(now time.Time, demand Demand, call bool) *look {
-	return &look{pool: p, now: now, demand: demand, call: call, usual: p.usualSlowness(), mean: p.meanOthers(), took: math.MaxInt64, anywhere: math.MaxInt64}
+func (p *Pool) look(now time.Time, demand Demand) *look {
+	return &look{pool: p, now: now, demand: demand, usual: p.usualSlowness(), mean: p.meanOthers(), took: math.MaxInt64, anywhere: math.MaxInt64}
 }
 
 // add counts a server.
@@ -111,10 +114,10 @@
 	limit := l.pool.limit(s)
 	slowness := max(s.slowness(l.now, l.usual)/100, 1)
 	took = l.pool.timeUnder(l.now, s, slowness, l.demand, load)
-	if l.call {
+	if l.demand.call {
 		took += told(s.room.CallWaitMillis)
 	}
-	if !l.call && s.room.Levels == 0 && !s.roomAt.IsZero() {
+	if !l.demand.call && !s.roomAt.IsZero() && int64(l.demand.Priority) >= s.room.Levels {
 		return took, 1
 	}
 	work := time.Duration(slowness * float64(l.demand.Work))
@@ -126,13 +129,13 @@
 	}
 	between := float64(service) / limit // From one answer to the next.
 	ahead := load + 1 - limit
-	if l.call {
+	if l.demand.call {
 		ahead = min(ahead, 1) + float64(told(s.room.CallWaitMillis))/between // Calls go first.
 	}
 	refused = chance((ahead - float64(wait)/between) / spread)
-	if token := s.tokenWait(l.now); token > 0 {
+	if token := s.tokenWait(l.now, l.demand.level()); token > 0 {
 		interval := time.Duration(max(s.room.TokenMillis, 1)) * time.Millisecond
-		refused = max(refused, chance(float64(token-wait)/(spread*float64(interval))))
+		refused = max(refused, chance(float64(token-wait)/(tokenSpread*float64(interval))))
 	}
 	return took, refused
 }
@@ -145,7 +148,7 @@
 	if l.demand.Aim <= 0 {
 		return 0
 	}
-	if l.call {
+	if l.demand.call {
 		return max(l.demand.Aim-work, 0)
 	}
 	return l.demand.Aim / rootWaitShare
--- a/entry/cold.go
+++ b/entry/cold.go
@@ -3,7 +3,6 @@
 package entry
 
 import (
-	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -14,10 +13,10 @@
 )
 
 // refusedCold returns after which time a caller had better come back whose request is not
-// sent at all, since the servers are cold and don't bear it; 0 if it is sent. Calls of the
-// server beside this node are sent: work has been done for them.
+// sent at all, since the servers are cold and don't bear it; 0 if it is sent. What may be a
+// call of a running request is sent: work has been done for it.
 func (e *Entry) refusedCold(r *request) time.Duration {
-	if !e.settings.Whole || r.traits == nil || r.isCall() {
+	if !e.settings.Whole || r.traits == nil || r.mayBeCall() {
 		return 0
 	}
 	now := time.Now()
@@ -32,25 +31,15 @@
 	return after
 }
 
-// isCall reports whether the request comes from this node's own host, and so from the
-// server beside it.
-func (r *request) isCall() bool {
-	remote, local := hostOf(r.caller.RemoteAddr()), hostOf(r.caller.LocalAddr())
-	return remote != nil && (remote.IsLoopback() || remote.Equal(local))
-}
-
-func hostOf(a net.Addr) net.IP {
-	if tcp, ok := a.(*net.TCPAddr); ok {
-		return tcp.IP
-	}
-	return nil
-}
+// mayBeCall reports whether the request may be a call of a running request: calls carry no
+// tenant's key.
+func (r *request) mayBeCall() bool { return r.who.tenant == nil }
 
 // tellWarm replaces the gate's word when to come back, which is of the next token for one
 // request, where all servers of the service are cold.
 func (e *Entry) tellWarm(r *request, res *result) {
 	a := res.last
-	if !e.settings.Whole || a == nil || a.outcome != retry.Overloaded || a.reason == wire.ReasonShare || r.isCall() {
+	if !e.settings.Whole || a == nil || a.outcome != retry.Overloaded || a.reason == wire.ReasonShare || r.mayBeCall() {
 		return
 	}
 	now := time.Now()
--- a/entry/request.go
+++ b/entry/request.go
@@ -83,7 +83,9 @@
 	if r.traits == nil {
 		return balance.Demand{}
 	}
-	return r.traits.demand(now, r.aim)
+	demand := r.traits.demand(now, r.aim)
+	demand.Priority = table.Priority(r.message.Priority)
+	return demand
 }
 
 // size is the request's bytes on the way to a gate, near enough.
--- a/gate/coldroom.go
+++ b/gate/coldroom.go
@@ -16,8 +16,11 @@
 		return
 	}
 	room.ColdMillis = (left + time.Millisecond - 1).Milliseconds()
-	interval, wait := g.queue.ColdRoom(now)
-	room.TokenMillis, room.TokenWaitMillis = interval.Milliseconds(), wait.Milliseconds()
+	interval, waits := g.queue.ColdRoom(now)
+	room.TokenMillis = interval.Milliseconds()
+	for level, wait := range room.TokenWaits() {
+		*wait = waits[level].Milliseconds()
+	}
 }
 
 // What is news of a cold server to entries, which count down by themselves what they were
@@ -35,16 +38,20 @@
 // told some time ago, must hear what it is.
 func newsOfRoom(believed, room wire.Room, ago time.Duration) bool {
 	cold := believed.ColdMillis - room.ColdMillis
-	wait := believed.TokenWaitMillis - room.TokenWaitMillis
 	switch {
 	case (believed.ColdMillis == 0) != (room.ColdMillis == 0), max(cold, -cold) > coldNewsMillis:
 		return true
 	case believed.TokenMillis != room.TokenMillis:
 		return true
-	case ago >= tokenNewsEvery && max(wait, -wait) > tokenNews*room.TokenMillis:
-		return true
 	}
 	believed.ColdMillis, room.ColdMillis = 0, 0
-	believed.TokenWaitMillis, room.TokenWaitMillis = 0, 0
+	told, waits := believed.TokenWaits(), room.TokenWaits()
+	for level, wait := range waits {
+		change := *told[level] - *wait
+		if ago >= tokenNewsEvery && max(change, -change) > tokenNews*room.TokenMillis {
+			return true
+		}
+		*told[level], *wait = 0, 0
+	}
 	return believed != room
 }
--- a/wire/need.go
+++ b/wire/need.go
@@ -43,27 +43,43 @@
 	// TokenMillis is the time between two requests that the server may get while it is
 	// cold; 0 if that is not bounded.
 	TokenMillis int64
-	// TokenWaitMillis is how long one more request would wait until the server may get
-	// it: negative by TokenMillis for each further one that it may get at once.
-	TokenWaitMillis int64
+	// How long one more request would wait until the server may get it, negative by
+	// TokenMillis for each further one that it may get at once: a call, and a caller's
+	// request by how urgent it is.
+	CallTokenMillis, UrgentTokenMillis, NormalTokenMillis, BulkTokenMillis int64
+}
+
+// RoomLevels is the number of levels of which Room tells tokens: calls, then the levels of
+// urgency.
+const RoomLevels = 4
+
+// TokenWaits returns the waits for a token of all levels.
+func (r *Room) TokenWaits() [RoomLevels]*int64 {
+	return [RoomLevels]*int64{&r.CallTokenMillis, &r.UrgentTokenMillis, &r.NormalTokenMillis, &r.BulkTokenMillis}
 }
 
 // After returns what holds some time after r was told, as long as nothing else is told.
 func (r Room) After(elapsed time.Duration) Room {
 	passed := max(elapsed.Milliseconds(), 0)
 	r.ColdMillis = max(r.ColdMillis-passed, 0)
-	if r.ColdMillis == 0 || r.TokenMillis <= 0 {
-		r.TokenMillis, r.TokenWaitMillis = 0, 0
+	if r.ColdMillis == 0 {
+		r.TokenMillis = 0
 	}
-	if r.TokenWaitMillis > 0 {
-		r.TokenWaitMillis = max(r.TokenWaitMillis-passed, 0)
+	for _, wait := range r.TokenWaits() {
+		switch {
+		case r.TokenMillis <= 0:
+			*wait = 0
+		case *wait > 0:
+			*wait = max(*wait-passed, 0)
+		}
 	}
 	return r
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (r *Room) DecodeMsgpack(d *msgpack.Decoder) error {
-	return decodeNumbers(d, 3, &r.Levels, &r.CallWaitMillis, &r.ColdMillis, &r.TokenMillis, &r.TokenWaitMillis)
+	return decodeNumbers(d, 3, &r.Levels, &r.CallWaitMillis, &r.ColdMillis, &r.TokenMillis,
+		&r.CallTokenMillis, &r.UrgentTokenMillis, &r.NormalTokenMillis, &r.BulkTokenMillis)
 }
 
 // Kind implements Message.
