--- a/admit/wait.go
+++ b/admit/wait.go
@@ -21,6 +21,20 @@
 	return min(q.pace.untilRoom(now, requests), q.coldUntil.Sub(now))
 }
 
+// ColdRoom returns the time between two requests that a cold server may get, and how long
+// one more of each level would wait until then: calls, then each priority. A wait is
+// negative by an interval for each further one that may go at once. All are 0 while no cold
+// rate binds.
+func (q *Queue) ColdRoom(now time.Time) (interval time.Duration, waits [levels]time.Duration) {
+	if !q.Cold(now) {
+		return 0, waits
+	}
+	for level := range waits {
+		waits[level] = q.pace.untilNth(now, q.behind(now, level, 1+len(q.waiting[level])))
+	}
+	return q.pace.rate.interval(), waits
+}
+
 // meetsDeadline reports whether t would be answered in time behind those that
 // go before it.
 func (q *Queue) meetsDeadline(now time.Time, t *Ticket) bool {
@@ -37,7 +51,10 @@
 	if t.MaxWait == 0 {
 		return q.meetsDeadline(now, t)
 	}
-	return t.Patient || t.Call || q.expectedWait(now, t) <= t.MaxWait
+	if t.Call {
+		return q.coldWait(now, q.ahead(now, t)) <= t.MaxWait
+	}
+	return t.Patient || q.expectedWait(now, t) <= t.MaxWait
 }
 
 // expectedWait is one interval for each that goes before a new ticket, and at
--- a/balance/demand.go
+++ b/balance/demand.go
@@ -6,6 +6,8 @@
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"github.com/ryehaven/ryehaven/table"
 )
 
 // Demand is what a request asks of whoever takes it. The zero value is a
@@ -18,6 +20,10 @@
 	Aim time.Duration
 	// Bytes is what such a request and its answer usually take between nodes.
 	Bytes float64
+	// Priority is how urgent it is among callers' requests.
+	Priority table.Priority
+	// call says that a request which is running elsewhere waits for it.
+	call bool
 }
 
 // Known reports whether the demand tells enough to weigh servers by it.
@@ -149,7 +155,16 @@
 
 // timeAt is the same at a speed of the server's.
 func (p *Pool) timeAt(now time.Time, s *Server, slowness float64, demand Demand) time.Duration {
-	busy := (p.load(now, s, demand.Work) + 1) / p.limit(s)
+	return p.timeUnder(now, s, slowness, demand, p.load(now, s, demand.Work))
+}
+
+// timeUnder is the same beside a load at the server.
+func (p *Pool) timeUnder(now time.Time, s *Server, slowness float64, demand Demand, load float64) time.Duration {
+	busy := (load + 1) / p.limit(s)
+	wait := s.tokenWait(now, demand.level())
+	if wait > 0 {
+		busy = min(busy, 1) // What is queued waits for tokens, not for a slot.
+	}
 	took := p.stretch(demand.Work, slowness)
 	took += time.Duration(busyCost * min(busy, 1) * float64(took))
 	if busy > 1 {
@@ -158,7 +173,7 @@
 	if !p.options.NoNotices {
 		took += s.stalled(now, demand.Work)
 	}
-	return took + s.Distance
+	return took + wait + s.Distance
 }
 
 // stretch is what work takes at a server that is slow when it begins. Servers do
