--- a/admit/aim.go
+++ b/admit/aim.go
@@ -52,8 +52,8 @@
 }
 
 // held reports whether a ticket is not to begin now although a slot may be free: its
-// answer would come after its deadline, or after its aim where requests that can be in
-// time need the slots. It holds nobody else up.
+// answer would come after its deadline, or after its aim, or its level is turned away,
+// where other requests need the slots. It holds nobody else up.
 func (q *Queue) held(now time.Time, t *Ticket) bool {
 	switch q.prospect(now, t) {
 	case hopeless:
@@ -61,7 +61,7 @@
 	case late:
 		return !q.spare(now)
 	}
-	return false
+	return q.shut(now, t)
 }
 
 // spare reports whether a slot is free beyond those that recent requests need at a
@@ -69,12 +69,29 @@
 // where there is none, it would take the place of some that can be in time, the more so
 // as it is late because the server is slow and holds its slot for longer.
 func (q *Queue) spare(now time.Time) bool {
-	return q.lateInFlight+int(math.Round(q.offered.load(now))) < q.Limit()
+	return q.lateInFlight+q.demand.slots(now, levels) < q.Limit()
+}
+
+// shut reports whether a ticket's level is turned away and no slot is free beyond those
+// that recent requests of the other levels need.
+func (q *Queue) shut(now time.Time, t *Ticket) bool {
+	if t.Aim.IsZero() || !q.levels.shuts(t) {
+		return false
+	}
+	open := q.levels.open() + 1 // And calls.
+	inFlight := 0
+	for _, n := range q.inFlightBy[open:] {
+		inFlight += n
+	}
+	return inFlight+q.demand.slots(now, open) >= q.Limit()
 }
 
 // turnedAway is why a ticket must not wait here; NoCause if it may. Patient tickets have
 // no other server and wait for this one to become faster, as long as that can help.
 func (q *Queue) turnedAway(now time.Time, t *Ticket) Cause {
+	if q.shut(now, t) {
+		return Overload
+	}
 	switch q.prospect(now, t) {
 	case hopeless:
 		if !t.Patient || !q.mayRecover(now, t) {
@@ -88,34 +105,42 @@
 	return NoCause
 }
 
-// offered is how much work was offered of late, in slots of a server of usual speed. The
-// zero value has seen none.
-type offered struct {
-	work float64 // seconds of work, faded
+// demand is how much work is asked of a server of late. The zero value has seen none.
+type demand struct {
+	// work is in seconds, faded up to a time, by level.
+	work [levels]float64
 	at   time.Time
 }
 
-// offeredFor is the time over which offered work is averaged: long beside the spells for
-// which servers are slow, short beside the waves of callers' load.
-const offeredFor = time.Second
+// demandFor is the time over which work is averaged: long beside the spells for which
+// servers are slow, short beside the waves of callers' load.
+const demandFor = time.Second
 
-// add counts a ticket that was offered.
-func (o *offered) add(now time.Time, t *Ticket) {
-	o.fade(now)
-	o.work += t.Work.Seconds()
+// add counts a ticket that was offered. What is refused and asks other gates is counted
+// there too: where that happens, slots are short.
+func (d *demand) add(now time.Time, t *Ticket) {
+	d.fade(now)
+	d.work[t.level()] += t.Work.Seconds()
 }
 
-// load is how many slots what was offered of late fills in the mean.
-func (o *offered) load(now time.Time) float64 {
-	o.fade(now)
-	return o.work / offeredFor.Seconds()
+// slots is how many slots the work of the first levels fills in the mean.
+func (d *demand) slots(now time.Time, most int) int {
+	d.fade(now)
+	sum := 0.0
+	for _, work := range d.work[:most] {
+		sum += work
+	}
+	return int(math.Round(sum / demandFor.Seconds()))
 }
 
-func (o *offered) fade(now time.Time) {
-	passed := now.Sub(o.at)
+func (d *demand) fade(now time.Time) {
+	passed := now.Sub(d.at)
 	if passed < fadeEvery {
 		return
 	}
-	o.at = now
-	o.work *= fading(passed, offeredFor)
+	d.at = now
+	factor := fading(passed, demandFor)
+	for i := range d.work {
+		d.work[i] *= factor
+	}
 }
--- a/admit/aim_test.go
+++ b/admit/aim_test.go
@@ -264,8 +264,8 @@
 	}
 	q.Unsent(start, unsent)
 	q.Done(start.Add(time.Millisecond), running, false)
-	if q.lateInFlight != 0 || q.InFlight() != 0 || q.callsInFlight != 0 || q.Waiting() != 0 {
-		t.Errorf("left behind: %d late, %d in flight, %d calls, %d waiting", q.lateInFlight, q.InFlight(), q.callsInFlight, q.Waiting())
+	if q.lateInFlight != 0 || q.InFlight() != 0 || q.inFlightBy != [levels]int{} || q.Waiting() != 0 {
+		t.Errorf("left behind: %d late, %d in flight, %v by level, %d waiting", q.lateInFlight, q.InFlight(), q.inFlightBy, q.Waiting())
 	}
 }
 
--- a/admit/callroom.go
+++ b/admit/callroom.go
@@ -19,8 +19,9 @@
 	calls, tardy int
 	// calm counts the windows in a row in which no call waited too long.
 	calm int
-	// last is when a call came last.
+	// last is when a call came last, and wait the mean wait of those of late.
 	last time.Time
+	wait time.Duration
 }
 
 const (
@@ -29,9 +30,9 @@
 	callWindowMost  = 500 * time.Millisecond
 	// tardyShare is the share of a window's calls that must have waited too long: two
 	// calls of a request then reach more than nine of ten.
-	tardyShare = 0.05
+	tardyShare = 0.02
 	// calmWindows is after how many windows without a long wait one slot less is kept.
-	calmWindows = 4
+	calmWindows = 8
 	// keptShare bounds the slots kept, as a share of the limit.
 	keptShare = 0.5
 	// callsGone is for how long no call must have come for the slots kept to be lent
@@ -47,8 +48,11 @@
 	}
 }
 
-// refused counts a call for which there was no room.
-func (c *callRoom) refused() { c.began(true) }
+// refused counts a call for which there was no room for as long as it could wait.
+func (c *callRoom) refused(t *Ticket) {
+	c.began(true)
+	c.waited(t.MaxWait)
+}
 
 // roll ends a window that is over; most bounds the slots kept.
 func (c *callRoom) roll(now time.Time, most int) {
@@ -71,12 +75,13 @@
 // callBegan takes note of a call that begins now. Its wait was too long if it took more
 // than the call itself does: the slot of the request above was held for as long again.
 func (q *Queue) callBegan(now time.Time, t *Ticket) {
-	q.callRoom.last = now
 	own := t.Work
 	if own == 0 {
 		own = q.callService.value
 	}
-	q.callRoom.began(now.Sub(t.offered) > own)
+	wait := now.Sub(t.offered)
+	q.callRoom.began(wait > own)
+	q.callRoom.waited(wait)
 }
 
 // kept is how many slots a callers' request may not fill now. The less urgent it is, the
@@ -91,3 +96,19 @@
 	}
 	return max(q.callRoom.kept-(levels-1-t.level()), 0)
 }
+
+// callWaitWeight weighs one call in the mean of the calls' waits.
+const callWaitWeight = 0.2
+
+// waited takes the wait of a call that began or was refused.
+func (c *callRoom) waited(wait time.Duration) {
+	c.wait += time.Duration(callWaitWeight * float64(wait-c.wait))
+}
+
+// CallWait returns how long calls wait for the server; 0 if none has come of late.
+func (q *Queue) CallWait(now time.Time) time.Duration {
+	if now.Sub(q.callRoom.last) > callsGone {
+		return 0
+	}
+	return q.callRoom.wait
+}
--- /dev/null
+++ b/admit/levels.go
@@ -0,0 +1,101 @@
+// SPDX-License-Identifier: MIT
+
+package admit
+
+import (
+	"time"
+
+	"github.com/ryehaven/ryehaven/table"
+)
+
+// A less urgent request that began holds its slot for as long as it takes, so that more
+// urgent ones find no room although they go first in the queue, and each gate on the way
+// of a request would turn away others. While more urgent requests are refused, the least
+// urgent levels are turned away therefore, the same at every gate that is short (as in
+// DAGOR, Zhou et al. 2018).
+
+// levelsOpen is how many levels of urgency find room. The zero value lets all in.
+type levelsOpen struct {
+	// shut counts the least urgent levels that are turned away.
+	shut int
+	// since is when the window began, and asked and lost count the callers' requests in
+	// it that had no other server left, and those of them that found no room while less
+	// urgent ones held slots.
+	since       time.Time
+	asked, lost [table.Priorities]int
+	// calm counts the windows in a row in which no open level but the last lost any.
+	calm int
+}
+
+const (
+	levelWindow = 250 * time.Millisecond
+	// levelLost is the share of a level's requests that must be lost for less urgent
+	// ones to be turned away, and levelLeast how many at least.
+	levelLost  = 0.1
+	levelLeast = 2
+	// levelCalm is after how many windows without such a loss one more level is let in:
+	// it changes twice a second at most.
+	levelCalm = 4
+)
+
+// open returns how many levels find room.
+func (l *levelsOpen) open() int { return table.Priorities - l.shut }
+
+// shuts reports whether a ticket's level is turned away.
+func (l *levelsOpen) shuts(t *Ticket) bool { return !t.Call && int(t.Priority) >= l.open() }
+
+// ended counts a callers' request that had no other server left, and began or was refused.
+func (l *levelsOpen) ended(t *Ticket, lost bool) {
+	if t.Call || !t.Patient || t.Aim.IsZero() {
+		return
+	}
+	l.asked[t.Priority]++
+	if lost {
+		l.lost[t.Priority]++
+	}
+}
+
+// roll judges a window that is over.
+func (l *levelsOpen) roll(now time.Time) {
+	if now.Sub(l.since) < levelWindow {
+		return
+	}
+	loser := l.loser()
+	switch {
+	case loser >= 0 && loser < l.open()-1:
+		l.shut, l.calm = l.shut+1, 0
+	case l.shut > 0:
+		l.calm++
+	}
+	if l.calm >= levelCalm {
+		l.shut, l.calm = l.shut-1, 0
+	}
+	l.since, l.asked, l.lost = now, [table.Priorities]int{}, [table.Priorities]int{}
+}
+
+// loser is the most urgent level that loses requests, or -1.
+func (l *levelsOpen) loser() int {
+	for level, lost := range l.lost {
+		if lost >= levelLeast && float64(lost) > levelLost*float64(l.asked[level]) {
+			return level
+		}
+	}
+	return -1
+}
+
+// behindLessUrgent reports whether slots are held by requests that are less urgent than a
+// ticket.
+func (q *Queue) behindLessUrgent(t *Ticket) bool {
+	for _, n := range q.inFlightBy[t.level()+1:] {
+		if n > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Levels returns how many levels of urgency find room, the most urgent first.
+func (q *Queue) Levels(now time.Time) int {
+	q.levels.roll(now)
+	return q.levels.open()
+}
--- a/admit/order.go
+++ b/admit/order.go
@@ -49,10 +49,16 @@
 	if t.Call || t.MaxWait == 0 {
 		return true
 	}
-	if t.Aim.IsZero() || newer.Aim.IsZero() {
+	return t.mustBeginBefore(newer)
+}
+
+// mustBeginBefore reports whether a ticket must begin before another one if both are to
+// be in time, and goes before it therefore.
+func (t *Ticket) mustBeginBefore(other *Ticket) bool {
+	if t.Call || t.MaxWait == 0 || t.Aim.IsZero() || other.Aim.IsZero() {
 		return false
 	}
-	return !newer.Aim.Add(-newer.Work).Before(t.Aim.Add(-t.Work))
+	return t.Aim.Add(-t.Work).Before(other.Aim.Add(-other.Work))
 }
 
 // ahead counts a new ticket and those that go before it: those of more urgent levels, and
@@ -63,7 +69,7 @@
 	used := q.shares.last(t)
 	isLate := q.prospect(now, t) != inTime
 	for _, other := range q.waiting[level] {
-		if q.shares.last(other) > used || q.held(now, other) || (!isLate && q.prospect(now, other) == late) {
+		if q.shares.last(other) > used || q.held(now, other) || (!isLate && q.prospect(now, other) == late) || (!isLate && t.mustBeginBefore(other)) {
 			continue
 		}
 		own++
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -27,8 +27,8 @@
 	limit    Limit
 	draining bool
 	inFlight int
-	// callsInFlight are those of them that are calls.
-	callsInFlight int
+	// inFlightBy counts them by level.
+	inFlightBy [levels]int
 	// lateInFlight are those that could only be late when they began.
 	lateInFlight int
 	queued       int
@@ -46,7 +46,8 @@
 	shares      shares
 	// stretch is how many times longer than usual work takes now.
 	stretch  float64
-	offered  offered
+	demand   demand
+	levels   levelsOpen
 	callRoom callRoom
 }
 
@@ -134,10 +135,14 @@
 // returned, Refused.
 func (q *Queue) Offer(now time.Time, t *Ticket) (evicted *Ticket) {
 	t.offered = now
-	q.offered.add(now, t)
 	if q.Cold(now) && (t.Call || hasPart(t.level())) {
 		q.turns.came(t.Call)
 	}
+	q.levels.roll(now)
+	if t.Call {
+		q.callRoom.last = now
+	}
+	q.demand.add(now, t)
 	switch {
 	case q.draining:
 		q.refuse(t, Draining)
@@ -196,7 +201,7 @@
 	if t.Call && q.callsWaitLong() {
 		return q.inFlight < max(q.Limit(), q.settings.CallSlots)
 	}
-	if !t.Call && q.inFlight-q.callsInFlight >= q.Limit()-q.kept(now, t) {
+	if !t.Call && q.inFlight-q.inFlightBy[callLevel] >= q.Limit()-q.kept(now, t) {
 		return false
 	}
 	return q.inFlight < q.Limit()
@@ -213,9 +218,7 @@
 	t.state = Answered
 	busy := q.inFlight >= q.Limit()
 	q.inFlight--
-	if t.Call {
-		q.callsInFlight--
-	}
+	q.inFlightBy[t.level()]--
 	if t.beganLate {
 		q.lateInFlight--
 	}
@@ -365,10 +368,11 @@
 		q.lastDone = now
 	}
 	q.inFlight++
+	q.inFlightBy[t.level()]++
 	if t.Call {
-		q.callsInFlight++
 		q.callBegan(now, t)
 	}
+	q.levels.ended(t, false)
 	if t.beganLate = q.prospect(now, t) == late; t.beganLate {
 		q.lateInFlight++
 	}
@@ -381,7 +385,10 @@
 
 func (q *Queue) refuse(t *Ticket, cause Cause) {
 	if t.Call && (cause == Overload || cause == Expired || cause == Late) {
-		q.callRoom.refused()
+		q.callRoom.refused(t)
+	}
+	if t.Patient && (cause == Overload || cause == Late) {
+		q.levels.ended(t, cause == Overload && q.behindLessUrgent(t))
 	}
 	t.state = Refused
 	t.cause = cause
--- a/admit/queue_test.go
+++ b/admit/queue_test.go
@@ -84,6 +84,13 @@
 	}
 }
 
+// inTime checks that nothing aimed begins that can't end before its deadline.
+func (m *model) inTime(t *rapid.T, ticket *Ticket) {
+	if ticket.State() == Dispatched && !ticket.Aim.IsZero() && m.now.Add(m.queue.expected(ticket)).After(ticket.Deadline) {
+		t.Fatal("dispatched although it could not end before its deadline")
+	}
+}
+
 func TestLifeOfTickets(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		bounds := Settings{
@@ -91,6 +98,7 @@
 			Queue:      rapid.IntRange(0, 4).Draw(t, "queue"),
 			CallSlots:  rapid.IntRange(0, 6).Draw(t, "call slots"),
 			FixedLimit: rapid.Bool().Draw(t, "fixed"),
+			CallRoom:   rapid.Bool().Draw(t, "call room"),
 		}
 		m := &model{now: start, queue: NewQueue(bounds), bounds: bounds, was: map[*Ticket]State{}}
 		t.Repeat(map[string]func(*rapid.T){
@@ -100,6 +108,12 @@
 					Deadline: m.now.Add(time.Duration(rapid.IntRange(-1, 50).Draw(t, "budget")) * time.Millisecond),
 					Priority: table.Priority(rapid.IntRange(0, table.Priorities-1).Draw(t, "priority")),
 					Call:     rapid.Bool().Draw(t, "call"),
+					Patient:  rapid.Bool().Draw(t, "patient"),
+				}
+				if rapid.Bool().Draw(t, "aimed") {
+					ticket.Aim = m.now.Add(time.Duration(rapid.IntRange(-10, 60).Draw(t, "aim")) * time.Millisecond)
+					ticket.Work = time.Duration(rapid.IntRange(0, 30).Draw(t, "work")) * time.Millisecond
+					ticket.MaxWait = time.Duration(rapid.IntRange(0, 20).Draw(t, "wait")) * time.Millisecond
 				}
 				m.tickets = append(m.tickets, ticket)
 				draining := m.queue.Draining()
@@ -108,6 +122,7 @@
 				if (draining || late) && ticket.State() != Refused {
 					t.Fatal("taken while draining or after its deadline")
 				}
+				m.inTime(t, ticket)
 				if evicted != nil && evicted.level() <= ticket.level() {
 					t.Fatal("evicted a ticket that is no less urgent")
 				}
@@ -117,6 +132,7 @@
 					if ticket.State() == Dispatched && !m.now.Before(ticket.Deadline) {
 						t.Fatal("dispatched after its deadline")
 					}
+					m.inTime(t, ticket)
 				}
 			},
 			"done": func(t *rapid.T) {
@@ -132,6 +148,7 @@
 					t.Fatal("a dispatched ticket was said not to have run")
 				}
 			},
+			"speed": func(t *rapid.T) { m.queue.SetStretch(float64(rapid.IntRange(0, 5).Draw(t, "times"))) },
 			"drain": func(t *rapid.T) { m.queue.SetDraining(rapid.Bool().Draw(t, "draining")) },
 			"flush": func(*rapid.T) { m.queue.Flush() },
 			"time passes": func(t *rapid.T) {
--- a/admit/replay_test.go
+++ b/admit/replay_test.go
@@ -54,6 +54,8 @@
 	heardAfter time.Duration
 	// blind leaves out what the gate is told of aims, as before.
 	blind bool
+	// keepRoom leaves the queue's setting of room for calls as it is.
+	keepRoom bool
 
 	rng     *rand.Rand
 	now     time.Duration
@@ -98,7 +100,9 @@
 }
 
 func (r *replay) play(length time.Duration) []outcomes {
-	r.queue.settings.CallRoom = !r.blind
+	if !r.keepRoom {
+		r.queue.settings.CallRoom = !r.blind
+	}
 	for ; r.now < length; r.now += time.Millisecond {
 		if r.now%r.spellTime == 0 {
 			r.slow = r.rng.Float64() < r.spellShare
--- a/admit/ticket.go
+++ b/admit/ticket.go
@@ -85,10 +85,13 @@
 // priority.
 const levels = table.Priorities + 1
 
+// callLevel is the one of calls.
+const callLevel = 0
+
 // level is where a ticket waits.
 func (t *Ticket) level() int {
 	if t.Call {
-		return 0
+		return callLevel
 	}
 	return int(t.Priority) + 1
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -57,6 +57,7 @@
 	// saidRoom is what they were told last of the room at the server, at saidRoomAt.
 	saidRoom   wire.Room
 	saidRoomAt time.Time
+	callWait   callWait
 	// callSlots is how many of the server's slots calls may fill.
 	callSlots int
 	// slowness is what the server said last, at toldAt.
--- a/gate/room.go
+++ b/gate/room.go
@@ -26,6 +26,7 @@
 func (g *Gate) room(now time.Time) wire.Room {
 	room := wire.Room{Levels: int64(table.Priorities)}
 	g.addCold(now, &room)
+	g.addUrgency(now, &room)
 	return room
 }
 
