calls: what the runs of routes call is learned and exchanged

Cause: no entry weighs a request by the room where its calls go, since nobody knows which calls its run will make. The node beside a server sees its runs and its calls, and shares each call out over the runs at work in proportion to their routes' rates. A route counts as one of calls only while gates say so and nothing of it comes while the server rests.

--- /dev/null
+++ b/calls/graph_test.go
@@ -0,0 +1,209 @@
+// SPDX-License-Identifier: MIT
+
+package calls
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// habit is what runs of a route do: each takes about a time, and a share of them makes
+// some calls to another route, together or in turn.
+type habit struct {
+	route, call Route
+	perSecond   float64
+	took        time.Duration
+	share       float64
+	times       int
+	together    bool
+}
+
+const callTook = 30 * time.Millisecond
+
+// happening is what a node sees at one time.
+type happening struct {
+	at  time.Time
+	see func(g *Graph, now time.Time)
+}
+
+// watch has a graph see what runs of some habits do within a time.
+func watch(g *Graph, rng *rand.Rand, lasts time.Duration, habits ...habit) {
+	var all []happening
+	add := func(at time.Time, see func(g *Graph, now time.Time)) {
+		all = append(all, happening{at, see})
+	}
+	for i, h := range habits {
+		for at := start; at.Before(start.Add(lasts)); at = at.Add(time.Duration(rng.ExpFloat64() / h.perSecond * float64(time.Second))) {
+			took := time.Duration((0.5 + rng.Float64()) * float64(h.took))
+			add(at, func(g *Graph, now time.Time) { g.Began(now, h.route, uint8(i)) })
+			add(at.Add(took), func(g *Graph, now time.Time) { g.Ended(now, h.route) })
+			if rng.Float64() >= h.share {
+				continue
+			}
+			begin := at.Add(took / 4)
+			for range h.times {
+				add(begin, func(g *Graph, now time.Time) { g.Called(now, h.call) })
+				add(begin.Add(callTook), func(g *Graph, now time.Time) { g.Returned(now, h.call, callTook) })
+				if !h.together {
+					begin = begin.Add(callTook + time.Millisecond)
+				}
+			}
+		}
+	}
+	slices.SortStableFunc(all, func(a, b happening) int { return a.at.Compare(b.at) })
+	for _, h := range all {
+		h.see(g, h.at)
+	}
+}
+
+func expectedOf(g *Graph, route, call Route) (Expected, bool) {
+	for _, e := range g.Expected(route) {
+		if e.Call == call {
+			return e, true
+		}
+	}
+	return Expected{}, false
+}
+
+// Two routes run at the same server and overlap nearly always; seven of ten runs of one
+// make two calls, and those of the other none.
+func TestCallsAreLaidOnTheRunsThatMakeThem(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		caller := habit{
+			route: 1, call: 9, took: 150 * time.Millisecond, perSecond: rapid.Float64Range(3, 10).Draw(t, "callers"),
+			share: rapid.Float64Range(0.5, 1).Draw(t, "share"), times: rapid.IntRange(1, 2).Draw(t, "times"),
+			together: rapid.Bool().Draw(t, "together"),
+		}
+		other := habit{route: 2, took: 100 * time.Millisecond, perSecond: rapid.Float64Range(3, 10).Draw(t, "others")}
+		var g Graph
+		watch(&g, rng, 4*time.Minute, caller, other)
+		e, ok := expectedOf(&g, 1, 9)
+		want := caller.share * float64(caller.times)
+		if got := e.Share * e.Times; !ok || math.Abs(got-want) > 0.35*want {
+			t.Fatalf("%v calls a run, want %v", got, want)
+		}
+		if math.Abs(e.Times-float64(caller.times)) > 0.5 || (caller.times > 1 && e.Together != caller.together) {
+			t.Fatalf("%v times, together %v, want %v and %v", e.Times, e.Together, caller.times, caller.together)
+		}
+		if e, ok := expectedOf(&g, 2, 9); ok && e.Share*e.Times > 0.35*want {
+			t.Fatalf("a route that calls nothing is taken to make %v calls a run", e.Share*e.Times)
+		}
+	})
+}
+
+// Two routes call the same one, one of them seldom.
+func TestTwoRoutesThatCallTheSameAreToldApart(t *testing.T) {
+	var g Graph
+	rng := rand.New(rand.NewPCG(3, 4))
+	watch(&g, rng, 4*time.Minute,
+		habit{route: 1, call: 9, took: 120 * time.Millisecond, perSecond: 5, share: 0.7, times: 2, together: true},
+		habit{route: 2, call: 9, took: 230 * time.Millisecond, perSecond: 5, share: 0.3, times: 1},
+	)
+	one, _ := expectedOf(&g, 1, 9)
+	two, _ := expectedOf(&g, 2, 9)
+	if a, b := one.Share*one.Times, two.Share*two.Times; math.Abs(a-1.4) > 0.35 || math.Abs(b-0.3) > 0.3 || a < 2*b {
+		t.Errorf("%v and %v calls a run, want 1.4 and 0.3", a, b)
+	}
+}
+
+// A call has the priority of the run that made it, and the most urgent of those that may
+// have where several may.
+func TestCallInheritsPriority(t *testing.T) {
+	var g Graph
+	rng := rand.New(rand.NewPCG(5, 6))
+	watch(&g, rng, time.Minute,
+		habit{route: 1, call: 8, took: 100 * time.Millisecond, perSecond: 5, share: 1, times: 1},
+		habit{route: 2, call: 9, took: 100 * time.Millisecond, perSecond: 5, share: 1, times: 1},
+	)
+	now := start.Add(2 * time.Minute)
+	if _, ok := g.Called(now, 9); ok {
+		t.Error("a call is inherited from no run")
+	}
+	g.Began(now, 2, 2)
+	if priority, ok := g.Called(now, 9); !ok || priority != 2 {
+		t.Errorf("%d %v, want that of the one run at work", priority, ok)
+	}
+	g.Began(now, 1, 0)
+	if priority, ok := g.Called(now, 9); !ok || priority != 2 {
+		t.Errorf("%d %v, want that of the route that makes such calls", priority, ok)
+	}
+	if priority, _ := g.Called(now, 7); priority != 0 {
+		t.Errorf("%d, want the most urgent of those that may have made a new call", priority)
+	}
+}
+
+// Runs that no longer make calls are known for it some hundred runs later, also where
+// others tell of them.
+func TestCallsThatEndAreForgotten(t *testing.T) {
+	var g Graph
+	rng := rand.New(rand.NewPCG(7, 8))
+	watch(&g, rng, 2*time.Minute, habit{route: 1, call: 9, took: 100 * time.Millisecond, perSecond: 10, share: 1, times: 1})
+	if _, ok := expectedOf(&g, 1, 9); !ok {
+		t.Fatal("the calls were not learned")
+	}
+	now := start.Add(10 * time.Minute)
+	for range 8 * forgetAfter {
+		g.Began(now, 1, 1)
+		now = now.Add(100 * time.Millisecond)
+		g.Ended(now, 1)
+	}
+	if e, ok := expectedOf(&g, 1, 9); ok && e.Share*e.Times > 2*leastCalls {
+		t.Errorf("%v calls a run are still expected", e.Share*e.Times)
+	}
+}
+
+func TestWhatIsLearnedIsBounded(t *testing.T) {
+	var g Graph
+	for route := range Route(10_000) {
+		now := start.Add(time.Duration(route) * time.Millisecond)
+		g.Began(now, route+1, 0)
+		g.Called(now, 20_000+route)
+		for range leastRuns {
+			g.Ended(now, route+1)
+			g.Began(now, route+1, 0)
+		}
+	}
+	if len(g.parents) > maxParents || len(g.records) > MaxRecords || len(g.links) > maxParents*maxEdges {
+		t.Errorf("%d routes, %d records, %d called", len(g.parents), len(g.records), len(g.links))
+	}
+}
+
+// Clients ask for a route from the same host as the server's calls: it never counts as
+// one of calls, whether the gates say so or what comes while nothing runs.
+func TestClientsRouteIsNoCall(t *testing.T) {
+	var c Callers
+	for range 1000 {
+		c.Told(1, false)
+		if c.Arrived(1, true) {
+			t.Fatal("what gates do not take for calls is one")
+		}
+	}
+	for i := range 1000 {
+		c.Told(2, true)
+		if c.Arrived(2, i%10 > 0) && i > 100 {
+			t.Fatal("what comes while nothing runs is taken for calls")
+		}
+		c.Told(3, true)
+		if !c.Arrived(3, true) {
+			t.Fatal("a call is not taken for one")
+		}
+	}
+	c.Told(3, false)
+	if c.Arrived(3, true) {
+		t.Error("clients ask for it elsewhere, and it is still one of calls")
+	}
+	for range doubtsFor + 1 {
+		c.Told(3, true)
+	}
+	if !c.Arrived(3, true) {
+		t.Error("it is never one of calls again")
+	}
+}
