entry, gate, node, spread: requests are admitted with their calls

Cause: a run is thrown away when one of its calls finds no room. Gates tell which routes are called, and to whom they belong; entries take such requests for calls while a run is at work beside them, say so to gates that have seen too little to tell, and give them the priority of that run. Nodes exchange what routes call in a digest's number and, where it differs, a question of some 40 bytes a pair. A request whose calls would mostly find no room is refused at once as not run, with the reason calls.

A gate that began anew, as each does after a restart, refused calls until it had seen 16 of them: it now takes the entries' word.

--- a/admit/origins.go
+++ b/admit/origins.go
@@ -21,6 +21,8 @@
 	// seen counts them since one came from a service for the first time.
 	seen int
 	call bool
+	// all says that they came from all services whose hosts ask for anything.
+	all bool
 }
 
 const (
@@ -55,7 +57,7 @@
 	r.seen++
 	switch {
 	case r.by[service] == 1:
-		r.seen, r.call = 1, false
+		r.seen, r.call, r.all = 1, false, false
 	case !r.call && r.seen >= originLeast && r.seen&(r.seen-1) == 0: // Looks at all routes, so rarely.
 		r.call = len(r.by) == 1 || float64(r.seen)*o.missing(r) >= originMissed
 	}
--- a/admit/origins_test.go
+++ b/admit/origins_test.go
@@ -89,3 +89,29 @@
 		t.Errorf("call is %d, urgent is %d", call.State(), urgent.State())
 	}
 }
+
+// A gate that has just begun says of no route whose it is; then it knows calls, and later
+// routes of callers.
+func TestOriginIsToldOnceItIsKnown(t *testing.T) {
+	var o Origins
+	if o.Origin("lookup", "archive") != Unknown || o.Origin("", "archive") != Unknown {
+		t.Error("one request tells where all come from")
+	}
+	for range originLeast {
+		o.Origin("lookup", "archive")
+	}
+	if o.Origin("lookup", "archive") != FromRuns {
+		t.Error("calls are not told")
+	}
+	services := []string{"archive", "billing"}
+	for n := range originSure {
+		if got := o.Origin("fetch", services[n%2]); got != Unknown {
+			t.Fatalf("%v after %d requests", got, n+1)
+		}
+	}
+	for n := range 2 {
+		if got := o.Origin("fetch", services[n]); got != FromCallers {
+			t.Errorf("%v, want callers' own", got)
+		}
+	}
+}
--- /dev/null
+++ b/calls/book.go
@@ -0,0 +1,34 @@
+// SPDX-License-Identifier: MIT
+
+package calls
+
+import "time"
+
+// Book is all that a node knows of calls. The zero value knows nothing. It is safe for
+// concurrent use.
+type Book struct {
+	Graph
+	Callers
+	Outcomes
+}
+
+// Arrived takes note of a request for a route at this host. If it is a call of the server
+// beside this node, ok is true and the priority is that of the run that made it.
+func (b *Book) Arrived(now time.Time, route Route) (priority uint8, ok bool) {
+	if route == 0 || !b.Callers.Arrived(route, b.AtWork()) {
+		return 0, false
+	}
+	return b.Called(now, route)
+}
+
+// CallEnded takes note of how such a call ended: answered says that it was, after a time, and
+// otherwise after is when to come back, 0 if that is not known.
+func (b *Book) CallEnded(now time.Time, route Route, answered bool, took, after time.Duration) {
+	if answered {
+		b.Returned(now, route, took)
+		b.Answered(now, route, took)
+		return
+	}
+	b.Returned(now, route, 0)
+	b.Lost(now, route, after)
+}
--- a/calls/callers.go
+++ b/calls/callers.go
@@ -36,7 +36,9 @@
 	callersForget = 4096
 	// doubtsFor is how many gates' answers in turn must say that a route is one of calls
 	// after one has said that clients ask for it too.
-	doubtsFor = 64
+	// and doubtsAtFirst if none had said otherwise before.
+	doubtsFor     = 64
+	doubtsAtFirst = 1
 )
 
 func (c *Callers) of(route Route) *caller {
@@ -60,15 +62,12 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.routes[route] == nil && !isCall {
-		return // Unknown ones are none.
-	}
 	k := c.of(route)
 	switch {
 	case !isCall && k.told:
 		k.told, k.doubts = false, doubtsFor
 	case !isCall:
-		k.doubts = max(k.doubts, 1)
+		k.doubts = max(k.doubts, doubtsAtFirst)
 	case k.doubts > 0:
 		k.doubts--
 	default:
@@ -76,6 +75,14 @@
 	}
 }
 
+// FromClients reports whether gates say that all requests for a route are clients' own.
+func (c *Callers) FromClients(route Route) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := c.routes[route]
+	return k != nil && !k.told && k.doubts > 0
+}
+
 // Arrived takes note of a request for a route at this host, and reports whether it is a
 // call of the server beside this node; atWork says that this one is running something.
 func (c *Callers) Arrived(route Route, atWork bool) bool {
--- a/calls/graph.go
+++ b/calls/graph.go
@@ -67,6 +67,8 @@
 	parents map[Route]*parent
 	links   map[Route]*link
 	records map[edgeKey]*Record
+	// expected are the records by the routes that call; nil when they have changed.
+	expected map[Route][]Expected
 	// orphans counts calls during which no run was at work.
 	orphans int64
 	// dropped counts records of other nodes that could not be used.
@@ -133,6 +135,18 @@
 	g.assert(now, route, p)
 }
 
+// AtWork reports whether the server beside this node is running anything.
+func (g *Graph) AtWork() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range g.parents {
+		if p.active > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // advance adds the time since the last event to that at work.
 func (g *Graph) advance(now time.Time) {
 	if dt := now.Sub(g.at).Seconds(); !g.at.IsZero() && dt > 0 {
--- a/calls/record.go
+++ b/calls/record.go
@@ -86,20 +86,25 @@
 	}
 }
 
-// Expected returns what a run of a route calls, the most frequent first.
+// Expected returns what a run of a route calls, the most frequent first. It must not be
+// changed.
 func (g *Graph) Expected(route Route) []Expected {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var list []Expected
-	for key, r := range g.records {
-		if key.parent == route && r.Share > 0 && r.Times > 0 {
-			list = append(list, r.expected())
+	if g.expected == nil {
+		g.expected = map[Route][]Expected{}
+		for key, r := range g.records {
+			if r.Share > 0 && r.Times > 0 {
+				g.expected[key.parent] = append(g.expected[key.parent], r.expected())
+			}
+		}
+		for _, list := range g.expected {
+			slices.SortFunc(list, func(a, b Expected) int {
+				return cmp.Or(cmp.Compare(b.Share*b.Times, a.Share*a.Times), cmp.Compare(a.Call, b.Call))
+			})
 		}
 	}
-	slices.SortFunc(list, func(a, b Expected) int {
-		return cmp.Or(cmp.Compare(b.Share*b.Times, a.Share*a.Times), cmp.Compare(a.Call, b.Call))
-	})
-	return list
+	return g.expected[route]
 }
 
 // Sum is a number for all that is known; 0 if that is nothing.
@@ -158,12 +163,14 @@
 		g.records = map[edgeKey]*Record{}
 	}
 	g.records[r.key()] = &r
+	g.expected = nil
 }
 
 // Keep forgets all routes that a configuration no longer has.
 func (g *Graph) Keep(known func(Route) bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.expected = nil
 	for key := range g.records {
 		if !known(key.parent) || !known(key.call) {
 			delete(g.records, key)
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -184,6 +184,7 @@
 	switch {
 	case head.Response != nil:
 		a.response = head.Response
+		e.told(r, head.Response)
 		a.outcome = outcomeOfStatus(head.Response.Status)
 		failed := a.outcome == retry.ServerError && !head.Response.NoRetry
 		// Of one that was moved the time says nothing of the server.
--- a/entry/cold.go
+++ b/entry/cold.go
@@ -32,8 +32,8 @@
 }
 
 // mayBeCall reports whether the request may be a call of a running request: calls carry no
-// tenant's key.
-func (r *request) mayBeCall() bool { return r.who.tenant == nil }
+// tenant's key, and gates do not say that all requests for the route are clients' own.
+func (r *request) mayBeCall() bool { return r.who.tenant == nil && !r.ofClients }
 
 // tellWarm replaces the gate's word when to come back, which is of the next token for one
 // request, where all servers of the service are cold.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -12,6 +12,7 @@
 
 	"github.com/ryehaven/ryehaven/balance"
 	"github.com/ryehaven/ryehaven/burn"
+	"github.com/ryehaven/ryehaven/calls"
 	"github.com/ryehaven/ryehaven/event"
 	"github.com/ryehaven/ryehaven/header"
 	"github.com/ryehaven/ryehaven/internal/sock"
@@ -64,9 +65,13 @@
 	// Quotas tells whether a request is within its tenant's quota; nil takes every one
 	// for that.
 	Quotas Quotas
-	// Whole admits a request by the room for the calls that it will make too, and Returns
-	// tells callers who come back from those who ask for the first time.
-	Whole, Returns bool
+	// Calls is what the node knows of calls, by which a request is admitted by the room for
+	// those that it will make too; nil admits it by its own room alone.
+	Calls *calls.Book
+	// Whole refuses at once what cold servers can't bear.
+	Whole bool
+	// Returns tells callers who come back from those who ask for the first time.
+	Returns bool
 	// NoTableRetryAfter is when to come back while the node has no table, or may have
 	// an old one.
 	NoTableRetryAfter time.Duration
@@ -101,6 +106,10 @@
 	// Returned counts requests of callers who had asked before, and ReturnedAge is how long
 	// before, in milliseconds, added up.
 	Returned, ReturnedAge atomic.Int64
+	// NoRoomForCalls counts requests refused for want of room for their calls; they are
+	// among NotRun. Calls counts requests that are calls of the server beside this node,
+	// and CallsLost those of them without an answer.
+	NoRoomForCalls, Calls, CallsLost atomic.Int64
 	// TurnedAway counts requests that came too late for a stopping node; they
 	// are among NotRun.
 	TurnedAway atomic.Int64
@@ -132,6 +141,8 @@
 
 	traitsMu sync.Mutex
 	traits   map[string]*traits
+
+	whole whole
 }
 
 // New returns an entry without a table; it refuses every request until
@@ -193,6 +204,7 @@
 	}
 	e.services = services
 	if e.table != t {
+		e.whole.update(t)
 		e.dropTraits(t)
 		e.tenants.keep(t)
 	}
--- a/entry/handle.go
+++ b/entry/handle.go
@@ -58,12 +58,13 @@
 		e.tenants.count(time.Now(), who.tenant, ctx.Response.StatusCode())
 		e.keepUnserved(r, ctx.Response.StatusCode())
 	}()
-	if !e.charge(r) {
+	if !e.charge(r) || !e.admitWhole(r) {
 		return
 	}
 	result := e.run(r)
 	e.unwatch(r)
 	e.settle(r, result)
+	e.callEnded(r, result)
 	e.reply(r, result)
 }
 
--- a/entry/request.go
+++ b/entry/request.go
@@ -12,6 +12,7 @@
 
 	"github.com/ryehaven/ryehaven/balance"
 	"github.com/ryehaven/ryehaven/blame"
+	"github.com/ryehaven/ryehaven/calls"
 	"github.com/ryehaven/ryehaven/event"
 	"github.com/ryehaven/ryehaven/header"
 	"github.com/ryehaven/ryehaven/table"
@@ -47,6 +48,11 @@
 	// which it is known when it comes back; zero if it states no time.
 	what uint64
 	ends time.Time
+	// call names the request's route if it is a call of the server beside this node; 0 if
+	// it is none.
+	call calls.Route
+	// ofClients says that no request for the route is a call.
+	ofClients bool
 	// refuseBy is until when the request may wait for room; zero leaves it to
 	// the gates.
 	refuseBy time.Time
--- a/entry/traits.go
+++ b/entry/traits.go
@@ -12,6 +12,7 @@
 
 	"github.com/ryehaven/ryehaven/age"
 	"github.com/ryehaven/ryehaven/balance"
+	"github.com/ryehaven/ryehaven/calls"
 	"github.com/ryehaven/ryehaven/retry"
 	"github.com/ryehaven/ryehaven/table"
 )
@@ -19,7 +20,12 @@
 // traits are what an entry has learned of a route's requests. The zero value
 // has learned nothing.
 type traits struct {
-	mu    sync.Mutex
+	// route names the route among calls.
+	route calls.Route
+
+	mu sync.Mutex
+	// share is the part of the route's requests that find room for their calls.
+	share calls.Share
 	delay retry.Delay
 	// work is what such requests take from sending to answer at a server of usual
 	// speed, and prior what stands for it while no answer was seen.
@@ -163,7 +169,7 @@
 	defer e.traitsMu.Unlock()
 	t := e.traits[key]
 	if t == nil {
-		t = &traits{prior: route.Aim / priorShare}
+		t = &traits{route: calls.RouteOf(key), prior: route.Aim / priorShare}
 		e.traits[key] = t
 	}
 	return t
--- /dev/null
+++ b/entry/whole.go
@@ -0,0 +1,183 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/ryehaven/ryehaven/admit"
+	"github.com/ryehaven/ryehaven/balance"
+	"github.com/ryehaven/ryehaven/calls"
+	"github.com/ryehaven/ryehaven/event"
+	"github.com/ryehaven/ryehaven/header"
+	"github.com/ryehaven/ryehaven/retry"
+	"github.com/ryehaven/ryehaven/table"
+	"github.com/ryehaven/ryehaven/wire"
+)
+
+// whole is what an entry needs to weigh requests with their calls. The zero value knows no
+// routes.
+type whole struct {
+	mu sync.Mutex
+	// routes are the table's by their names among calls, and outlooks what awaited calls to
+	// them when that was last asked.
+	routes   map[calls.Route]*table.Route
+	outlooks map[calls.Route]outlook
+}
+
+// outlook is what awaited a call, at a time.
+type outlook struct {
+	balance.Outlook
+	usual time.Duration
+	at    time.Time
+}
+
+// outlookFor is how long an outlook is used again: some calls' time, so that its cost is
+// shared by many requests while they are many.
+const outlookFor = 20 * time.Millisecond
+
+// update takes the routes of a table.
+func (w *whole) update(t *table.Table) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.routes, w.outlooks = map[calls.Route]*table.Route{}, map[calls.Route]outlook{}
+	for i := range t.Routes() {
+		route := &t.Routes()[i]
+		w.routes[calls.RouteOf(route.Name())] = route
+	}
+}
+
+// admitWhole reports whether the request goes on: it is a call of a run that is under way,
+// or there is room for the calls that it will make. If not, it has answered.
+func (e *Entry) admitWhole(r *request) bool {
+	if e.settings.Calls == nil || r.route == nil {
+		return true
+	}
+	now := time.Now()
+	if priority, ok := e.settings.Calls.Arrived(now, r.traits.route); ok {
+		e.Counters.Calls.Add(1)
+		r.call = r.traits.route
+		r.message.Call = true
+		r.message.Priority = min(priority, uint8(table.Bulk))
+		return true
+	}
+	r.ofClients = e.settings.Calls.FromClients(r.traits.route)
+	expected := e.settings.Calls.Expected(r.traits.route)
+	if len(expected) == 0 {
+		return true
+	}
+	w := e.weigh(now, r, expected)
+	if r.traits.admit(now, &w) {
+		return true
+	}
+	e.Counters.NoRoomForCalls.Add(1)
+	e.settle(r, result{})
+	f := noRoomForCalls(&w)
+	e.record(r, now, event.NotRun, f)
+	e.fail(r.ctx, f)
+	return false
+}
+
+// noRoomForCalls is the answer to a request whose calls find no room.
+func noRoomForCalls(w *calls.Whole) failure {
+	return failure{
+		status:     fasthttp.StatusServiceUnavailable,
+		outcome:    header.NotRun,
+		proxyError: statusLimited,
+		detail:     "refused: " + wire.ReasonCalls.String() + ", room for them is " + strconv.FormatFloat(w.Room(), 'f', 2, 64),
+		retryAfter: w.RetryAfter(),
+		noRetry:    true,
+	}
+}
+
+// admit reports whether a request of the route is let in.
+func (t *traits) admit(now time.Time, w *calls.Whole) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.share.Admit(now, w.Harm(), calls.Bearable(w.Priority))
+}
+
+// weigh puts together what awaits a request and its calls.
+func (e *Entry) weigh(now time.Time, r *request, expected []calls.Expected) calls.Whole {
+	demand := r.demand(now)
+	w := calls.Whole{Priority: r.message.Priority, Aim: demand.Aim, Took: demand.Work}
+	for _, x := range expected {
+		part := calls.Part{Share: x.Share, Times: x.Times, Together: x.Together}
+		o, ok := e.outlook(now, x)
+		if !ok {
+			continue
+		}
+		part.Refused, part.Took, part.Usual = o.Refused, o.Took, o.usual
+		lost, took, after := e.settings.Calls.Of(now, x.Call)
+		part.Refused = max(part.Refused, lost)
+		part.Took = max(part.Took, took)
+		part.After = after
+		w.Parts = append(w.Parts, part)
+	}
+	return w
+}
+
+// outlook returns what awaits a call now; ok is false if the table has no such route.
+func (e *Entry) outlook(now time.Time, x calls.Expected) (outlook, bool) {
+	w := &e.whole
+	w.mu.Lock()
+	route, known := w.routes[x.Call], w.outlooks[x.Call]
+	w.mu.Unlock()
+	if route == nil || now.Sub(known.at) < outlookFor {
+		return known, route != nil
+	}
+	s, _ := e.service(mainService(route))
+	if s == nil {
+		return outlook{}, false
+	}
+	demand := e.traitsOf(route).demand(now, now.Add(route.Aim))
+	if x.Usual > 0 {
+		demand.Work = x.Usual
+	}
+	s.mu.Lock()
+	o := outlook{Outlook: s.pool.Outlook(now, demand, true), usual: demand.Work, at: now}
+	s.mu.Unlock()
+	w.mu.Lock()
+	w.outlooks[x.Call] = o
+	w.mu.Unlock()
+	return o, true
+}
+
+// mainService is the service that gets most of a route's requests.
+func mainService(r *table.Route) string {
+	most := r.Shares[0]
+	for _, s := range r.Shares {
+		if s.Weight > most.Weight {
+			most = s
+		}
+	}
+	return most.Service
+}
+
+// told takes what a gate's answer says of where requests for the route come from.
+func (e *Entry) told(r *request, m *wire.Response) {
+	if origin := admit.Origin(m.Origin); e.settings.Calls != nil && r.traits != nil && origin != admit.Unknown {
+		e.settings.Calls.Told(r.traits.route, origin == admit.FromRuns)
+	}
+}
+
+// callEnded takes note of how a call of the server beside this node ended.
+func (e *Entry) callEnded(r *request, res result) {
+	if r.call == 0 {
+		return
+	}
+	now := time.Now()
+	answered := res.last != nil && res.last.outcome == retry.Answered
+	after := time.Duration(0)
+	if !answered {
+		e.Counters.CallsLost.Add(1)
+		if res.last != nil {
+			after = res.last.retryAfter
+		}
+	}
+	e.settings.Calls.CallEnded(now, r.call, answered, now.Sub(r.began), after)
+}
--- a/gate/job.go
+++ b/gate/job.go
@@ -14,6 +14,7 @@
 	"github.com/ryehaven/ryehaven/admit"
 	"github.com/ryehaven/ryehaven/backend"
 	"github.com/ryehaven/ryehaven/blame"
+	"github.com/ryehaven/ryehaven/calls"
 	"github.com/ryehaven/ryehaven/event"
 	"github.com/ryehaven/ryehaven/header"
 	"github.com/ryehaven/ryehaven/member"
@@ -43,7 +44,9 @@
 
 	// accused says that servers had ended under the request when it came; the gate's
 	// lock guards it.
-	accused   bool
+	accused bool
+	// route names the job's route while the server has it.
+	route     calls.Route
 	printOnce sync.Once
 	printed   blame.Print
 
@@ -144,6 +147,7 @@
 	}
 	j.handedOver = true
 	j.exchange = exchange
+	j.runBegan()
 	j.gate.Counters.Dispatched.Add(1)
 	return exchange, 0
 }
@@ -322,6 +326,7 @@
 		Length:   int64(r.Header.ContentLength()),
 		Load:     j.gate.Load(),
 		Slowness: j.slowness,
+		Origin:   j.stream.Origin,
 	}
 	if m.Length < 0 {
 		m.Length = wire.LengthUnknown
@@ -364,6 +369,7 @@
 	j.gate.mu.Lock()
 	defer j.gate.mu.Unlock()
 	delete(j.gate.jobs, j.stream)
+	j.runEnded(now)
 	j.gate.queue.Done(now, &j.ticket, ok)
 	j.gate.advance(now)
 	return j.gate.load()
@@ -375,6 +381,7 @@
 	j.gate.mu.Lock()
 	defer j.gate.mu.Unlock()
 	if j.handedOver {
+		j.runEnded(now)
 		j.gate.queue.Done(now, &j.ticket, false)
 	} else {
 		j.gate.queue.Unsent(now, &j.ticket)
--- a/gate/settings.go
+++ b/gate/settings.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/ryehaven/ryehaven/calls"
 	"github.com/ryehaven/ryehaven/event"
 	"github.com/ryehaven/ryehaven/header"
 	"github.com/ryehaven/ryehaven/wire"
@@ -58,6 +59,9 @@
 	// Blame is what the node knows of requests under which servers have ended; nil
 	// blames none.
 	Blame Blame
+	// Calls is told of each run at the server, so that its calls are laid on the runs that
+	// make them; nil learns nothing.
+	Calls *calls.Graph
 	// ByAim orders and refuses requests by when their answers are due.
 	ByAim bool
 	// FailedBelow reports whether a request that this host sent on to another
--- a/node/apply.go
+++ b/node/apply.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/ryehaven/ryehaven/admit"
 	"github.com/ryehaven/ryehaven/balance"
 	"github.com/ryehaven/ryehaven/entry"
 	"github.com/ryehaven/ryehaven/gate"
@@ -26,6 +27,7 @@
 		return
 	}
 	n.applied = s
+	n.keepCalls(s.Table)
 	n.refresh()
 }
 
@@ -157,7 +159,10 @@
 		return
 	}
 	s.Owner = g
-	s.Call = n.origins.Call(n.routeOf(s.Request), s.Request.Caller)
+	s.Route = n.routeOf(s.Request)
+	origin := n.origins.Origin(s.Route, s.Request.Caller)
+	s.Origin = uint8(origin)
+	s.Call = origin == admit.FromRuns || (origin == admit.Unknown && s.Request.Call)
 	n.arrived()
 	g.Request(s)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -16,6 +16,7 @@
 
 	"github.com/ryehaven/ryehaven/admit"
 	"github.com/ryehaven/ryehaven/announce"
+	"github.com/ryehaven/ryehaven/calls"
 	"github.com/ryehaven/ryehaven/entry"
 	"github.com/ryehaven/ryehaven/event"
 	"github.com/ryehaven/ryehaven/gate"
@@ -95,6 +96,7 @@
 	dialect  header.Dialect
 	recorder *event.Recorder
 	origins  admit.Origins
+	calls    calls.Book
 	blame    blamer
 	quotas   *quota.Quotas
 	suspends suspend.Watch
--- a/node/parts.go
+++ b/node/parts.go
@@ -32,6 +32,7 @@
 		Confirmed:         func(now time.Time) (time.Duration, bool) { return n.spread.ConfirmedAge(now) },
 		Doubts:            n.doubts,
 		KeysKnown:         n.keysKnown,
+		Calls:             n.callBook(),
 		Whole:             n.settings.Overload.Whole,
 		Returns:           n.settings.Overload.Returns,
 	}
@@ -48,6 +49,7 @@
 		FixedLimit:      !n.settings.Experiment.AdaptiveLimit,
 		NoDeadlineBound: n.settings.Experiment.NoDeadlineBound,
 		ByAim:           n.settings.Overload.ByAim,
+		Calls:           n.callGraph(),
 		FailedBelow:     n.entry.FailedSince,
 		Dialect:         n.dialect,
 		News:            n.wakeUp,
@@ -72,6 +74,7 @@
 	s := n.settings
 	return spread.Settings{
 		Blame:               &n.blame,
+		Calls:               n.spreadCalls(),
 		Seeds:               s.Peers.Seeds,
 		Interval:            time.Second,
 		Evacuations:         s.Platform.Evacuations,
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -26,6 +26,11 @@
 	// Call says that a request which is running elsewhere waits for this one;
 	// the Handler sets it.
 	Call bool
+	// Origin is where the requests of its route come from; the Handler sets it.
+	Origin uint8
+	// Route names the request's route by the table in force; blank if there is none. The
+	// Handler sets it too.
+	Route string
 	// Owner is the Handler's own.
 	Owner any
 
--- a/spread/answer.go
+++ b/spread/answer.go
@@ -29,6 +29,9 @@
 	case TopicBlame:
 		reply, err = s.answerBlame(payload)
 		return reply, true, err
+	case TopicCalls:
+		reply, err = s.answerCalls(payload)
+		return reply, true, err
 	default:
 		return nil, false, nil
 	}
--- a/spread/exchange.go
+++ b/spread/exchange.go
@@ -64,6 +64,7 @@
 	s.learn(now, reply.Digest)
 	s.learnProof(asked, reply.Digest)
 	s.compareBlame(l, target.Host, s.settings.AskLimit, false)
+	s.compareCalls(l, reply.Digest)
 	if len(reply.Records) > 0 {
 		s.merge(now, reply.Records)
 	}
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -48,6 +48,9 @@
 	// Blame is what the node knows of requests under which servers have ended; nil for
 	// a node that neither learns nor tells of any.
 	Blame Blame
+	// Calls is what the node knows of the calls of routes; nil knows nothing and tells
+	// nothing.
+	Calls Calls
 	// ProvenWithin is how young the proof must be that the table is the newest, for those
 	// that may not go on with an older one; 0 if nobody needs a proof.
 	ProvenWithin time.Duration
@@ -248,6 +251,7 @@
 		Root:            s.view.Digest().Root(),
 		Host:            s.view.Self().Host,
 		Evacuations:     s.evacuations,
+		Calls:           s.callsSum(),
 	}
 	if !s.confirmed.IsZero() {
 		d.ConfirmedMillis = now.Sub(s.confirmed).Milliseconds()
--- a/table/route.go
+++ b/table/route.go
@@ -39,6 +39,9 @@
 	Weight int
 }
 
+// Name is the route's host and prefix.
+func (r *Route) Name() string { return r.Host + r.Prefix }
+
 // TotalWeight is the sum of the weights of the route's shares.
 func (r *Route) TotalWeight() int {
 	sum := 0
--- a/wire/message.go
+++ b/wire/message.go
@@ -167,6 +167,9 @@
 	// Again says that the request may have reached a server before, so that this one's
 	// gate should not trust a connection that was kept.
 	Again bool
+	// Call says that the entry takes the request for a call of the server beside it. A gate
+	// that has seen callers ask for the route takes no entry's word for that.
+	Call bool
 }
 
 // Data carries a part of a body in either direction.
@@ -250,6 +253,8 @@
 	// Slowness is how long work took at the server when the request began there, in
 	// percent of usual; 0 if that was not known.
 	Slowness int
+	// Origin is where the gate takes the route's requests to come from, as admit.Origin.
+	Origin uint8
 }
 
 // Reason says why a gate refused a request.
@@ -278,10 +283,12 @@
 	// ReasonLate: begun now the request would end after its deadline, or after its aim
 	// where requests that can be in time need the server.
 	ReasonLate Reason = 13
+	// ReasonCalls: the calls that the request would make find no room.
+	ReasonCalls Reason = 14
 )
 
 // Reasons is above every Reason, for arrays by reason.
-const Reasons = 14
+const Reasons = 15
 
 var reasonNames = map[Reason]string{
 	ReasonOverload: "overload",
@@ -297,6 +304,7 @@
 	ReasonBlamed:   "blamed",
 	ReasonShare:    "share",
 	ReasonLate:     "late",
+	ReasonCalls:    "calls",
 }
 
 // Full reports whether the server had no room for the request now, so that another
