--- a/calls/record.go
+++ b/calls/record.go
@@ -116,7 +116,7 @@
 		sum ^= r.sum()
 	}
 	if len(g.records) > 0 {
-		sum |= 1
+		sum |= 2 // Below that nothing is known.
 	}
 	return sum & math.MaxUint32
 }
--- a/calls/whole.go
+++ b/calls/whole.go
@@ -102,9 +102,9 @@
 }
 
 const (
-	// mostBearable is the harm that the most urgent requests bear: as many of them as
-	// would then miss their aims can come back within them.
-	mostBearable = 0.2
+	// mostBearable is the harm that the most urgent requests bear: their runs are still as
+	// likely to be of use as not.
+	mostBearable = 0.5
 	// mostLevels bounds the levels that are told apart.
 	mostLevels = 4
 )
--- a/explain/loss.go
+++ b/explain/loss.go
@@ -20,6 +20,7 @@
 	RefusedCold     Loss = "refused: servers cold"
 	RefusedLate     Loss = "refused: could not be in time"
 	RefusedLeaving  Loss = "refused: servers leave or their zone is evacuated"
+	RefusedCalls    Loss = "refused: no room for the calls that it would make"
 	RefusedTime     Loss = "refused: time was up"
 	RefusedStopping Loss = "refused: node stops"
 	RefusedWrong    Loss = "refused: wrong request, or a route that the table does not know"
@@ -116,6 +117,8 @@
 	switch {
 	case f.number("status") < statusError:
 		return RefusedWrong
+	case strings.Contains(detail, "refused: calls"):
+		return RefusedCalls
 	case strings.Contains(detail, "stops"):
 		return RefusedStopping
 	case strings.Contains(detail, "are cold"):
--- a/explain/summary_test.go
+++ b/explain/summary_test.go
@@ -30,6 +30,7 @@
 		{LossGone, entryLine("1", `"outcome":"caller-gone","took_ms":50`)},
 		{RefusedNoServer, entryLine("1", `"outcome":"not-run","status":503,"took_ms":5`)},
 		{RefusedStopping, entryLine("1", `"outcome":"not-run","status":503,"detail":"this node stops and could not wait for the answer"`)},
+		{RefusedCalls, entryLine("1", `"outcome":"not-run","status":503,"detail":"refused: calls, room for them is 0.20"`)},
 		{RefusedWrong, entryLine("1", `"outcome":"not-run","status":404,"detail":"no service of the table is meant by the Host field and the path"`)},
 		{RefusedNoTable, entryLine("1", `"outcome":"not-run","status":503,"detail":"this node has no table yet"`)},
 		{RefusedCold, entryLine("1", `"outcome":"not-run","status":503,"detail":"the service's backend servers are cold and don't bear one more request now"`)},
--- a/spread/calls.go
+++ b/spread/calls.go
@@ -25,18 +25,22 @@
 	Records []calls.Record
 }
 
+// knowsTopic is what a digest says of what is known of calls if that is nothing: 0 is said
+// by nodes that don't know the topic.
+const knowsTopic = 1
+
 // callsSum is what a digest says of what is known of calls.
 func (s *Spread) callsSum() uint64 {
 	if s.settings.Calls == nil {
 		return 0
 	}
-	return s.settings.Calls.Sum()
+	return max(s.settings.Calls.Sum(), knowsTopic)
 }
 
 // compareCalls exchanges what is known of calls with a node whose digest says that it
 // knows something else. Where neither knows anything, nothing is sent.
 func (s *Spread) compareCalls(l link, theirs digest) {
-	if s.settings.Calls == nil || theirs.Calls == s.callsSum() {
+	if s.settings.Calls == nil || theirs.Calls == 0 || theirs.Calls == s.callsSum() {
 		return
 	}
 	var reply callsMessage
--- a/spread/fleet_test.go
+++ b/spread/fleet_test.go
@@ -14,6 +14,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/ryehaven/ryehaven/calls"
 	"github.com/ryehaven/ryehaven/member"
 	"github.com/ryehaven/ryehaven/peer"
 	"github.com/ryehaven/ryehaven/table"
@@ -60,7 +61,7 @@
 		Zone:        fmt.Sprint("zone-", i%zones),
 		Region:      "r",
 	}}
-	settings := Settings{Interval: time.Second, AskLimit: 500 * time.Millisecond, TableBytesPerSecond: 1 << 20, StaleAfter: time.Hour, Blame: new(ledger)}
+	settings := Settings{Interval: time.Second, AskLimit: 500 * time.Millisecond, TableBytesPerSecond: 1 << 20, StaleAfter: time.Hour, Blame: new(ledger), Calls: new(calls.Graph)}
 	n.spread = New(settings, zap.NewNop(), &Holder{Log: zap.NewNop()}, member.NewView(n.record), &peer.Dialer{Counters: new(peer.Counters)}, nil, nil)
 	n.spread.connect = func(address string, _ time.Duration) (link, error) { return f.connect(n, address) }
 	f.mu.Lock()
--- a/spread/message.go
+++ b/spread/message.go
@@ -52,8 +52,8 @@
 	// ProvenMillis is how long ago the generation was the newest for certain; 0 if that is
 	// not known.
 	ProvenMillis int64
-	// Calls is a number for what the sender knows of the calls of routes; 0 if that is
-	// nothing.
+	// Calls is a number for what the sender knows of the calls of routes; 0 if it does not
+	// know the topic.
 	Calls uint64
 }
 
