tenant, quota, entry: a short quota goes to those who can be in time

A tenant at 7.5 times its usual paid for its requests in the order in which they came, so that who came back after its aim was paid for while first tries got 429, and who came back at once drew again each time and pushed everybody's place back.

While a ledger is short, requests that can't be in time any more and those that come before their place yield: they are paid for from what first tries don't need within 100 ms. Who comes early keeps its place; who comes at its place goes first. A full ledger pays for everyone.

An older build is asked as before.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -98,9 +98,7 @@
 	NoKey atomic.Int64
 	// OverQuota counts requests above their tenant's quota; they are among NotRun.
 	OverQuota atomic.Int64
-	// Returned counts requests of callers who had asked before, and ReturnedAge is how long
-	// before, in milliseconds, added up.
-	Returned, ReturnedAge atomic.Int64
+	ReturnCounters
 	// TurnedAway counts requests that came too late for a stopping node; they
 	// are among NotRun.
 	TurnedAway atomic.Int64
--- a/entry/quota.go
+++ b/entry/quota.go
@@ -16,7 +16,8 @@
 // Quotas keeps tenants' quotas over all nodes.
 type Quotas interface {
 	// Take pays for one request of a tenant; it returns early if gone is closed.
-	Take(name string, quota tenant.Quota, gone <-chan struct{}) tenant.Verdict
+	// One that comes early is told nothing new if it is not paid for.
+	Take(name string, quota tenant.Quota, turn tenant.Turn, gone <-chan struct{}) tenant.Verdict
 	// Return gives back what was paid for a request that has not run.
 	Return(name string)
 }
@@ -29,11 +30,18 @@
 		return true
 	}
 	quota := tenant.Quota{Rate: float64(holder.Rate), Burst: float64(holder.Burst)}
-	v := e.settings.Quotas.Take(holder.Name, quota, r.gone)
+	turn := r.turn()
+	v := e.settings.Quotas.Take(holder.Name, quota, turn, r.gone)
 	if v.Paid {
 		return true
 	}
 	e.Counters.OverQuota.Add(1)
+	if turn == tenant.Early {
+		v.RetryAfter = time.Until(r.place)
+	} else {
+		r.place = time.Now().Add(v.RetryAfter)
+		e.Counters.Places.Add(1)
+	}
 	f := failure{
 		status:     fasthttp.StatusTooManyRequests,
 		outcome:    header.NotRun,
--- a/entry/request.go
+++ b/entry/request.go
@@ -47,6 +47,8 @@
 	// which it is known when it comes back; zero if it states no time.
 	what uint64
 	ends time.Time
+	// place is from when on it goes before newcomers; zero if it was told none.
+	place time.Time
 	// refuseBy is until when the request may wait for room; zero leaves it to
 	// the gates.
 	refuseBy time.Time
--- a/entry/returns.go
+++ b/entry/returns.go
@@ -5,11 +5,13 @@
 import (
 	"hash/maphash"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/ryehaven/ryehaven/age"
+	"github.com/ryehaven/ryehaven/tenant"
 )
 
 // returns is what an entry keeps of requests that were not served, to know them when they
@@ -21,6 +23,16 @@
 	memory age.Memory
 }
 
+// ReturnCounters counts callers who come back.
+type ReturnCounters struct {
+	// Returned counts requests of callers who had asked before, and ReturnedAge is how long
+	// before, in milliseconds, added up.
+	Returned, ReturnedAge atomic.Int64
+	// Places counts requests that were told when to come back, and PlacesTaken those that
+	// came then and had their turn among the first.
+	Places, PlacesTaken atomic.Int64
+}
+
 func newReturns() returns { return returns{seed: maphash.MakeSeed()} }
 
 // learnAge tells how old the request is by what was kept of its former tries, or by the
@@ -35,7 +47,7 @@
 	least := r.traits.learnStated(r.began, stated)
 	r.age = least
 	if ok {
-		r.age = r.began.Sub(known.First)
+		r.age, r.place = r.began.Sub(known.First), known.Place
 	}
 	if r.age <= 0 {
 		return
@@ -43,6 +55,26 @@
 	e.Counters.Returned.Add(1)
 	e.Counters.ReturnedAge.Add(r.age.Milliseconds())
 	r.aim = r.aim.Add(-r.age)
+	if !r.place.IsZero() && r.turn() == tenant.First {
+		e.Counters.PlacesTaken.Add(1)
+	}
+}
+
+// placeTolerance is by how much a request may come back before its place and have it: what
+// it was told is rounded, and clocks run at rates of their own.
+const placeTolerance = 5 * time.Millisecond
+
+// turn is when the request's turn is while there is too little for all.
+func (r *request) turn() tenant.Turn {
+	switch {
+	case r.age <= 0:
+		return tenant.First
+	case r.began.Add(placeTolerance).Before(r.place):
+		return tenant.Early
+	case !r.aim.IsZero() && r.began.Add(r.demand(r.began).Work).After(r.aim):
+		return tenant.Late
+	}
+	return tenant.First
 }
 
 // keepUnserved keeps a request that was not served, by the status of its answer, so that it
@@ -53,7 +85,7 @@
 	}
 	now := time.Now()
 	r.traits.unserved(now, r.ends)
-	e.returns.keep(now, r, age.Try{First: r.began.Add(-r.age)})
+	e.returns.keep(now, r, age.Try{First: r.began.Add(-r.age), Place: r.place})
 }
 
 // mayComeBack reports whether a caller that got a status may send its request again.
--- a/entry/returns_test.go
+++ b/entry/returns_test.go
@@ -5,6 +5,7 @@
 import (
 	"strconv"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -12,6 +13,7 @@
 	"github.com/ryehaven/ryehaven/balance"
 	"github.com/ryehaven/ryehaven/header"
 	"github.com/ryehaven/ryehaven/table"
+	"github.com/ryehaven/ryehaven/tenant"
 )
 
 // arrive returns the request that a caller sends who states to wait for a time.
@@ -90,7 +92,7 @@
 		known  bool
 	}{{429, true}, {503, true}, {502, true}, {504, true}, {408, true}, {200, false}, {404, false}, {401, false}, {413, false}} {
 		e, route := returning(t)
-		r, _ := arrive(t, e, route, "2900")
+		r, _ := arrive(t, e, route, "2990")
 		e.keepUnserved(r, test.status)
 		time.Sleep(30 * time.Millisecond)
 		left := time.Until(r.ends).Milliseconds()
@@ -128,3 +130,71 @@
 		t.Errorf("age %v, due in %v", r.age, r.aim.Sub(r.began))
 	}
 }
+
+// asked is a quota that has nothing left and keeps the turns that it was asked with.
+type asked struct{ turns []tenant.Turn }
+
+func (q *asked) Take(_ string, _ tenant.Quota, turn tenant.Turn, _ <-chan struct{}) tenant.Verdict {
+	q.turns = append(q.turns, turn)
+	if turn == tenant.Early {
+		return tenant.Verdict{}
+	}
+	return tenant.Verdict{RetryAfter: 150 * time.Millisecond}
+}
+
+func (q *asked) Return(string) {}
+
+// A caller that comes back at once keeps the place that it was told; one that comes at its
+// place goes first while it can be in time, and yields after that.
+func TestPlaceIsKeptAndHonoured(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, route := returning(t)
+		quota := &asked{}
+		e.settings.Quotas = quota
+		began := time.Now()
+		for _, step := range []struct {
+			at    time.Duration
+			turn  tenant.Turn
+			after time.Duration
+		}{
+			{0, tenant.First, 150 * time.Millisecond},
+			{20 * time.Millisecond, tenant.Early, 130 * time.Millisecond},
+			{146 * time.Millisecond, tenant.First, 150 * time.Millisecond},
+			{400 * time.Millisecond, tenant.Late, 150 * time.Millisecond},
+			{600 * time.Millisecond, tenant.Late, 150 * time.Millisecond},
+		} {
+			time.Sleep(time.Until(began.Add(step.at)))
+			left := time.Until(began.Add(2900 * time.Millisecond)).Milliseconds()
+			r, _ := arrive(t, e, route, strconv.FormatInt(left, 10))
+			r.who.tenant = &table.Tenant{Name: "t", Rate: 10}
+			if e.charge(r) {
+				t.Fatalf("at %v: paid", step.at)
+			}
+			e.keepUnserved(r, r.ctx.Response.StatusCode())
+			if got := quota.turns[len(quota.turns)-1]; got != step.turn {
+				t.Errorf("at %v: turn %v, want %v", step.at, got, step.turn)
+			}
+			told, _ := strconv.Atoi(string(r.ctx.Response.Header.Peek(header.RetryAfterMs)))
+			if got := time.Duration(told) * time.Millisecond; (got - step.after).Abs() > time.Millisecond {
+				t.Errorf("at %v: told to come back after %v, want %v", step.at, got, step.after)
+			}
+		}
+		if given, taken := e.Counters.Places.Load(), e.Counters.PlacesTaken.Load(); given != 4 || taken != 1 {
+			t.Errorf("%d places given, %d taken", given, taken)
+		}
+	})
+}
+
+// The node that gave the places is lost: who comes back to another one is known by its
+// time alone, and nothing but the order is lost.
+func TestPlacesOfALostNodeAreNotMissed(t *testing.T) {
+	e, route := returning(t)
+	for _, test := range []struct {
+		stated string
+		turn   tenant.Turn
+	}{{"2890", tenant.First}, {"2700", tenant.First}, {"2200", tenant.Late}, {"1000", tenant.Late}} {
+		if r, _ := arrive(t, e, route, test.stated); r.turn() != test.turn {
+			t.Errorf("%s: turn %v at an age of %v, want %v", test.stated, r.turn(), r.age, test.turn)
+		}
+	}
+}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -50,6 +50,8 @@
 		metric.Count("entry_blamed", "requests", "requests not sent to a server, or not again, since servers had ended under them", &c.Blamed),
 		metric.Count("entry_returned", "requests", "requests of callers who had asked before, by the time that they state", &c.Returned),
 		metric.Count("entry_returned_age", "ms", "how long before these callers had first asked, added up", &c.ReturnedAge),
+		metric.Count("entry_places", "requests", "requests that were told when to come back and have a place then", &c.Places),
+		metric.Count("entry_places_taken", "requests", "requests that came back at their place and can still be in time", &c.PlacesTaken),
 		metric.Count("entry_turned_away", "requests", "requests refused as not run because the node stops", &c.TurnedAway),
 		metric.Count("accept_failures", "connections", "connections that could not be accepted, for want of descriptors", &n.acceptFailures),
 		metric.Count("suspensions", "suspensions", "times that the host was found to have been suspended", &n.suspensions),
--- a/quota/keep.go
+++ b/quota/keep.go
@@ -80,36 +80,48 @@
 // of other zones.
 func (q *Quotas) pay(m *question) reply {
 	l := q.kept(m)
-	paid := l.Take(time.Now(), m.Want)
+	paid := l.Pay(time.Now(), m.Want, m.Yield)
 	if paid == m.Want || l.borrowing {
 		defer l.mu.Unlock()
-		return replyOf(time.Now(), l.Ledger, m.Want, paid)
+		return replyOf(time.Now(), l.Ledger, m, paid)
 	}
 	l.borrowing = true
 	l.mu.Unlock()
-	paid += q.borrow(l.lenders, m, m.Want-paid)
+	paid += q.borrow(l.lenders, m, paid)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.borrowing = false
-	return replyOf(time.Now(), l.Ledger, m.Want, paid)
+	return replyOf(time.Now(), l.Ledger, m, paid)
 }
 
 // lenders are keepers by their zones, with until when each is not asked.
-type lenders map[string]time.Time
+type lenders map[lender]time.Time
 
-func (l lenders) pauses(now time.Time, zone string) bool { return now.Before(l[zone]) }
+// lender is the keeper of a zone; yields tells what it is asked for requests that yield
+// only, for which it may have nothing and yet pay for others.
+type lender struct {
+	zone   string
+	yields bool
+}
+
+func (l lenders) pauses(now time.Time, zone string, yields bool) bool {
+	return now.Before(l[lender{zone, false}]) || (yields && now.Before(l[lender{zone, true}]))
+}
 
-func (l lenders) pause(zone string) { l[zone] = time.Now().Add(pauseFor) }
+func (l lenders) pause(zone string, yields bool) {
+	l[lender{zone, yields}] = time.Now().Add(pauseFor)
+}
 
-// borrow asks the keepers of other zones to pay for requests, and returns for how many
-// they did.
-func (q *Quotas) borrow(l lenders, m *question, want int) (paid int) {
+// borrow asks the keepers of other zones to pay for what a question wants beside those
+// that are paid for, and returns for how many they did.
+func (q *Quotas) borrow(l lenders, m *question, before int) (paid int) {
 	now := time.Now()
+	left := m.rest(before)
 	var keepers []member.Record
 	q.settings.View(func(v *member.View) {
 		own := v.Self().Zone
 		for zone := range v.Zones() {
-			if zone == own || l.pauses(now, zone) {
+			if zone == own || l.pauses(now, zone, left.first() == 0) {
 				continue
 			}
 			if keeper, ok := v.Keeper(now, zone, m.Tenant, q.settings.Terms.Window); ok {
@@ -118,14 +130,14 @@
 		}
 	})
 	for _, keeper := range keepers {
-		if paid == want {
+		next := m.rest(before + paid)
+		if next.Want == 0 {
 			break
 		}
-		next := *m
-		next.Purpose, next.Want = lend, want-paid
+		next.Purpose = lend
 		r, err := q.askKeeper(keeper, &next, lendLimit)
 		if err != nil || r.Paid < next.Want {
-			l.pause(keeper.Zone)
+			l.pause(keeper.Zone, err == nil && r.Paid >= next.first())
 		}
 		paid += r.Paid
 	}
@@ -137,7 +149,7 @@
 func (q *Quotas) lend(m *question) reply {
 	l := q.kept(m)
 	defer l.mu.Unlock()
-	return reply{Paid: l.Take(time.Now(), m.Want)}
+	return reply{Paid: l.Pay(time.Now(), m.Want, m.Yield)}
 }
 
 // Tick gives up the ledgers that another node keeps now, since what they would save up
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -88,7 +88,10 @@
 }
 
 // claim is a request that waits. Its answer is sent once.
-type claim struct{ answer chan tenant.Verdict }
+type claim struct {
+	turn   tenant.Turn
+	answer chan tenant.Verdict
+}
 
 // ledger is one that this node keeps.
 type ledger struct {
@@ -110,8 +113,9 @@
 }
 
 // Take asks whether a request of a tenant is within its quota, and pays for it. It
-// returns early, with a request that is not paid for, if gone is closed.
-func (q *Quotas) Take(name string, quota tenant.Quota, gone <-chan struct{}) tenant.Verdict {
+// returns early, with a request that is not paid for, if gone is closed. One that comes
+// early and is not paid for is told nothing new.
+func (q *Quotas) Take(name string, quota tenant.Quota, turn tenant.Turn, gone <-chan struct{}) tenant.Verdict {
 	now := time.Now()
 	q.mu.Lock()
 	l := q.line(name, now)
@@ -120,7 +124,7 @@
 		q.mu.Unlock()
 		return tenant.Verdict{Paid: true}
 	}
-	c := &claim{answer: make(chan tenant.Verdict, 1)}
+	c := &claim{turn: turn, answer: make(chan tenant.Verdict, 1)}
 	l.waiting = append(l.waiting, c)
 	if !l.asking {
 		l.asking = true
@@ -176,13 +180,19 @@
 			return
 		}
 		q.mu.Unlock()
-		r := q.ask(name, quota, l, len(claims))
+		m := ordered(claims)
+		m.Tenant, m.Rate, m.Burst = name, int(quota.Rate), int(quota.Burst)
+		r := q.ask(&m, quota, l)
 		after, step := micros(r.FirstMicros), micros(r.StepMicros)
 		for i, c := range claims {
 			if i < r.Paid {
 				c.answer <- tenant.Verdict{Paid: true}
 				continue
 			}
+			if c.turn == tenant.Early {
+				c.answer <- tenant.Verdict{}
+				continue
+			}
 			c.answer <- tenant.Verdict{RetryAfter: after}
 			after += step
 		}
@@ -193,24 +203,23 @@
 
 // ask asks the keeper of the own zone and, if that does not answer, those of others. It is
 // called by one goroutine of a line at a time.
-func (q *Quotas) ask(name string, quota tenant.Quota, l *line, want int) reply {
+func (q *Quotas) ask(m *question, quota tenant.Quota, l *line) reply {
 	now := time.Now()
-	m := question{Tenant: name, Want: want, Rate: int(quota.Rate), Burst: int(quota.Burst)}
-	keeper, self, ok := q.keeper(now, name)
+	keeper, self, ok := q.keeper(now, m.Tenant)
 	if ok && keeper.Host == self.Host {
 		if q.settings.Isolated(now) {
-			return q.askFloor(name, quota, l, want, 0)
+			return q.askFloor(m, quota, l, 0)
 		}
-		return q.pay(&m)
+		return q.pay(m)
 	}
-	if ok && !l.lenders.pauses(now, self.Zone) {
-		r, err := q.askKeeper(keeper, &m, askLimit)
+	if ok && !l.lenders.pauses(now, self.Zone, false) {
+		r, err := q.askKeeper(keeper, m, askLimit)
 		if err == nil {
 			return r
 		}
-		l.lenders.pause(self.Zone)
+		l.lenders.pause(self.Zone, false)
 	}
-	return q.askFloor(name, quota, l, want, q.borrow(l.lenders, &m, want))
+	return q.askFloor(m, quota, l, q.borrow(l.lenders, m, 0))
 }
 
 // keeper returns the node that keeps a tenant's ledger for this node's zone, and this
@@ -226,7 +235,14 @@
 // askKeeper asks another node.
 func (q *Quotas) askKeeper(keeper member.Record, m *question, limit time.Duration) (r reply, err error) {
 	q.Counters.Asked.Add(1)
+	asked := time.Now()
 	payload, err := q.settings.Ask(keeper.Address, wire.EncodeControl(m), limit)
+	if left := limit - time.Since(asked); err != nil && m.Yield > 0 && left > limit/2 {
+		// A node of an older build can't read who yields, and says so at once.
+		plain := *m
+		plain.Yield, plain.Placed = 0, 0
+		payload, err = q.settings.Ask(keeper.Address, wire.EncodeControl(&plain), left)
+	}
 	if err == nil {
 		err = msgpack.Unmarshal(payload, &r)
 	}
@@ -242,7 +258,7 @@
 }
 
 // askFloor pays from the part of a single host, after others have paid for some.
-func (q *Quotas) askFloor(name string, quota tenant.Quota, l *line, want, paid int) reply {
+func (q *Quotas) askFloor(m *question, quota tenant.Quota, l *line, paid int) reply {
 	hosts := 0
 	q.settings.View(func(v *member.View) { hosts = v.Len() })
 	q.mu.Lock()
@@ -252,14 +268,17 @@
 		l.floor = tenant.NewFloor(now, quota, q.settings.Terms, hosts)
 	}
 	l.floorUsed = now
-	return replyOf(now, l.floor, want, paid)
+	return replyOf(now, l.floor, m, paid)
 }
 
-// replyOf takes from a ledger for some requests, some of which are paid for already.
-func replyOf(now time.Time, l *tenant.Ledger, want, paid int) reply {
-	paid += l.Take(now, want-paid)
+// replyOf takes from a ledger for some requests, some of which are paid for already. The
+// others are told their places, unless they have them.
+func replyOf(now time.Time, l *tenant.Ledger, m *question, paid int) reply {
+	left := m.rest(paid)
+	paid += l.Pay(now, left.Want, left.Yield)
 	r := reply{Paid: paid}
-	if refused := want - paid; refused > 0 {
+	left = m.rest(paid)
+	if refused := left.Want - left.Placed; refused > 0 {
 		first, step := l.Refuse(now, refused)
 		r.FirstMicros, r.StepMicros = first.Microseconds(), step.Microseconds()
 	}
@@ -272,7 +291,7 @@
 	if err := msgpack.Unmarshal(payload, &m); err != nil {
 		return nil, eris.Wrap(err, "decode question for a quota")
 	}
-	if m.Want < 0 || m.Rate < 0 || m.Burst < 0 || m.Purpose > lend {
+	if !m.valid() {
 		return nil, eris.Errorf("question for a quota of tenant %q is out of range", m.Tenant)
 	}
 	r, err := q.answer(&m)
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -11,9 +12,11 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/ryehaven/ryehaven/member"
 	"github.com/ryehaven/ryehaven/tenant"
+	"github.com/ryehaven/ryehaven/wire"
 )
 
 // fleet is some hosts in three zones whose nodes ask each other at once.
@@ -121,6 +124,10 @@
 
 // play sends requests for a time and returns when each was paid for.
 func (f *fleet) play(length time.Duration, d demand, each func(at time.Duration)) (paid []time.Duration, asked int) {
+	return f.playTurn(length, d, tenant.First, each)
+}
+
+func (f *fleet) playTurn(length time.Duration, d demand, turn tenant.Turn, each func(at time.Duration)) (paid []time.Duration, asked int) {
 	began := time.Now()
 	var mu sync.Mutex
 	var wait sync.WaitGroup
@@ -143,7 +150,7 @@
 			next++
 			asked++
 			wait.Go(func() {
-				if h.quotas.Load().Take("t", f.quotaNow(), nil).Paid {
+				if h.quotas.Load().Take("t", f.quotaNow(), turn, nil).Paid {
 					mu.Lock()
 					paid = append(paid, time.Since(began))
 					mu.Unlock()
@@ -320,18 +327,118 @@
 		time.Sleep(10 * time.Second)
 		q := f.hosts[0].quotas.Load()
 		taken := 0
-		for q.Take("t", f.quota, nil).Paid {
+		for q.Take("t", f.quota, tenant.First, nil).Paid {
 			taken++
 		}
 		if taken == 0 {
 			t.Fatal("nothing was paid for")
 		}
 		q.Return("t")
-		if !q.Take("t", f.quota, nil).Paid {
+		if !q.Take("t", f.quota, tenant.First, nil).Paid {
 			t.Error("what was given back does not pay")
 		}
-		if v := q.Take("t", f.quota, nil); v.Paid || v.RetryAfter <= 0 {
+		if v := q.Take("t", f.quota, tenant.First, nil); v.Paid || v.RetryAfter <= 0 {
 			t.Errorf("it pays twice: %+v", v)
 		}
 	})
 }
+
+// A tenant at 7.5 times its usual, two thirds of whose requests have come back too late to
+// be in time: what is paid for goes to first tries, as far as there are enough of them, and
+// late ones have what first tries leave.
+func TestLateReturnsYieldToFirstTriesOverAllNodes(t *testing.T) {
+	for _, firstRate := range []float64{400, 100} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(12, tenant.Quota{Rate: 200, Burst: 50})
+			time.Sleep(time.Second)
+			var first, late []time.Duration
+			done := make(chan struct{})
+			go func() {
+				late, _ = f.playTurn(10*time.Second, demand{800, everywhere}, tenant.Late, nil)
+				close(done)
+			}()
+			first, asked := f.playTurn(10*time.Second, demand{firstRate, everywhere}, tenant.First, nil)
+			<-done
+			all := append(append([]time.Duration{}, first...), late...)
+			slices.Sort(all)
+			if got := most(all, f.terms.Window); float64(got) > f.bound() {
+				t.Errorf("%d in a window, at most %.1f are allowed", got, f.bound())
+			}
+			if owed := min(float64(asked), 2000); float64(len(first)) < 0.93*owed {
+				t.Errorf("%d of %d first tries are paid for", len(first), asked)
+			}
+			if len(first)+len(late) < 1900 {
+				t.Errorf("%d first tries and %d late ones are paid for, the quota allows 2000", len(first), len(late))
+			}
+		})
+	}
+}
+
+// Questions of another build or with numbers that make no sense have a clear answer.
+func TestQuestionsThatMakeNoSenseAreRejected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, tenant.Quota{Rate: 10, Burst: 10})
+		time.Sleep(time.Second)
+		q := f.hosts[0].quotas.Load()
+		for _, m := range []any{
+			&question{Tenant: "t", Want: 1, Yield: 2}, &question{Tenant: "t", Want: 2, Yield: 1, Placed: 2},
+			&question{Tenant: "t", Want: 2, Yield: -1}, &question{Tenant: "t", Want: -2}, &question{Tenant: "t", Want: 2, Yield: 1, Placed: -1},
+		} {
+			if _, err := q.Answer(wire.EncodeControl(m)); err == nil {
+				t.Errorf("%+v is answered", m)
+			}
+		}
+		former := struct {
+			Tenant            string
+			Purpose           purpose
+			Want, Rate, Burst int
+		}{"t", take, 3, 10, 10}
+		newer := struct {
+			Tenant                           string
+			Purpose                          purpose
+			Want, Rate, Burst, Yield, Placed int
+			More                             string
+		}{"t", take, 3, 10, 10, 2, 1, "more"}
+		for _, m := range []any{&former, &newer} {
+			if answer, err := q.Answer(wire.EncodeControl(m)); err != nil || len(answer) == 0 {
+				t.Errorf("%+v is not answered: %v", m, err)
+			}
+		}
+		for _, payload := range []string{"", "\x90", "\x91\xa1t", "\xdd\xff\xff\xff\xff", "\x95\xa1t\x00\xa1x\x01\x01"} {
+			if _, err := q.Answer([]byte(payload)); err == nil {
+				t.Errorf("%q is answered", payload)
+			}
+		}
+	})
+}
+
+// An older build reads a question in which none yields, and is asked so if it can't read
+// another.
+func TestKeepersOfAnOlderBuildAreAsked(t *testing.T) {
+	type former struct {
+		Tenant            string
+		Purpose           purpose
+		Want, Rate, Burst int
+	}
+	var got []former
+	q := New(Settings{
+		View: func(func(*member.View)) {},
+		Ask: func(_ string, payload []byte, _ time.Duration) ([]byte, error) {
+			var m former
+			if err := msgpack.Unmarshal(payload, &m); err != nil {
+				return nil, err
+			}
+			got = append(got, m)
+			return wire.EncodeControl(&reply{Paid: 1}), nil
+		},
+	})
+	for _, m := range []question{{Tenant: "t", Want: 3}, {Tenant: "t", Want: 3, Yield: 2, Placed: 1}} {
+		r, err := q.askKeeper(member.Record{}, &m, time.Second)
+		if err != nil || r.Paid != 1 {
+			t.Errorf("%+v: %+v, %v", m, r, err)
+		}
+	}
+	if len(got) != 2 || got[0] != got[1] || got[0].Want != 3 {
+		t.Errorf("asked %+v", got)
+	}
+}
--- a/tenant/ledger_test.go
+++ b/tenant/ledger_test.go
@@ -98,3 +98,32 @@
 		t.Errorf("%d requests were paid for", got)
 	}
 }
+
+// Requests that yield are paid for as long as the tenant keeps to its quota, however small
+// that is.
+func TestYieldingNeverStarvesBelowTheQuota(t *testing.T) {
+	for _, q := range []Quota{{Rate: 1, Burst: 1}, {Rate: 1}, {Rate: 50, Burst: 50}, {Rate: 500}} {
+		now := begin()
+		l := NewLedger(now, q, terms(), 0.3)
+		for range 20 {
+			now = now.Add(10 * time.Second)
+			if l.Pay(now, 1, 1) != 1 {
+				t.Errorf("%+v: a full ledger does not pay for a late request", q)
+			}
+		}
+	}
+}
+
+// Whatever numbers come, no more is paid than wanted and than there is.
+func TestPayTakesNoNonsense(t *testing.T) {
+	now := begin().Add(time.Minute)
+	l := NewLedger(begin(), Quota{Rate: 50, Burst: 50}, terms(), 1)
+	for _, n := range [][2]int{{0, 5}, {3, 10}, {3, 3}, {0, 0}} {
+		if got := l.Pay(now, n[0], n[1]); got < 0 || got > n[0] {
+			t.Errorf("of %d, %d yielding, %d are paid", n[0], n[1], got)
+		}
+	}
+	if got := l.Pay(now, 1000, 500); got >= 1000 || l.level < 0 {
+		t.Errorf("%d paid, %.1f left", got, l.level)
+	}
+}
