--- a/event/event.go
+++ b/event/event.go
@@ -151,7 +151,7 @@
 
 // Unusual implements Event.
 func (r *Request) Unusual() bool {
-	return r.Outcome != Answered || r.Status >= 500 || len(r.Attempts) != 1 || (r.Aim > 0 && r.Took > r.Aim)
+	return r.Outcome != Answered || r.Status >= 500 || len(r.Attempts) != 1 || (r.Aim > 0 && r.Age+r.Took > r.Aim)
 }
 
 // MarshalLogObject implements zapcore.ObjectMarshaler.
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -167,6 +167,9 @@
 	if confirmed, told := line.Fields["confirmed_ms"].(float64); told && confirmed >= 0 {
 		head += fmt.Sprintf(", confirmed %.0f ms before", confirmed)
 	}
+	if before := line.number("age_ms"); before > 0 {
+		head += fmt.Sprintf(", its caller first asked %.0f ms before", before)
+	}
 	if detail := line.text("detail"); detail != "" {
 		head += ": " + detail
 	}
--- a/explain/loss.go
+++ b/explain/loss.go
@@ -22,6 +22,9 @@
 	RefusedLeaving  Loss = "refused: servers leave or their zone is evacuated"
 	RefusedTime     Loss = "refused: time was up"
 	RefusedStopping Loss = "refused: node stops"
+	RefusedKey      Loss = "refused: key not known"
+	RefusedQuota    Loss = "refused: tenant above its quota"
+	RefusedOldTable Loss = "refused: route or key not known by a table that may be an old one"
 	RefusedWrong    Loss = "refused: wrong request, or a route that the table does not know"
 	RefusedNoTable  Loss = "refused: node has no table"
 	RefusedOther    Loss = "refused: other"
@@ -36,6 +39,8 @@
 	LateQueued Loss = "late: in a gate's queue"
 	LateSent   Loss = "late: before it was sent"
 	LateWork   Loss = "late: its own work"
+	// LateReturn: late for its caller, who had been refused before.
+	LateReturn Loss = "late: came back after a try that was not served"
 )
 
 // What a part of a request's time must be of it to be its cause, and from which
@@ -74,17 +79,22 @@
 	case status >= statusError:
 		return FailedServer
 	}
-	aim := f.number("aim_ms")
-	if aim == 0 || f.number("took_ms") <= aim {
+	aim, took := f.number("aim_ms"), f.number("took_ms")
+	switch {
+	case aim == 0 || f.number("age_ms")+took <= aim:
 		return LossNone
+	case took <= aim:
+		return LateReturn
 	}
 	return f.lateness()
 }
 
 // The statuses that matter here.
 const (
-	statusError   = 500
-	statusTimeout = 504
+	statusUnknownKey = 401
+	statusOverQuota  = 429
+	statusError      = 500
+	statusTimeout    = 504
 )
 
 func (f *finished) refusal() Loss {
@@ -112,10 +122,16 @@
 
 // rejection says why the request was never sent to a gate.
 func (f *finished) rejection() Loss {
-	detail := f.text("detail")
+	detail, status := f.text("detail"), f.number("status")
 	switch {
-	case f.number("status") < statusError:
+	case status == statusUnknownKey:
+		return RefusedKey
+	case status == statusOverQuota:
+		return RefusedQuota
+	case status < statusError:
 		return RefusedWrong
+	case strings.Contains(detail, "an old one"), strings.Contains(detail, "newest keys"):
+		return RefusedOldTable
 	case strings.Contains(detail, "stops"):
 		return RefusedStopping
 	case strings.Contains(detail, "are cold"):
--- a/explain/summary_test.go
+++ b/explain/summary_test.go
@@ -31,6 +31,12 @@
 		{RefusedNoServer, entryLine("1", `"outcome":"not-run","status":503,"took_ms":5`)},
 		{RefusedStopping, entryLine("1", `"outcome":"not-run","status":503,"detail":"this node stops and could not wait for the answer"`)},
 		{RefusedWrong, entryLine("1", `"outcome":"not-run","status":404,"detail":"no service of the table is meant by the Host field and the path"`)},
+		{RefusedKey, entryLine("1", `"outcome":"not-run","status":401,"detail":"the key is not known"`)},
+		{RefusedKey, entryLine("1", `"outcome":"not-run","status":401,"detail":"the route asks for one Authorization field with one bearer key"`)},
+		{RefusedQuota, entryLine("1", `"outcome":"not-run","status":429,"detail":"tenant \"t\" is above its quota of 5 requests a second"`)},
+		{RefusedOldTable, entryLine("1", `"outcome":"not-run","status":503,"detail":"this node can't know whether it has the newest keys"`)},
+		{RefusedOldTable, entryLine("1", `"outcome":"not-run","status":503,"detail":"the key is not known, by a table that may be an old one"`)},
+		{RefusedOldTable, entryLine("1", `"outcome":"not-run","status":503,"detail":"the table in force does not know the route, and may be an old one"`)},
 		{RefusedNoTable, entryLine("1", `"outcome":"not-run","status":503,"detail":"this node has no table yet"`)},
 		{RefusedCold, entryLine("1", `"outcome":"not-run","status":503,"detail":"the service's backend servers are cold and don't bear one more request now"`)},
 		{RefusedFull, entryLine("1", fmt.Sprintf(refused, "overload"))},
@@ -51,6 +57,9 @@
 		{LateCall, entryLine("1", late) + entryLine("1.9", fmt.Sprintf(answered, 250, 0)) + gateLineOf("1", `"took_ms":390,"began_slowness":100`)},
 		{LateWork, entryLine("1", late) + gateLineOf("1", `"took_ms":390,"began_slowness":100`)},
 		{LateWork, entryLine("1", late)},
+		{LateReturn, entryLine("1", fmt.Sprintf(answered, 60, 0)+`,"age_ms":50`)},
+		{LossNone, entryLine("1", fmt.Sprintf(answered, 60, 0)+`,"age_ms":30`)},
+		{LateWork, entryLine("1", late+`,"age_ms":50`)},
 	} {
 		log := NewLog("")
 		if err := log.Read(strings.NewReader(test.log)); err != nil {
