--- a/entry/handle.go
+++ b/entry/handle.go
@@ -54,10 +54,7 @@
 	r.prepareBody()
 	e.watch(r)
 	defer e.unwatch(r)
-	defer func() {
-		e.tenants.count(time.Now(), who.tenant, ctx.Response.StatusCode())
-		e.keepUnserved(r, ctx.Response.StatusCode())
-	}()
+	defer e.handled(r)
 	if !e.charge(r) {
 		return
 	}
--- a/entry/key.go
+++ b/entry/key.go
@@ -58,6 +58,7 @@
 	default:
 		e.refuseKey(ctx, "the route asks for one Authorization field with one bearer key")
 	}
+	e.expectBack(ctx, d.route)
 	return identity{}, false
 }
 
--- a/entry/returns.go
+++ b/entry/returns.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/ryehaven/ryehaven/age"
+	"github.com/ryehaven/ryehaven/table"
 	"github.com/ryehaven/ryehaven/tenant"
 )
 
@@ -77,6 +78,13 @@
 	return tenant.First
 }
 
+// handled counts an answer for its tenant and keeps the request if it was not served.
+func (e *Entry) handled(r *request) {
+	status := r.ctx.Response.StatusCode()
+	e.tenants.count(time.Now(), r.who.tenant, status)
+	e.keepUnserved(r, status)
+}
+
 // keepUnserved keeps a request that was not served, by the status of its answer, so that it
 // is known when it comes back.
 func (e *Entry) keepUnserved(r *request, status int) {
@@ -88,6 +96,19 @@
 	e.returns.keep(now, r, age.Try{First: r.began.Add(-r.age), Place: r.place})
 }
 
+// expectBack takes note of a request that was refused before it was known whose it is:
+// until its caller stops to wait, what comes may be a return.
+func (e *Entry) expectBack(ctx *fasthttp.RequestCtx, route *table.Route) {
+	if !e.settings.Returns || route == nil || !mayComeBack(ctx.Response.StatusCode()) {
+		return
+	}
+	now := time.Now()
+	stated, fault := budgetOf(&ctx.Request.Header, &e.settings.Dialect, table.Policy{}, e.settings.MaxDeadline)
+	if fault == "" {
+		e.traitsOf(route).unserved(now, now.Add(stated))
+	}
+}
+
 // mayComeBack reports whether a caller that got a status may send its request again.
 func mayComeBack(status int) bool {
 	switch status {
--- a/entry/returns_test.go
+++ b/entry/returns_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/ryehaven/ryehaven/age"
 	"github.com/ryehaven/ryehaven/balance"
 	"github.com/ryehaven/ryehaven/header"
 	"github.com/ryehaven/ryehaven/table"
@@ -198,3 +199,25 @@
 		}
 	}
 }
+
+// A node that can't know whether it has the newest keys refuses first tries and does not
+// know whose they are. What comes back must not pass for first tries later.
+func TestReturnsOfUnknownKeysTeachNothing(t *testing.T) {
+	e, route := returning(t)
+	e.traitsOf(route).stated = age.Usual{}
+	for range 40 {
+		arrive(t, e, route, "3000")
+	}
+	var ctx fasthttp.RequestCtx
+	var r fasthttp.Request
+	r.Header.Set(header.Deadline, "3000")
+	ctx.Init(&r, nil, nil)
+	ctx.Response.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	e.expectBack(&ctx, route)
+	for range 40 {
+		arrive(t, e, route, "1500")
+	}
+	if r, _ := arrive(t, e, route, "1500"); r.age < 1300*time.Millisecond {
+		t.Errorf("a return is taken for %v old", r.age)
+	}
+}
