--- a/entry/entry.go
+++ b/entry/entry.go
@@ -103,9 +103,7 @@
 	NoKey atomic.Int64
 	// OverQuota counts requests above their tenant's quota; they are among NotRun.
 	OverQuota atomic.Int64
-	// Returned counts requests of callers who had asked before, and ReturnedAge is how long
-	// before, in milliseconds, added up.
-	Returned, ReturnedAge atomic.Int64
+	ReturnCounters
 	// NoRoomForCalls counts requests refused for want of room for their calls; they are
 	// among NotRun. Calls counts requests that are calls of the server beside this node,
 	// and CallsLost those of them without an answer.
--- a/entry/request.go
+++ b/entry/request.go
@@ -53,6 +53,8 @@
 	call calls.Route
 	// ofClients says that no request for the route is a call.
 	ofClients bool
+	// place is from when on it goes before newcomers; zero if it was told none.
+	place time.Time
 	// refuseBy is until when the request may wait for room; zero leaves it to
 	// the gates.
 	refuseBy time.Time
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -56,6 +56,8 @@
 		{Name: "calls_known", Unit: "pairs", Meaning: "pairs of a route and one that its runs call", Value: func() int64 { return int64(len(n.calls.Records())) }},
 		{Name: "calls_unexplained", Unit: "calls", Meaning: "calls during which no run was at work that could have made them", Value: n.calls.Orphans},
 		{Name: "calls_records_dropped", Unit: "records", Meaning: "records of calls from other nodes that cannot be meant", Value: n.calls.Dropped},
+		metric.Count("entry_places", "requests", "requests that were told when to come back and have a place then", &c.Places),
+		metric.Count("entry_places_taken", "requests", "requests that came back at their place and can still be in time", &c.PlacesTaken),
 		metric.Count("entry_turned_away", "requests", "requests refused as not run because the node stops", &c.TurnedAway),
 		metric.Count("accept_failures", "connections", "connections that could not be accepted, for want of descriptors", &n.acceptFailures),
 		metric.Count("suspensions", "suspensions", "times that the host was found to have been suspended", &n.suspensions),
