admit: late requests take no tokens of a cold server, and its rate keeps no slots

Where a cold rate binds, a request that can only be late was held back by slots alone, so that it took tokens from those that can be in time. Calls that wait for the cold rate counted as calls that wait for a slot: up to half of the slots were kept for them, which shortens nothing.

Tests fail without either.

--- a/admit/aim.go
+++ b/admit/aim.go
@@ -69,6 +69,9 @@
 // where there is none, it would take the place of some that can be in time, the more so
 // as it is late because the server is slow and holds its slot for longer.
 func (q *Queue) spare(now time.Time) bool {
+	if q.Cold(now) && !q.pace.room(now) {
+		return false // It would take what the cold rate leaves for those in time.
+	}
 	return q.lateInFlight+int(math.Round(q.offered.load(now))) < q.Limit()
 }
 
--- a/admit/callroom.go
+++ b/admit/callroom.go
@@ -68,6 +68,9 @@
 	c.since, c.calls, c.tardy = now, 0, 0
 }
 
+// skip forgets the window, so that nothing is learned from it.
+func (c *callRoom) skip(now time.Time) { c.since, c.calls, c.tardy = now, 0, 0 }
+
 // callBegan takes note of a call that begins now. Its wait was too long if it took more
 // than the call itself does: the slot of the request above was held for as long again.
 func (q *Queue) callBegan(now time.Time, t *Ticket) {
@@ -85,6 +88,9 @@
 	if !q.settings.CallRoom {
 		return 0
 	}
+	if q.Cold(now) {
+		q.callRoom.skip(now) // Calls wait for the cold rate, which no slot shortens.
+	}
 	q.callRoom.roll(now, int(keptShare*float64(q.Limit())))
 	if now.Sub(q.callRoom.last) > callsGone {
 		return 0
--- a/admit/turn_test.go
+++ b/admit/turn_test.go
@@ -156,3 +156,36 @@
 		t.Errorf("a call that may go after 278 ms: state %d", ticket.State())
 	}
 }
+
+// Calls that wait for the cold rate keep no slots from callers' requests: more slots would
+// not shorten that.
+func TestColdRateKeepsNoSlots(t *testing.T) {
+	q := NewQueue(Settings{Slots: 12, Queue: 24, FixedLimit: true, CallRoom: true, Cold: ColdRate(12, 1.5, 8)})
+	q.CountFrom(start)
+	q.SetCold(start.Add(time.Hour))
+	calls := &coldStream{perSecond: 30, call: true, maxWait: 250 * time.Millisecond}
+	roots := &coldStream{perSecond: 6, priority: table.Normal, maxWait: 86 * time.Millisecond}
+	playCold(q, []*coldStream{calls, roots}, 100*time.Millisecond, 3*time.Second)
+	if q.callRoom.kept > 0 {
+		t.Errorf("%d slots are kept", q.callRoom.kept)
+	}
+}
+
+// What can only be late takes no token that a cold server has for what can be in time.
+func TestLateRequestsTakeNoTokens(t *testing.T) {
+	q := coldQueue()
+	late := &Ticket{Deadline: start.Add(3 * time.Second), Aim: start.Add(-time.Second), Work: 100 * time.Millisecond, MaxWait: 100 * time.Millisecond}
+	inTime := &Ticket{Deadline: start.Add(3 * time.Second), Aim: start.Add(500 * time.Millisecond), Work: 100 * time.Millisecond, MaxWait: 100 * time.Millisecond}
+	q.Offer(start, late)
+	q.Offer(start, inTime)
+	if late.State() != Refused || late.Cause() != Late || inTime.State() != Queued {
+		t.Errorf("no token at hand: states %d and %d", late.State(), inTime.State())
+	}
+	*late = Ticket{Deadline: late.Deadline, Aim: late.Aim, Work: late.Work, MaxWait: late.MaxWait}
+	now := start.Add(300 * time.Millisecond)
+	q.Advance(now)
+	q.Offer(now, late)
+	if late.State() != Dispatched {
+		t.Errorf("tokens at hand: state %d", late.State())
+	}
+}
