--- a/balance/later.go
+++ b/balance/later.go
@@ -41,12 +41,12 @@
 		return 0, false
 	}
 	look := p.Outlook(now, demand, false)
-	after = p.comeBack(now, cold, demand, left, draw)
 	switch {
 	case look.Took >= left, look.Refused >= refusedSurely:
-		return after, true
+		return p.comeBack(now, cold, demand, left, draw), true
 	case lateness(look.Took, demand.Aim) >= lateSurely && look.Refused >= scarceFrom:
 		// It is late in any case; it goes first only if it can't be answered later.
+		after = p.comeBack(now, cold, demand, left, draw)
 		return after, after+warmTime(demand) <= left
 	}
 	return 0, false
