--- a/gate/denial_test.go
+++ b/gate/denial_test.go
@@ -43,3 +43,20 @@
 		})
 	}
 }
+
+// What a report denies severs nothing for as long as a process may stand still.
+func TestDenialMustStand(t *testing.T) {
+	now := time.Now()
+	for _, test := range []struct {
+		since time.Time
+		long  bool
+	}{
+		{time.Time{}, false},
+		{now.Add(-patienceLeast + 1), false},
+		{now.Add(-patienceLeast), true},
+	} {
+		if j := (&job{denied: test.since}); j.deniedLong(now) != test.long {
+			t.Errorf("denied since %v, now %v: severed %v, want %v", test.since, now, !test.long, test.long)
+		}
+	}
+}
