--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -196,7 +196,8 @@
 	t.Helper()
 	for _, one := range all {
 		if one.ending != answered {
-			t.Errorf("request %s of %d was not answered: %s", one.number, len(all), one.detail)
+			t.Errorf("request %s of %d was not answered, sent at %s, after %v: %s", one.number, len(all),
+				one.at.Format("05.000"), one.took, one.detail)
 		}
 	}
 }
--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -161,6 +161,7 @@
 	w := startWorkload(callers(s.Nodes[3:]), workers)
 	time.Sleep(before)
 	for range 5 {
+		began := time.Now()
 		for i := range 3 {
 			signalNode(i, syscall.SIGSTOP)(t, s)
 		}
@@ -168,6 +169,7 @@
 		for i := range 3 {
 			signalNode(i, syscall.SIGCONT)(t, s)
 		}
+		t.Logf("stood still from %s for %v", began.Format("05.000"), time.Since(began))
 		time.Sleep(300 * time.Millisecond)
 	}
 	all := w.end()
