calls: only want of room refuses a request

Now lateness counts only where the aim can be met and calls take twice their usual time. Numbers that are none no longer make the harm one.

--- a/calls/whole.go
+++ b/calls/whole.go
@@ -42,7 +42,7 @@
 	if w.Aim <= 0 {
 		return 0
 	}
-	took := float64(w.Took)
+	took := float64(max(w.Took, 0))
 	for i := range w.Parts {
 		took += w.Parts[i].longer()
 	}
@@ -62,16 +62,31 @@
 // room is the chance that all calls of the part find room.
 func (p *Part) room() float64 {
 	share := within(p.Share)
-	return 1 - share + share*math.Pow(1-within(p.Refused), max(p.Times, 0))
+	return 1 - share + share*math.Pow(1-within(p.Refused), p.times())
 }
 
-// longer is by how much the part makes the request take longer than usual.
+// waits is how many times the usual a call takes that clearly waits for room; any busy
+// server takes somewhat longer.
+const waits = 2
+
+// longer is by how much the part makes the request take longer than usual by waiting.
 func (p *Part) longer() float64 {
-	times := max(p.Times, 0)
+	times := p.times()
 	if p.Together {
 		times = min(times, 1)
 	}
-	return within(p.Share) * times * float64(max(p.Took-p.Usual, 0))
+	return within(p.Share) * times * max(float64(p.Took)-waits*float64(max(p.Usual, 0)), 0)
+}
+
+// mostTimes bounds the calls of one run that count.
+const mostTimes = 64
+
+// times is how many calls a run makes that makes any; what is no number is none.
+func (p *Part) times() float64 {
+	if !(p.Times > 0) {
+		return 0
+	}
+	return min(p.Times, mostTimes)
 }
 
 // within bounds a chance; what is no number is 0.
@@ -84,14 +99,14 @@
 
 // Harm is the part of the chance that the request loses because room is short: for
 // itself, or for its calls, which find none or wait for it. Servers that are merely slow
-// do no harm here: where there is room, a late answer is better than none.
+// do no harm here, and neither does an aim that can't be met anyway: where there is room, a
+// late answer is better than none.
 func (w *Whole) Harm() float64 {
-	idle := Whole{Aim: w.Aim, Took: w.Took}
-	usual := idle.Chance()
-	if usual == 0 {
-		return 0
+	if w.Aim <= 0 || w.Took >= w.Aim {
+		return 1 - w.Room()
 	}
-	return max(1-w.Chance()/usual, 0)
+	idle := Whole{Aim: w.Aim, Took: w.Took}
+	return max(1-w.Chance()/idle.Chance(), 0)
 }
 
 // Bearable is the harm up to which a route's requests are let in: as much as bears a
--- /dev/null
+++ b/calls/whole_test.go
@@ -0,0 +1,119 @@
+// SPDX-License-Identifier: MIT
+
+package calls
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// push is a request whose two calls, made together by seven of ten runs, take some time and
+// are refused with some chance.
+func push(aim, took time.Duration, refused float64) Whole {
+	return Whole{Priority: 1, Aim: aim, Took: 150 * time.Millisecond, Parts: []Part{{
+		Share: 0.7, Times: 2, Together: true, Refused: refused, Took: took, Usual: 27 * time.Millisecond,
+	}}}
+}
+
+// Of 1,945 requests that were refused for their calls 1,899 would have found room: most had
+// come back with little of their aim left, and their calls took somewhat longer than usual.
+func TestHarmIsWantOfRoom(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		whole       Whole
+		least, most float64
+	}{
+		{"room", push(400*time.Millisecond, 27*time.Millisecond, 0), 0, 0},
+		{"busy servers", push(400*time.Millisecond, 50*time.Millisecond, 0), 0, 0},
+		{"little aim left", push(20*time.Millisecond, 50*time.Millisecond, 0), 0, 0},
+		{"aim passed, slow", push(time.Millisecond, time.Second, 0), 0, 0},
+		{"no aim", push(0, time.Second, 0), 0, 0},
+		{"calls wait long", push(400*time.Millisecond, 500*time.Millisecond, 0), 0.5, 1},
+		{"half of the calls refused", push(400*time.Millisecond, 27*time.Millisecond, 0.5), 0.5, 0.55},
+		{"all refused", push(400*time.Millisecond, 27*time.Millisecond, 1), 0.69, 0.71},
+		{"aim passed, half refused", push(time.Millisecond, time.Second, 0.5), 0.5, 0.55},
+	} {
+		if got := test.whole.Harm(); got < test.least || got > test.most {
+			t.Errorf("%s: harm %v, want %v to %v", test.name, got, test.least, test.most)
+		}
+	}
+}
+
+// Whatever others say, the harm is a share, it does not fall with less room, and less
+// urgent requests bear less of it.
+func TestHarmIsAShareThatRisesWithRefusals(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		any := func(name string) float64 {
+			return rapid.OneOf(rapid.Float64(), rapid.Just(math.NaN()), rapid.Just(math.Inf(1)), rapid.Just(math.Inf(-1))).Draw(t, name)
+		}
+		duration := func(name string) time.Duration { return time.Duration(rapid.Int64().Draw(t, name)) }
+		part := Part{
+			Share: any("share"), Times: any("times"), Together: rapid.Bool().Draw(t, "together"),
+			Refused: rapid.Float64Range(0, 1).Draw(t, "refused"), Took: duration("call"), Usual: duration("usual"), After: duration("after"),
+		}
+		w := Whole{Priority: rapid.Uint8().Draw(t, "priority"), Aim: duration("aim"), Took: duration("took"), Refused: any("full"), Parts: []Part{part}}
+		before := w.Harm()
+		w.Parts[0].Refused = rapid.Float64Range(part.Refused, 1).Draw(t, "more")
+		after := w.Harm()
+		if !(before >= 0 && before <= 1 && after >= before-1e-9 && after <= 1) {
+			t.Fatalf("harm %v, then %v", before, after)
+		}
+		if b := Bearable(w.Priority); !(b > 0 && b <= Bearable(0)) || (w.Priority > 0 && b > Bearable(w.Priority-1)) {
+			t.Fatalf("%v is bearable", b)
+		}
+		if d := w.RetryAfter(); d < leastRetryAfter || d > mostRetryAfter {
+			t.Fatalf("come back after %v", d)
+		}
+	})
+}
+
+// A share never falls below the least, whatever is thought of the requests, and all are let
+// in soon after there is room.
+func TestShareHasAFloorAndRisesAgain(t *testing.T) {
+	var s Share
+	now, let := start, 0
+	for range 1000 {
+		now = now.Add(10 * time.Millisecond)
+		if s.Admit(now, math.Inf(1), Bearable(1)) {
+			let++
+		}
+	}
+	if let < 1000/16 || let > 250 || s.Value() != Least {
+		t.Errorf("%d of 1000 let in, share %v", let, s.Value())
+	}
+	for range 300 {
+		now = now.Add(10 * time.Millisecond)
+		s.Admit(now, 0, Bearable(1))
+	}
+	if s.Value() != 1 || !s.Admit(now, 1, Bearable(1)) {
+		t.Errorf("share %v after 3 s with room", s.Value())
+	}
+}
+
+// What a server's calls came to fades within a second or two.
+func TestOutcomesFade(t *testing.T) {
+	var o Outcomes
+	now := start
+	for range 20 {
+		now = now.Add(10 * time.Millisecond)
+		o.Lost(now, 1, 80*time.Millisecond)
+	}
+	if lost, _, after := o.Of(now, 1); lost < 0.85 || after != 80*time.Millisecond {
+		t.Errorf("%v lost, come back after %v", lost, after)
+	}
+	if lost, _, _ := o.Of(now.Add(3*time.Second), 1); lost > 0.05 {
+		t.Errorf("%v lost three seconds later", lost)
+	}
+	for range 100 {
+		o.Answered(now, 2, 30*time.Millisecond)
+	}
+	if lost, took, _ := o.Of(now, 2); lost != 0 || took < 29*time.Millisecond || took > 31*time.Millisecond {
+		t.Errorf("%v lost, took %v", lost, took)
+	}
+	if lost, took, after := o.Of(now, 3); lost != 0 || took != 0 || after != 0 {
+		t.Error("something is known of a route without calls")
+	}
+}
--- a/entry/whole_test.go
+++ b/entry/whole_test.go
@@ -159,8 +159,9 @@
 func BenchmarkAdmitWhole(b *testing.B) {
 	now := time.Now()
 	var specs []balance.Spec
+	const inUse = 16 // The others are spares, as where nodes announce servers.
 	for i := range 300 {
-		specs = append(specs, balance.Spec{Name: strconv.Itoa(i), Node: strconv.Itoa(i), Weight: 1, Slots: 6})
+		specs = append(specs, balance.Spec{Name: strconv.Itoa(i), Node: strconv.Itoa(i), Weight: 1, Slots: 6, Spare: i >= inUse})
 	}
 	pool := balance.NewPool(balance.Options{})
 	pool.Update(now, specs)
