entry, calls: calls that a server failed say nothing of its room

A call that was answered with an error, or may have run, counted as one that found no room, so that a service with grey servers had the requests above it refused.

--- a/calls/book.go
+++ b/calls/book.go
@@ -21,14 +21,15 @@
 	return b.Called(now, route)
 }
 
-// CallEnded takes note of how such a call ended: answered says that it was, after a time, and
-// otherwise after is when to come back, 0 if that is not known.
-func (b *Book) CallEnded(now time.Time, route Route, answered bool, took, after time.Duration) {
-	if answered {
-		b.Returned(now, route, took)
-		b.Answered(now, route, took)
-		return
-	}
+// CallAnswered takes note of such a call that was answered after a time.
+func (b *Book) CallAnswered(now time.Time, route Route, took time.Duration) {
+	b.Returned(now, route, took)
+	b.Answered(now, route, took)
+}
+
+// CallRefused takes note of one that was not run, for want of room or time; after is when to
+// come back, 0 if that is not known.
+func (b *Book) CallRefused(now time.Time, route Route, after time.Duration) {
 	b.Returned(now, route, 0)
 	b.Lost(now, route, after)
 }
--- a/entry/whole.go
+++ b/entry/whole.go
@@ -165,19 +165,24 @@
 	}
 }
 
-// callEnded takes note of how a call of the server beside this node ended.
+// callEnded takes note of how a call of the server beside this node ended. One that a server
+// failed, or that may have run, says nothing of the room there.
 func (e *Entry) callEnded(r *request, res result) {
 	if r.call == 0 {
 		return
 	}
-	now := time.Now()
-	answered := res.last != nil && res.last.outcome == retry.Answered
-	after := time.Duration(0)
-	if !answered {
-		e.Counters.CallsLost.Add(1)
-		if res.last != nil {
-			after = res.last.retryAfter
-		}
+	now, book := time.Now(), e.settings.Calls
+	if res.last != nil && res.last.outcome == retry.Answered {
+		book.CallAnswered(now, r.call, now.Sub(r.began))
+		return
+	}
+	e.Counters.CallsLost.Add(1)
+	switch {
+	case res.mayHaveRun:
+		book.Returned(now, r.call, 0)
+	case res.last == nil:
+		book.CallRefused(now, r.call, noServerRetry)
+	default:
+		book.CallRefused(now, r.call, res.last.retryAfter)
 	}
-	e.settings.Calls.CallEnded(now, r.call, answered, now.Sub(r.began), after)
 }
