admit, gate, settings: a gate may learn how full its server may be

slot_share is a guess by the operators: one that is too low leaves slots empty, one that is too high slows all answers down. With sidecar.learn_slots, off by default, a gate compares how long answers took by how many were in flight when they began, relative to their usual work, tries another limit for 0.4 s each four seconds while requests wait, and goes to where clearly more is answered, between half and all of the slots.

Ruled out: the server's own word of its speed as the measure, since it may count its filling; looking at the next slot only, which stays where one slot less alone helps nothing (TestLimitFollowsTheServer).

--- a/admit/queue.go
+++ b/admit/queue.go
@@ -17,6 +17,9 @@
 	NoDeadlineBound bool
 	// Cold bounds what the server gets while it is cold.
 	Cold Rate
+	// LearnMost has the limit learned between half of it and it, from Slots on; 0 does
+	// not. See knee.
+	LearnMost int
 	// CallRoom keeps slots for calls while they wait too long; see callRoom.
 	CallRoom bool
 }
@@ -49,6 +52,9 @@
 	demand   demand
 	levels   levelsOpen
 	callRoom callRoom
+	// learned is the limit by knee.
+	learned int
+	knee    knee
 }
 
 // NewQueue returns an idle queue.
@@ -62,6 +68,10 @@
 func (q *Queue) Configure(s Settings) {
 	q.settings = s
 	q.limit.SetCeiling(s.Slots)
+	if s.LearnMost > 0 {
+		q.knee.bound(max((s.LearnMost+1)/2, 1), s.LearnMost, s.Slots)
+		q.learned = q.knee.value
+	}
 	q.pace.rate = s.Cold
 }
 
@@ -93,6 +103,9 @@
 
 // Limit returns how many requests may be in flight now.
 func (q *Queue) Limit() int {
+	if q.settings.LearnMost > 0 {
+		return q.learned
+	}
 	if q.settings.FixedLimit {
 		return q.settings.Slots
 	}
@@ -135,6 +148,7 @@
 // returned, Refused.
 func (q *Queue) Offer(now time.Time, t *Ticket) (evicted *Ticket) {
 	t.offered = now
+	q.learn(now)
 	if q.Cold(now) && (t.Call || hasPart(t.level())) {
 		q.turns.came(t.Call)
 	}
@@ -177,6 +191,7 @@
 // was to be are refused too, unless they are patient: another server may take
 // them at once. It returns every ticket that left the queue.
 func (q *Queue) Advance(now time.Time) []*Ticket {
+	q.learn(now)
 	left := q.expire(now)
 	for {
 		p, next := q.nextLevel(now)
@@ -228,6 +243,9 @@
 	}
 	took := now.Sub(t.dispatched)
 	q.service.add(took)
+	if q.settings.LearnMost > 0 && t.Work > 0 {
+		q.knee.answered(t.beganWith, took.Seconds()/t.Work.Seconds())
+	}
 	if t.Call {
 		q.callService.add(took)
 	}
@@ -368,6 +386,7 @@
 		q.lastDone = now
 	}
 	q.inFlight++
+	t.beganWith = q.inFlight
 	q.inFlightBy[t.level()]++
 	if t.Call {
 		q.callBegan(now, t)
--- a/admit/ticket.go
+++ b/admit/ticket.go
@@ -68,7 +68,9 @@
 	state State
 	cause Cause
 	// beganLate says that it could only be late when it began.
-	beganLate  bool
+	beganLate bool
+	// beganWith is how many were in flight when it began, itself included.
+	beganWith  int
 	offered    time.Time
 	dispatched time.Time
 	// patience is until when it waits in the queue; see Queue.wait.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -106,7 +106,12 @@
 }
 
 func (g *Gate) bounds(row table.Server) admit.Settings {
+	learnMost := 0
+	if g.settings.LearnSlots {
+		learnMost = max(g.callSlots, row.Slots)
+	}
 	return admit.Settings{
+		LearnMost:       learnMost,
 		Slots:           row.Slots,
 		CallSlots:       g.callSlots,
 		Queue:           row.Queue,
--- a/gate/settings.go
+++ b/gate/settings.go
@@ -64,6 +64,9 @@
 	Calls *calls.Graph
 	// ByAim orders and refuses requests by when their answers are due.
 	ByAim bool
+	// LearnSlots has the gate learn how many of the server's slots it fills, from its row's
+	// on, between half and all of those that calls may fill.
+	LearnSlots bool
 	// FailedBelow reports whether a request that this host sent on to another
 	// service has failed since a time; it may be nil. A server error is then
 	// taken for the echo of that failure, which was retried already.
--- a/node/parts.go
+++ b/node/parts.go
@@ -50,6 +50,7 @@
 		NoDeadlineBound: n.settings.Experiment.NoDeadlineBound,
 		ByAim:           n.settings.Overload.ByAim,
 		Calls:           n.callGraph(),
+		LearnSlots:      n.settings.Sidecar.LearnSlots,
 		FailedBelow:     n.entry.FailedSince,
 		Dialect:         n.dialect,
 		News:            n.wakeUp,
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -81,6 +81,7 @@
 	{"sidecar.control", "address where it announces itself", false, address(func(s *Settings) *string { return &s.Sidecar.Control })},
 	{"sidecar.ready", "address where the node says whether it takes work", false, address(func(s *Settings) *string { return &s.Sidecar.Ready })},
 	{"sidecar.slot_share", "share of the server's slots that are filled", false, number(func(s *Settings) *float64 { return &s.Sidecar.SlotShare }, 0.01, 1)},
+	{"sidecar.learn_slots", "whether a gate learns how many of the slots it fills, from slot_share on, between half and all of those that calls may fill", false, truth(func(s *Settings) *bool { return &s.Sidecar.LearnSlots })},
 	{"sidecar.call_slot_share", "share of them that calls of running requests may fill; below slot_share it stands for that", false, number(func(s *Settings) *float64 { return &s.Sidecar.CallSlotShare }, 0.01, 1)},
 	{"sidecar.measure_after_ms", "how long after its last answer the server is measured; 0 by the row's rate alone", false, millis(func(s *Settings) *time.Duration { return &s.Sidecar.MeasureAfter }, 0, 60_000)},
 	{"sidecar.probes_per_s", "most measuring calls a second that the server may get; 0 allows none before requests", false, number(func(s *Settings) *float64 { return &s.Sidecar.ProbesPerSecond }, 0, 1000)},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -53,6 +53,8 @@
 	Ready string
 	// SlotShare is the share of a server's slots that its gate fills.
 	SlotShare float64
+	// LearnSlots has the gate learn that share, from SlotShare on.
+	LearnSlots bool
 	// CallSlotShare is the share that calls of running requests may fill.
 	CallSlotShare float64
 	// MeasureAfter is how long after its last answer a server is measured.
