--- a/admit/aim.go
+++ b/admit/aim.go
@@ -35,11 +35,11 @@
 	if t.Aim.IsZero() {
 		return inTime
 	}
-	end := now.Add(q.expected(t))
+	expected := q.expected(t)
 	switch {
-	case end.After(t.Deadline):
+	case expected > t.Deadline.Sub(now):
 		return hopeless
-	case end.After(t.Aim) && !t.Call:
+	case !t.Call && expected > t.Aim.Sub(now):
 		return late
 	}
 	return inTime
@@ -55,7 +55,12 @@
 // answer would come after its deadline, or after its aim, or its level is turned away,
 // where other requests need the slots. It holds nobody else up.
 func (q *Queue) held(now time.Time, t *Ticket) bool {
-	switch q.prospect(now, t) {
+	return q.heldAs(now, t, q.prospect(now, t))
+}
+
+// heldAs is held for a ticket whose prospect is known.
+func (q *Queue) heldAs(now time.Time, t *Ticket, p prospect) bool {
+	switch p {
 	case hopeless:
 		return true
 	case late:
--- a/admit/order.go
+++ b/admit/order.go
@@ -19,10 +19,11 @@
 	var best rank
 	for i := len(waiting) - 1; i >= 0; i-- {
 		t := waiting[i]
-		if q.held(now, t) {
+		p := q.prospect(now, t)
+		if q.heldAs(now, t, p) {
 			continue
 		}
-		r := rank{late: q.prospect(now, t) == late, used: q.shares.of(now, t)}
+		r := rank{late: p == late, used: q.shares.of(now, t)}
 		if first < 0 || r.before(best) || (r == best && t.precedes(waiting[first])) {
 			first, best = i, r
 		}
@@ -58,7 +59,7 @@
 	if t.Call || t.MaxWait == 0 || t.Aim.IsZero() || other.Aim.IsZero() {
 		return false
 	}
-	return t.Aim.Add(-t.Work).Before(other.Aim.Add(-other.Work))
+	return t.Aim.Sub(other.Aim) < t.Work-other.Work
 }
 
 // ahead counts a new ticket and those that go before it: those of more urgent levels, and
@@ -69,7 +70,11 @@
 	used := q.shares.last(t)
 	isLate := q.prospect(now, t) != inTime
 	for _, other := range q.waiting[level] {
-		if q.shares.last(other) > used || q.held(now, other) || (!isLate && q.prospect(now, other) == late) || (!isLate && t.mustBeginBefore(other)) {
+		if !isLate && t.mustBeginBefore(other) {
+			continue
+		}
+		p := q.prospect(now, other)
+		if q.shares.last(other) > used || (!isLate && p == late) || q.heldAs(now, other, p) {
 			continue
 		}
 		own++
