admit, gate, entry: callers come back when there is room first

A gate told the time in which all that is queued and half of what is at work ends, and the entry passed on what the last of the servers told. Callers waited for longer than there was no room and lost what was left of their aim.

--- a/admit/replay_test.go
+++ b/admit/replay_test.go
@@ -56,6 +56,11 @@
 	blind bool
 	// keepRoom leaves the queue's setting of room for calls as it is.
 	keepRoom bool
+	// back takes a request that was refused and reports whether it comes back; nil if none
+	// does.
+	back func(t *Ticket) bool
+	// took is how long each answer took from when its request first came.
+	took []time.Duration
 
 	rng     *rand.Rand
 	now     time.Duration
@@ -135,6 +140,9 @@
 		default:
 			got.inTime++
 		}
+		if one.ends <= r.now {
+			r.took = append(r.took, r.now-a.at)
+		}
 		r.queue.Done(r.at(r.now), one.ticket, one.ends <= r.now)
 	}
 	r.running = kept
@@ -187,6 +195,9 @@
 				r.offer(a, true)
 				continue
 			}
+			if r.back != nil && r.back(t) {
+				continue
+			}
 			got.refused++
 			got.longest = max(got.longest, r.now-a.at)
 		case Dispatched:
--- a/entry/returns_test.go
+++ b/entry/returns_test.go
@@ -15,6 +15,7 @@
 	"github.com/ryehaven/ryehaven/header"
 	"github.com/ryehaven/ryehaven/table"
 	"github.com/ryehaven/ryehaven/tenant"
+	"github.com/ryehaven/ryehaven/wire"
 )
 
 // arrive returns the request that a caller sends who states to wait for a time.
@@ -88,24 +89,26 @@
 // Callers state times that differ by more than an aim, so that a return can't be told by
 // its time; it is told by when its caller stops to wait.
 func TestARequestThatWasNotServedIsKnownWhenItComesBack(t *testing.T) {
-	for _, test := range []struct {
-		status int
-		known  bool
-	}{{429, true}, {503, true}, {502, true}, {504, true}, {408, true}, {200, false}, {404, false}, {401, false}, {413, false}} {
-		e, route := returning(t)
-		r, _ := arrive(t, e, route, "2990")
-		e.keepUnserved(r, test.status)
-		time.Sleep(30 * time.Millisecond)
-		left := time.Until(r.ends).Milliseconds()
-		back, _ := arrive(t, e, route, strconv.FormatInt(left, 10))
-		if known := back.age >= 30*time.Millisecond && back.age < 100*time.Millisecond; known != test.known {
-			t.Errorf("after %d: age %v", test.status, back.age)
-		}
-		other, _ := arrive(t, e, route, strconv.FormatInt(left+60, 10))
-		if other.age != 0 {
-			t.Errorf("after %d: another caller's request is taken for %v old", test.status, other.age)
+	synctest.Test(t, func(t *testing.T) {
+		for _, test := range []struct {
+			status int
+			known  bool
+		}{{429, true}, {503, true}, {502, true}, {504, true}, {408, true}, {200, false}, {404, false}, {401, false}, {413, false}} {
+			e, route := returning(t)
+			r, _ := arrive(t, e, route, "2990")
+			e.keepUnserved(r, test.status)
+			time.Sleep(30 * time.Millisecond)
+			left := time.Until(r.ends).Milliseconds()
+			back, _ := arrive(t, e, route, strconv.FormatInt(left, 10))
+			if known := back.age >= 30*time.Millisecond && back.age < 100*time.Millisecond; known != test.known {
+				t.Errorf("after %d: age %v", test.status, back.age)
+			}
+			other, _ := arrive(t, e, route, strconv.FormatInt(left+60, 10))
+			if other.age != 0 {
+				t.Errorf("after %d: another caller's request is taken for %v old", test.status, other.age)
+			}
 		}
-	}
+	})
 }
 
 // What is no time at all is refused as ever and teaches nothing.
@@ -221,3 +224,32 @@
 		t.Errorf("a return is taken for %v old", r.age)
 	}
 }
+
+// A request that several servers refused is told the first room of all, whichever refused
+// it last; what was refused for another reason tells of no room.
+func TestCallerIsToldTheFirstRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &request{}
+		var last *attempt
+		for _, a := range []*attempt{
+			{reason: wire.ReasonOverload, retryAfter: 80 * time.Millisecond},
+			{reason: wire.ReasonDraining, retryAfter: time.Millisecond},
+			{reason: wire.ReasonOverload, retryAfter: 30 * time.Millisecond},
+			{reason: wire.ReasonCold, retryAfter: 300 * time.Millisecond},
+		} {
+			r.noteRoom(a)
+			time.Sleep(10 * time.Millisecond)
+			last = a
+		}
+		r.tellSoonest(&result{last: last})
+		if last.retryAfter != 10*time.Millisecond {
+			t.Errorf("told %v, the first room is in 10 ms", last.retryAfter)
+		}
+		other := &attempt{reason: wire.ReasonDraining, retryAfter: time.Second}
+		r.tellSoonest(&result{last: other})
+		r.tellSoonest(&result{})
+		if other.retryAfter != time.Second {
+			t.Errorf("told %v after another reason", other.retryAfter)
+		}
+	})
+}
