retry, wire, admit: late is a request of whose kind three quarters would be

A gate took a request for late if the usual one of its route would be. Requests of a route differ: those of a lookup that make no call take 180 ms, those with two calls twice that where calls wait.

Delay follows the lower quartile too, Need tells it (a fourth number; builds that lack it send three and are read as before), and a ticket is late if that is expected after its aim. Whether it is hopeless and how much work is offered go by the usual time as before.

--- a/admit/aim.go
+++ b/admit/aim.go
@@ -13,7 +13,8 @@
 const (
 	// inTime: its answer is expected before its aim, or it has none.
 	inTime prospect = iota
-	// late: its answer is expected after its aim, and before its deadline.
+	// late: its answer is expected after its aim, and before its deadline, as those of three
+	// quarters of such requests.
 	late
 	// hopeless: its answer is expected after its deadline, when nobody waits for it.
 	hopeless
@@ -35,16 +36,26 @@
 	if t.Aim.IsZero() {
 		return inTime
 	}
-	end := now.Add(q.expected(t))
 	switch {
-	case end.After(t.Deadline):
+	case now.Add(q.expected(t)).After(t.Deadline):
 		return hopeless
-	case end.After(t.Aim) && !t.Call:
+	case now.Add(q.soonest(t)).After(t.Aim) && !t.Call:
 		return late
 	}
 	return inTime
 }
 
+// soonest is what a quarter of such tickets take less than once they are begun now. One
+// that would probably be late may still be in time: requests of a route differ, as some
+// of them make calls.
+func (q *Queue) soonest(t *Ticket) time.Duration {
+	quick := t.Work
+	if t.Quick > 0 {
+		quick = min(t.Quick, t.Work)
+	}
+	return time.Duration(float64(quick) * max(q.stretch, 1))
+}
+
 // mayRecover reports whether a hopeless ticket could still meet its deadline once the
 // server is as fast as usual.
 func (q *Queue) mayRecover(now time.Time, t *Ticket) bool {
--- a/admit/aim_test.go
+++ b/admit/aim_test.go
@@ -288,3 +288,25 @@
 		t.Errorf("states %d and %d, cause %d", enough.State(), tight.State(), tight.Cause())
 	}
 }
+
+// A route's requests differ: a quarter take less than 150 ms, half more than 300. At a server
+// that is twice as slow the usual one is late and the quick one is not.
+func TestWhatMayBeInTimeIsNotTakenForLate(t *testing.T) {
+	for _, c := range []struct {
+		quick time.Duration
+		aim   time.Duration
+		want  prospect
+	}{
+		{150 * time.Millisecond, 500 * time.Millisecond, inTime},
+		{150 * time.Millisecond, 290 * time.Millisecond, late},
+		{0, 500 * time.Millisecond, late},
+		{400 * time.Millisecond, 590 * time.Millisecond, late}, // No more than usual.
+	} {
+		q := NewQueue(Settings{Slots: 4, Queue: 4, FixedLimit: true})
+		q.SetStretch(2)
+		ticket := &Ticket{Deadline: start.Add(3 * time.Second), Aim: start.Add(c.aim), Work: 300 * time.Millisecond, Quick: c.quick}
+		if got := q.prospect(start, ticket); got != c.want {
+			t.Errorf("quick %s, aim %s: prospect %d, want %d", c.quick, c.aim, got, c.want)
+		}
+	}
+}
--- a/entry/need.go
+++ b/entry/need.go
@@ -15,9 +15,10 @@
 		return nil
 	}
 	need := &wire.Need{
-		AimMillis:  r.aim.Sub(now).Milliseconds(),
-		WorkMillis: r.traits.demand(now, r.aim).Work.Milliseconds(),
-		AgeMillis:  r.age.Milliseconds(),
+		AimMillis:   r.aim.Sub(now).Milliseconds(),
+		WorkMillis:  r.traits.demand(now, r.aim).Work.Milliseconds(),
+		AgeMillis:   r.age.Milliseconds(),
+		QuickMillis: r.traits.quick().Milliseconds(),
 	}
 	if need.AimMillis == 0 {
 		need.AimMillis = -1 // It is due now; 0 stands for never.
--- a/entry/traits.go
+++ b/entry/traits.go
@@ -126,6 +126,15 @@
 	return balance.Demand{Work: usual, Aim: max(aim.Sub(now), time.Millisecond), Bytes: t.bytes}
 }
 
+// quick is what a quarter of such requests take less than at a server of usual speed; 0
+// while no answer was seen.
+func (t *traits) quick() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	quick, _ := t.work.Quick()
+	return quick
+}
+
 // draw returns the draw of the next request among the route's shares.
 func (t *traits) draw(total int) int {
 	t.mu.Lock()
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -246,7 +246,7 @@
 		j.ticket.Weight = g.settings.Weight(j.ticket.Tenant)
 	}
 	if g.settings.ByAim {
-		j.ticket.Aim, j.ticket.Work = j.aim(), j.work()
+		j.ticket.Aim, j.ticket.Work, j.ticket.Quick = j.aim(), j.work(), j.quick()
 	}
 	j.ticket.Priority = min(table.Priority(s.Request.Priority), table.Bulk)
 	g.mu.Lock()
--- a/gate/room.go
+++ b/gate/room.go
@@ -51,6 +51,15 @@
 	return 0
 }
 
+// quick is what a quarter of such requests take less than at a server of usual speed; 0 if
+// not known.
+func (j *job) quick() time.Duration {
+	if need := j.stream.Request.Need; need != nil {
+		return time.Duration(max(boundNeed(need.QuickMillis), 0)) * time.Millisecond
+	}
+	return 0
+}
+
 // mostNeed bounds the times of a Need in milliseconds, a day: an entry of another build may
 // say anything, and what lies beyond stands for it.
 const mostNeed = 24 * 60 * 60 * 1000
--- a/retry/hedge.go
+++ b/retry/hedge.go
@@ -14,7 +14,9 @@
 // is not safe for concurrent use.
 type Delay struct {
 	median float64
-	seen   int
+	// quick is the latency that a quarter of the answers do not reach.
+	quick float64
+	seen  int
 }
 
 const (
@@ -33,7 +35,8 @@
 
 // Observe takes the latency of an answer. It follows the median by stochastic
 // approximation (Robbins and Monro 1951): equal steps up and down balance
-// where half of the values lie below.
+// where half of the values lie below, and steps down three times as long where a quarter
+// does.
 func (d *Delay) Observe(latency time.Duration) {
 	d.seen++
 	step := max(learnStep, firstSteps/float64(d.seen))
@@ -45,6 +48,23 @@
 	default:
 		d.median = max(d.median*(1-step), v)
 	}
+	switch v := float64(latency); {
+	case d.quick == 0:
+		d.quick = v
+	case v > d.quick:
+		d.quick = min(d.quick*(1+2*quickShare*step), v)
+	default:
+		d.quick = max(d.quick*(1-2*(1-quickShare)*step), v)
+	}
+}
+
+// quickShare is the share of answers that take less than Quick.
+const quickShare = 0.25
+
+// Quick returns the latency that a quarter of the answers do not reach; ok is false until
+// enough was seen.
+func (d *Delay) Quick() (quick time.Duration, ok bool) {
+	return time.Duration(min(d.quick, d.median)), d.seen >= learnFirst
 }
 
 // Median returns the usual latency; ok is false until enough was seen.
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -100,3 +100,25 @@
 		t.Errorf("after %d answers of 100 ms the usual time is %v", learnFirst, got)
 	}
 }
+
+// Half of a route's answers take 180 ms and half 350: a quarter are as quick as that, and
+// the estimate stays within the spread of the quick half.
+func TestQuickIsWhatAQuarterTakes(t *testing.T) {
+	var d Delay
+	rng := rand.New(rand.NewPCG(7, 8))
+	for range 2000 {
+		mean := 180.0
+		if rng.IntN(2) == 0 {
+			mean = 350
+		}
+		d.Observe(time.Duration(mean * (0.7 + 0.6*rng.Float64()) * float64(time.Millisecond)))
+	}
+	quick, ok := d.Quick()
+	median, _ := d.Median()
+	if !ok || quick < 140*time.Millisecond || quick > 220*time.Millisecond || quick >= median {
+		t.Errorf("quick %s, median %s, known %v", quick, median, ok)
+	}
+	if quick, ok := new(Delay).Quick(); quick != 0 || ok {
+		t.Errorf("nothing seen: %s, %v", quick, ok)
+	}
+}
--- a/wire/need.go
+++ b/wire/need.go
@@ -23,11 +23,14 @@
 	// AgeMillis is how long before this try its caller first asked, as far as the entry
 	// can tell.
 	AgeMillis int64
+	// QuickMillis is what a quarter of such requests take less than, at a server of usual
+	// speed; 0 if that is not known.
+	QuickMillis int64
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (n *Need) DecodeMsgpack(d *msgpack.Decoder) error {
-	return decodeNumbers(d, 3, &n.AimMillis, &n.WorkMillis, &n.AgeMillis)
+	return decodeNumbers(d, 3, &n.AimMillis, &n.WorkMillis, &n.AgeMillis, &n.QuickMillis)
 }
 
 // Room tells entries unasked for which requests there is room now at the one backend
--- a/wire/need_test.go
+++ b/wire/need_test.go
@@ -13,7 +13,7 @@
 func TestNeedTravelsWithItsRequest(t *testing.T) {
 	encoder := NewEncoder()
 	sent := []*Request{
-		{ID: 1, Service: "s", Method: "GET", Need: &Need{AimMillis: 300, WorkMillis: 94, AgeMillis: 20}},
+		{ID: 1, Service: "s", Method: "GET", Need: &Need{AimMillis: 300, WorkMillis: 94, AgeMillis: 20, QuickMillis: 70}},
 		{ID: 2, Service: "s", Method: "GET"},
 		{ID: 3, Service: "s", Method: "GET", Need: &Need{AimMillis: -7}},
 	}
@@ -45,12 +45,14 @@
 		name    string
 		numbers []int64
 		ok      bool
+		quick   int64
 	}{
-		{"as many", []int64{1, 2, 3}, true},
-		{"one more", []int64{1, 2, 3, 4}, true},
-		{"one less", []int64{1, 2}, false},
-		{"none", []int64{}, false},
-		{"far too many", make([]int64, maxNumbers+1), false},
+		{"as many", []int64{1, 2, 3, 4}, true, 4},
+		{"one more", []int64{1, 2, 3, 4, 5}, true, 4},
+		{"the fewest that any build sent", []int64{1, 2, 3}, true, 0},
+		{"fewer", []int64{1, 2}, false, 0},
+		{"none", []int64{}, false, 0},
+		{"far too many", make([]int64, maxNumbers+1), false, 0},
 	} {
 		payload, err := msgpack.Marshal(c.numbers)
 		if err != nil {
@@ -61,7 +63,7 @@
 		if (err == nil) != c.ok {
 			t.Errorf("%s: error %v", c.name, err)
 		}
-		if c.ok && need != (Need{AimMillis: 1, WorkMillis: 2, AgeMillis: 3}) {
+		if c.ok && need != (Need{AimMillis: 1, WorkMillis: 2, AgeMillis: 3, QuickMillis: c.quick}) {
 			t.Errorf("%s: %+v", c.name, need)
 		}
 	}
