admit: the least urgent level is turned away by halves

A whole level was turned away for a second as soon as a tenth of a more urgent one was lost in a quarter of a second, far more than what the urgent ones lacked.

A level is now turned away in halves; who of it finds room is decided once, when it is offered.

--- a/admit/aim.go
+++ b/admit/aim.go
@@ -91,13 +91,13 @@
 	return q.lateInFlight+q.demand.slots(now, levels) < q.Limit()
 }
 
-// shut reports whether a ticket's level is turned away and no slot is free beyond those
+// shut reports whether a ticket is turned away for its level and no slot is free beyond those
 // that recent requests of the other levels need.
 func (q *Queue) shut(now time.Time, t *Ticket) bool {
-	if t.Aim.IsZero() || !q.levels.shuts(t) {
+	if !t.shut {
 		return false
 	}
-	open := q.levels.open() + 1 // And calls.
+	open := q.levels.whole() + 1 // And calls.
 	inFlight := 0
 	for _, n := range q.inFlightBy[open:] {
 		inFlight += n
--- a/admit/levels.go
+++ b/admit/levels.go
@@ -3,6 +3,7 @@
 package admit
 
 import (
+	"math"
 	"time"
 
 	"github.com/ryehaven/ryehaven/table"
@@ -12,12 +13,15 @@
 // urgent ones find no room although they go first in the queue, and each gate on the way
 // of a request would turn away others. While more urgent requests are refused, the least
 // urgent levels are turned away therefore, the same at every gate that is short (as in
-// DAGOR, Zhou et al. 2018).
+// DAGOR, Zhou et al. 2018). A level is turned away by parts, since a whole one is often
+// more than what the urgent ones lack.
 
 // levelsOpen is how many levels of urgency find room. The zero value lets all in.
 type levelsOpen struct {
-	// shut counts the least urgent levels that are turned away.
-	shut int
+	// shut is how many of the least urgent levels are turned away, the last one in part.
+	shut float64
+	// owed adds up the part of that one that finds room until a request does.
+	owed float64
 	// since is when the window began, and asked and lost count the callers' requests in
 	// it that had no other server left, and those of them that found no room while less
 	// urgent ones held slots.
@@ -33,16 +37,37 @@
 	// ones to be turned away, and levelLeast how many at least.
 	levelLost  = 0.1
 	levelLeast = 2
-	// levelCalm is after how many windows without such a loss one more level is let in:
-	// it changes twice a second at most.
+	// levelStep is the part of a level that is turned away more after a window with such
+	// a loss.
+	levelStep = 0.5
+	// levelBack is the part that is let in again after levelCalm windows without one: a
+	// whole level changes twice a second at most.
+	levelBack = 0.5
 	levelCalm = 4
 )
 
-// open returns how many levels find room.
-func (l *levelsOpen) open() int { return table.Priorities - l.shut }
+// open returns how many levels find room, those in part included.
+func (l *levelsOpen) open() int { return table.Priorities - int(l.shut) }
 
-// shuts reports whether a ticket's level is turned away.
-func (l *levelsOpen) shuts(t *Ticket) bool { return !t.Call && int(t.Priority) >= l.open() }
+// whole returns how many levels find room without restriction.
+func (l *levelsOpen) whole() int { return table.Priorities - int(math.Ceil(l.shut)) }
+
+// shuts reports whether a ticket is one of those of its level that are turned away. It is
+// asked once for each.
+func (l *levelsOpen) shuts(t *Ticket) bool {
+	if t.Call || t.Aim.IsZero() {
+		return false
+	}
+	part := float64(table.Priorities) - l.shut - float64(t.Priority)
+	if part >= 1 || part <= 0 {
+		return part <= 0
+	}
+	if l.owed += part; l.owed < 1 {
+		return true
+	}
+	l.owed--
+	return false
+}
 
 // ended counts a callers' request that had no other server left, and began or was refused.
 func (l *levelsOpen) ended(t *Ticket, lost bool) {
@@ -63,12 +88,12 @@
 	loser := l.loser()
 	switch {
 	case loser >= 0 && loser < l.open()-1:
-		l.shut, l.calm = l.shut+1, 0
+		l.shut, l.calm = min(l.shut+levelStep, float64(table.Priorities-1)), 0
 	case l.shut > 0:
 		l.calm++
 	}
 	if l.calm >= levelCalm {
-		l.shut, l.calm = l.shut-1, 0
+		l.shut, l.calm = max(l.shut-levelBack, 0), 0
 	}
 	l.since, l.asked, l.lost = now, [table.Priorities]int{}, [table.Priorities]int{}
 }
--- a/admit/levels_test.go
+++ b/admit/levels_test.go
@@ -36,6 +36,23 @@
 	}
 }
 
+// A level of which a part is turned away is let in evenly by the rest.
+func TestPartOfALevelFindsRoom(t *testing.T) {
+	l := levelsOpen{shut: 0.25}
+	in := 0
+	for range 100 {
+		if !l.shuts(&Ticket{Priority: table.Bulk, Aim: start}) {
+			in++
+		}
+		if l.shuts(&Ticket{Priority: table.Normal, Aim: start}) {
+			t.Fatal("a level is turned away although one that is less urgent finds room")
+		}
+	}
+	if in != 75 {
+		t.Errorf("%d of 100 found room, want 75", in)
+	}
+}
+
 // Levels change twice a second at most, the most urgent that loses requests is never turned
 // away, and all find room again once nothing is lost.
 func TestLevelsChangeSeldom(t *testing.T) {
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -153,6 +153,7 @@
 		q.turns.came(t.Call)
 	}
 	q.levels.roll(now)
+	t.shut = q.levels.shuts(t)
 	if t.Call {
 		q.callRoom.last = now
 	}
--- a/admit/ticket.go
+++ b/admit/ticket.go
@@ -70,6 +70,8 @@
 
 	state State
 	cause Cause
+	// shut says that its level was turned away when it was offered.
+	shut bool
 	// beganLate says that it could only be late when it began.
 	beganLate bool
 	// beganWith is how many were in flight when it began, itself included.
