calls: the harm to a request is its calls' want of room alone

How long calls wait is in their chance to be refused already, since that is to find room within their own aims.

--- a/entry/whole.go
+++ b/entry/whole.go
@@ -32,8 +32,7 @@
 // outlook is what awaited a call, at a time.
 type outlook struct {
 	balance.Outlook
-	usual time.Duration
-	at    time.Time
+	at time.Time
 }
 
 // outlookFor is how long an outlook is used again: some calls' time, so that its cost is
@@ -101,22 +100,18 @@
 	return t.share.Admit(now, w.Harm(), calls.Bearable(w.Priority))
 }
 
-// weigh puts together what awaits a request and its calls.
+// weigh puts together what awaits a request's calls.
 func (e *Entry) weigh(now time.Time, r *request, expected []calls.Expected) calls.Whole {
-	demand := r.demand(now)
-	w := calls.Whole{Priority: r.message.Priority, Aim: demand.Aim, Took: demand.Work}
+	w := calls.Whole{Priority: r.message.Priority}
 	for _, x := range expected {
-		part := calls.Part{Share: x.Share, Times: x.Times, Together: x.Together}
 		o, ok := e.outlook(now, x)
 		if !ok {
 			continue
 		}
-		part.Refused, part.Took, part.Usual = o.Refused, o.Took, o.usual
 		lost, took, after := e.settings.Calls.Of(now, x.Call)
-		part.Refused = max(part.Refused, lost)
-		part.Took = max(part.Took, took)
-		part.After = after
-		w.Parts = append(w.Parts, part)
+		w.Parts = append(w.Parts, calls.Part{
+			Share: x.Share, Times: x.Times, Refused: max(o.Refused, lost), Took: max(o.Took, took), After: after,
+		})
 	}
 	return w
 }
@@ -139,7 +134,7 @@
 		demand.Work = x.Usual
 	}
 	s.mu.Lock()
-	o := outlook{Outlook: s.pool.Outlook(now, demand, true), usual: demand.Work, at: now}
+	o := outlook{Outlook: s.pool.Outlook(now, demand, true), at: now}
 	s.mu.Unlock()
 	w.mu.Lock()
 	w.outlooks[x.Call] = o
