--- a/admit/callroom.go
+++ b/admit/callroom.go
@@ -2,7 +2,11 @@
 
 package admit
 
-import "time"
+import (
+	"time"
+
+	"github.com/ryehaven/ryehaven/table"
+)
 
 // Requests that take long and come often fill all slots of a server, and calls of running
 // requests, which take a tenth of that, wait for a slot although they go first: a slot
@@ -87,6 +91,11 @@
 	q.callRoom.waited(wait)
 }
 
+// KeptForCalls returns how many slots the least urgent callers' requests may not fill now.
+func (q *Queue) KeptForCalls(now time.Time) int {
+	return q.kept(now, &Ticket{Priority: table.Bulk})
+}
+
 // kept is how many slots a callers' request may not fill now. The less urgent it is, the
 // more it gives way.
 func (q *Queue) kept(now time.Time, t *Ticket) int {
--- a/admit/doc.go
+++ b/admit/doc.go
@@ -25,5 +25,10 @@
 // overload, urgent requests go first and, within a priority, the newest, since
 // the oldest have the least chance left.
 //
+// Where tickets tell when their answers are due and what they take, what can still be in
+// time goes before what can only be late, nothing begins that can't end before its
+// deadline, calls keep slots while they wait too long, and the least urgent levels are
+// turned away while more urgent ones find no room (docs/design/scheduling.md).
+//
 // The package imports no network and reads no clock.
 package admit
--- a/gate/urgency.go
+++ b/gate/urgency.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/ryehaven/ryehaven/table"
 	"github.com/ryehaven/ryehaven/wire"
 )
 
@@ -53,3 +54,11 @@
 	g.callWait.learn(now, g.queue.CallWait(now))
 	room.CallWaitMillis = g.callWait.millis
 }
+
+// GivesWay returns how many slots are kept for calls and how many levels of urgency are
+// turned away now.
+func (g *Gate) GivesWay(now time.Time) (kept, away int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.KeptForCalls(now), table.Priorities - g.queue.Levels(now)
+}
--- a/gate/urgency_test.go
+++ b/gate/urgency_test.go
@@ -5,6 +5,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/ryehaven/ryehaven/table"
 )
 
 // Calls wait for between 0 and 150 ms, another time every 10 ms: what is told changes four
@@ -36,3 +38,19 @@
 		t.Errorf("%d ms told where calls do not wait", c.millis)
 	}
 }
+
+// Entries hear of levels and calls only where the gate goes by aims.
+func TestRoomTellsLevelsByAimOnly(t *testing.T) {
+	now := time.Now()
+	for _, byAim := range []bool{false, true} {
+		g := New(table.Server{Policy: table.DefaultPolicy(), Service: "s", Name: "a", Address: "127.0.0.1:1", State: table.Active}, Settings{ByAim: byAim})
+		g.callWait = callWait{millis: 40, at: now}
+		room := g.room(now)
+		if room.Levels != int64(table.Priorities) || (room.CallWaitMillis != 0) != byAim {
+			t.Errorf("by aim %v: %+v", byAim, room)
+		}
+		if kept, away := g.GivesWay(now); kept != 0 || away != 0 {
+			t.Errorf("an idle gate keeps %d slots and turns %d levels away", kept, away)
+		}
+	}
+}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -110,6 +110,19 @@
 		n.sumGates("gate_server_ended", "ends", "ends of the backend server that left requests without an answer", func(c *counters) *atomic.Int64 { return &c.Ended }),
 		n.sumGates("gate_measure_failed", "calls", "measuring calls without an answer", func(c *counters) *atomic.Int64 { return &c.MeasureFailed }),
 	}
+	givesWay := func(part func(kept, away int) int) func() int64 {
+		return func() int64 {
+			sum, now := 0, time.Now()
+			for _, g := range n.everyGate() {
+				sum += part(g.GivesWay(now))
+			}
+			return int64(sum)
+		}
+	}
+	s = append(s,
+		metric.Metric{Name: "gate_slots_kept", Unit: "slots", Meaning: "slots kept for calls now, which the least urgent callers' requests may not fill", Value: givesWay(func(kept, _ int) int { return kept })},
+		metric.Metric{Name: "gate_levels_away", Unit: "levels", Meaning: "levels of urgency that are turned away now", Value: givesWay(func(_, away int) int { return away })},
+	)
 	for reason := wire.ReasonOverload; reason < wire.Reasons; reason++ {
 		name := "gate_refused_" + reason.String()
 		s = append(s, n.sumGates(name, "requests", "requests refused for "+reason.String(),
