admit: who can only be late is not told the first room

A request that is refused since it can only be late was told when the wait is short enough, which does not hold it up, came back at once and was refused again. It is told when what is queued and half of what is at work has ended, as before.

--- a/admit/queue_test.go
+++ b/admit/queue_test.go
@@ -218,6 +218,11 @@
 	if got := q.RoomAfter(now, ticket); got != 5*time.Millisecond {
 		t.Errorf("room after %v, want the time of one answer", got)
 	}
+	ticket.cause = Late
+	if got := q.RoomAfter(now, ticket); got != q.RetryAfter(now) {
+		t.Errorf("one that can only be late is told %v, want %v", got, q.RetryAfter(now))
+	}
+	ticket.cause = NoCause
 	ticket.Aim = time.Time{}
 	if got := q.RoomAfter(now, ticket); got != q.RetryAfter(now) {
 		t.Errorf("without an aim %v, want %v", got, q.RetryAfter(now))
--- a/admit/wait.go
+++ b/admit/wait.go
@@ -15,9 +15,10 @@
 // RoomAfter is when a ticket that is refused may find room, by when its answer is due: once
 // what goes before it takes no longer than it may wait. Whoever is told a later time loses
 // what is left of its aim; the others that are told the same find the slots that have become
-// free since.
+// free since. One that is refused since it can only be late finds room once there is some to
+// spare.
 func (q *Queue) RoomAfter(now time.Time, t *Ticket) time.Duration {
-	if t.MaxWait == 0 || t.Aim.IsZero() {
+	if t.MaxWait == 0 || t.Aim.IsZero() || t.cause == Late {
 		return q.RetryAfter(now)
 	}
 	room := q.expectedWait(now, t) - t.MaxWait
