--- a/admit/turn_test.go
+++ b/admit/turn_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -18,8 +19,9 @@
 	call      bool
 	priority  table.Priority
 	maxWait   time.Duration
-	// came and went count them.
+	// came and went count them, and wentAt is when each went.
 	came, went int
+	wentAt     []time.Time
 }
 
 // playCold has streams come to a cold server at random moments for a time, each request once.
@@ -43,22 +45,43 @@
 			all = append(all, &sent{ticket: t, of: s})
 			q.Offer(now, t)
 		}
+		active := all[:0]
 		for _, one := range all {
+			if state := one.ticket.State(); state == Queued {
+				active = append(active, one)
+			}
 			if one.ticket.State() != Dispatched {
 				continue
 			}
 			if !one.counts {
 				one.counts, one.ends = true, now.Add(took)
 				one.of.went++
+				one.of.wentAt = append(one.of.wentAt, now)
 			}
 			if !now.Before(one.ends) {
 				q.Done(now, one.ticket, true)
+				continue
 			}
+			active = append(active, one)
 		}
+		all = active
 		q.Advance(now)
 	}
 }
 
+// mostInASecond is the most requests that went in any second.
+func mostInASecond(lists ...[]time.Time) int {
+	all := slices.SortedFunc(slices.Values(slices.Concat(lists...)), time.Time.Compare)
+	most, first := 0, 0
+	for i, at := range all {
+		for at.Sub(all[first]) >= time.Second {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
 func coldQueue() *Queue {
 	q := NewQueue(Settings{Slots: 12, Queue: 24, FixedLimit: true, Cold: ColdRate(12, 1.5, 8)})
 	q.CountFrom(start)
@@ -73,6 +96,9 @@
 	calls := &coldStream{perSecond: 21, call: true, maxWait: 250 * time.Millisecond}
 	payouts := &coldStream{perSecond: 6.2, priority: table.Normal, maxWait: 86 * time.Millisecond}
 	playCold(coldQueue(), []*coldStream{calls, payouts}, 100*time.Millisecond, 30*time.Second)
+	if most := mostInASecond(calls.wentAt, payouts.wentAt); most > 12*3/2+8 {
+		t.Errorf("%d requests went in a second", most)
+	}
 	t.Logf("%d of %d calls, %d of %d payouts went", calls.went, calls.came, payouts.went, payouts.came)
 	if share := float64(payouts.went) / float64(payouts.came); share < 0.4 {
 		t.Errorf("%.2f of the payouts went", share)
