soak: crowds that come at once and come back, also to servers that are all cold

The soak's callers came at a steady rate and never came back, and its nodes ran without the decisions under overload. The oracle also holds that each request is answered or refused by when its caller no longer waits (a test with one that is not); an answer of the node's own at a caller's shorter deadline is none in place of a run.

--- a/cmd/ryehaven-soak/main.go
+++ b/cmd/ryehaven-soak/main.go
@@ -31,6 +31,7 @@
 	Spells      bool          `help:"Let servers be four times slower for some hundred milliseconds at a time."`
 	Tenants     bool          `help:"Have routes ask for tenants' keys, with a tenant above its quota and keys that change with every version."`
 	Pipelining  bool          `help:"Have a caller on each host send requests without waiting for answers."`
+	Crowds      bool          `help:"Have crowds of callers come at once and come back when refused, some of them to servers that are all cold."`
 	Stops       bool          `help:"Play planned stops, one or two each 0.7 s, in place of the seeds' schedules."`
 	Programs    string        `help:"Directory of the built commands; they are built if not given."`
 	Older       string        `help:"Directory of the commands of an earlier version, which all nodes begin with; each restart upgrades one."`
@@ -166,6 +167,7 @@
 		Tenants:  args.Tenants,
 
 		Pipelining: args.Pipelining,
+		Crowds:     args.Crowds,
 	})
 	if err != nil {
 		return report, err
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -24,6 +24,8 @@
 	Key      string
 	KeyOf    int
 	Improper bool
+	// DeadlineMs is how long the caller says that it waits.
+	DeadlineMs int
 	// Began is when its first byte was written, Sent when its last was, and Done when its
 	// end was known.
 	Began, Sent, Done time.Time
@@ -35,6 +37,14 @@
 	Left bool
 }
 
+// limit is how long the caller says that it waits; as long as they usually do if it does not.
+func (c *Call) limit() time.Duration {
+	if c.DeadlineMs == 0 {
+		return deadlineMs * time.Millisecond
+	}
+	return time.Duration(c.DeadlineMs) * time.Millisecond
+}
+
 // Arrival is a request as it reached a backend server.
 type Arrival struct {
 	emulator.Arrival
@@ -124,6 +134,8 @@
 	Contact, Drain, Apply, Rollback, LossSlack time.Duration
 	// Timeout is when the routes want a request answered.
 	Timeout time.Duration
+	// EndSlack is how long after a caller's time is up the end of its request may come.
+	EndSlack time.Duration
 	// RetryShare and RetryExtra bound what reaches a second server within
 	// RetryWindow.
 	RetryShare  float64
@@ -163,6 +175,7 @@
 		Rollback:    250 * time.Millisecond,
 		LossSlack:   200 * time.Millisecond,
 		Timeout:     timeoutMs * time.Millisecond,
+		EndSlack:    500 * time.Millisecond,
 		RetryShare:  0.2,
 		RetryExtra:  58,
 		RetryWindow: 10 * time.Second,
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -122,6 +122,7 @@
 	text := ""
 	if h.site.options.Older == "" || h.upgraded {
 		text = fmt.Sprintf("[cold]\novershoot = %d\nslack = %d\n", coldOvershoot, coldSlack)
+		text += "[overload]\nwhole = true\nby_aim = true\nreturns = true\n"
 	}
 	if h.site.options.Tenants {
 		text += quotaSettings()
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -73,6 +73,9 @@
 			wait.Go(func() { s.runGuest(ctx, h) })
 		}
 	}
+	if s.options.Crowds {
+		wait.Go(func() { s.runCrowds(ctx) })
+	}
 	wait.Wait()
 }
 
@@ -169,6 +172,7 @@
 		Key:        r.key,
 		KeyOf:      r.keyOf,
 		Improper:   r.improper,
+		DeadlineMs: deadlineMs,
 	}
 	if r.body != "" {
 		call.Method = "POST"
@@ -189,12 +193,18 @@
 
 // emulated is a call as a caller sends it.
 func (s *site) emulated(call *Call) emulator.Call {
-	return emulator.Call{Method: call.Method, Path: call.URI, ID: call.ID, Body: call.Body, DeadlineMs: deadlineMs, Fields: s.credentials(call.Key)}
+	return emulator.Call{Method: call.Method, Path: call.URI, ID: call.ID, Body: call.Body, DeadlineMs: call.DeadlineMs, Fields: s.credentials(call.Key)}
 }
 
 // send sends one request on a connection of its own.
 func (s *site) send(h *host, r request) Call {
+	return s.sendUntil(h, r, time.Now().Add(deadlineMs*time.Millisecond))
+}
+
+// sendUntil is send for a caller that waits until a time.
+func (s *site) sendUntil(h *host, r request, ends time.Time) Call {
 	call := s.newCall(h, r)
+	call.DeadlineMs = max(int(time.Until(ends).Milliseconds()), 1)
 	conn, err := net.DialTimeout("tcp", h.address(callerPort), dialLimit)
 	if err != nil {
 		call.Reply.Err, call.Done = err, time.Now()
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -34,6 +34,7 @@
 	PromiseCrash    = "requests that crash servers are stopped"
 	PromiseTenant   = "keys name their tenants and end with their version"
 	PromiseQuota    = "quotas over all nodes"
+	PromiseTime     = "answered or refused in time"
 )
 
 // Check returns every promise that a history breaks.
@@ -124,6 +125,7 @@
 	}
 	o.checkLost(c)
 	o.checkReplaced(c)
+	o.checkTime(c)
 	if c.Since > 0 {
 		o.checkConfig(c)
 	}
@@ -160,6 +162,20 @@
 		c.ID, c.Host, c.Done.Sub(c.Sent).Round(time.Millisecond), passedOn, c.Reply.Err)
 }
 
+// checkTime holds that nobody waits for nothing: however many requests come, each is
+// answered or refused by when its caller no longer waits.
+func (o *oracle) checkTime(c *Call) {
+	limit := c.limit()
+	if c.Left || c.Sent.IsZero() || c.Behind || c.Done.Sub(c.Sent) <= limit+o.bounds.EndSlack {
+		return
+	}
+	if o.troubled(c.Sent.Add(-o.bounds.Contact), c.Done) {
+		return
+	}
+	o.report(PromiseTime, c.Done, "request %s at host %d ended %v after it was sent, %v were left",
+		c.ID, c.Host, c.Done.Sub(c.Sent).Round(time.Millisecond), limit)
+}
+
 // checkReplaced holds planned stops against an answer of the node's own that takes the
 // place of a run which its server is still at work on, before its time is up.
 func (o *oracle) checkReplaced(c *Call) {
@@ -167,7 +183,7 @@
 		return
 	}
 	took := c.Done.Sub(c.Began)
-	if took >= o.bounds.Timeout || !o.stops(c) || o.troubled(c.Sent.Add(-o.bounds.Contact), c.Done) {
+	if took >= min(o.bounds.Timeout, c.limit()) || !o.stops(c) || o.troubled(c.Sent.Add(-o.bounds.Contact), c.Done) {
 		return
 	}
 	for _, a := range o.byID[c.ID] {
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -197,6 +197,10 @@
 		{"work in a zone evacuated at a silence", PromiseEvacuate, func(h *History) {
 			h.Evacuations = []Evacuation{{Zone: "z", From: at(silentAt), To: at(silentAt + 3045)}}
 		}},
+		{"a request that waits for nothing", PromiseTime, func(h *History) {
+			h.Calls[0].DeadlineMs = 300
+			h.Calls[0].Done = h.Calls[0].Sent.Add(801 * time.Millisecond)
+		}},
 		{"a process that crashed", PromiseEnds, func(h *History) { h.Lives[0].Unexpected = "panic: x" }},
 		{"a cold server that got too much", PromiseCold, func(h *History) { h.Cold = []Cold{{Server: "i-0", Most: 51}} }},
 		{"a request that goes on crashing servers", PromiseCrash, func(h *History) {
--- a/internal/soak/play.go
+++ b/internal/soak/play.go
@@ -44,6 +44,9 @@
 	Tenants bool
 	// Pipelining has a caller on each host that does not wait for answers.
 	Pipelining bool
+	// Crowds has many callers come at once, more than the servers can do, who come back
+	// when they are refused.
+	Crowds bool
 	// Bounds are the times of the promises; zero stands for UsualBounds.
 	Bounds Bounds
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -19,6 +19,7 @@
 	b.Drain *= 3
 	b.Rollback *= 10
 	b.LossSlack *= 10
+	b.EndSlack *= 3
 	return b
 }
 
