--- a/admit/wait.go
+++ b/admit/wait.go
@@ -12,19 +12,6 @@
 	return max(time.Duration(ahead)*q.interval(), q.coldWait(now, q.queued+1), time.Millisecond)
 }
 
-// RoomAfter is when a ticket that is refused may find room, by when its answer is due: once
-// what goes before it takes no longer than it may wait. Whoever is told a later time loses
-// what is left of its aim; the others that are told the same find the slots that have become
-// free since. One that is refused since it can only be late finds room once there is some to
-// spare.
-func (q *Queue) RoomAfter(now time.Time, t *Ticket) time.Duration {
-	if t.MaxWait == 0 || t.Aim.IsZero() || t.cause == Late {
-		return q.RetryAfter(now)
-	}
-	room := q.expectedWait(now, t) - t.MaxWait
-	return max(room, q.interval(), q.coldWait(now, q.queued+1), time.Millisecond)
-}
-
 // coldWait is how long it takes until a cold server may get a number of requests; 0
 // once it is warm.
 func (q *Queue) coldWait(now time.Time, requests int) time.Duration {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -207,7 +207,6 @@
 		}
 		a.final = a.reason == wire.ReasonBlamed
 		a.retryAfter = time.Duration(head.Refusal.RetryAfterMicros) * time.Microsecond
-		r.noteRoom(a)
 		e.end(r, a, balance.Result{Refused: a.reason, RetryAfter: a.retryAfter, Load: &head.Refusal.Load})
 	case head.Reset != nil:
 		a.outcome = retry.Unknown
--- a/entry/handle.go
+++ b/entry/handle.go
@@ -159,7 +159,6 @@
 		}
 	}
 	res.mayHaveRun = r.mayHaveRun
-	r.tellSoonest(&res)
 	e.tellWarm(r, &res)
 	if res.last != nil && res.last.response == nil && answered != nil && !res.last.final {
 		res.last = answered // A server's own error says more than a refusal.
--- a/entry/request.go
+++ b/entry/request.go
@@ -55,9 +55,6 @@
 	ofClients bool
 	// place is from when on it goes before newcomers; zero if it was told none.
 	place time.Time
-	// roomAt is when the first of the servers that refused the request may have room; zero
-	// if none did for want of it.
-	roomAt time.Time
 	// refuseBy is until when the request may wait for room; zero leaves it to
 	// the gates.
 	refuseBy time.Time
--- a/entry/returns.go
+++ b/entry/returns.go
@@ -109,24 +109,6 @@
 	}
 }
 
-// noteRoom takes note of when a server that refused the request may have room.
-func (r *request) noteRoom(a *attempt) {
-	if !a.reason.Full() {
-		return
-	}
-	if at := time.Now().Add(a.retryAfter); r.roomAt.IsZero() || at.Before(r.roomAt) {
-		r.roomAt = at
-	}
-}
-
-// tellSoonest has the caller of a request that every server refused come back when the
-// first of them may have room.
-func (r *request) tellSoonest(res *result) {
-	if a := res.last; a != nil && a.reason.Full() && !r.roomAt.IsZero() {
-		a.retryAfter = max(time.Until(r.roomAt), time.Millisecond)
-	}
-}
-
 // mayComeBack reports whether a caller that got a status may send its request again.
 func mayComeBack(status int) bool {
 	switch status {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -316,7 +316,7 @@
 
 // refuse answers a job that was not run. It is called with the lock held.
 func (g *Gate) refuse(j *job, reason wire.Reason) {
-	g.refuseFor(j, reason, g.queue.RoomAfter(time.Now(), &j.ticket))
+	g.refuseFor(j, reason, g.queue.RetryAfter(time.Now()))
 }
 
 // refuseFor is refuse with the time after which to come back.
