--- a/calls/graph.go
+++ b/calls/graph.go
@@ -284,8 +284,7 @@
 	l.took += time.Duration(tookShare * float64(took-l.took))
 }
 
-// Dropped returns how many records of other nodes could not be used, and Orphans how
-// many calls began while no run was at work.
+// Dropped returns how many records of other nodes could not be used.
 func (g *Graph) Dropped() int64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
