wire, spread: nodes of two builds read each other's requests, answers and digests

A request's call, an answer's origin and a digest's number for calls had become fields of messages that travel as arrays, which a node of another build refuses when their length differs.

The first two now travel with the packed fields, and only beside a Need, which is sent to nodes that know it; a digest leaves the number out where it is 0, says it only to a node whose connection tells that it can be read, and answers in kind.

--- a/calls/callers.go
+++ b/calls/callers.go
@@ -35,7 +35,7 @@
 	// callersForget is the number of requests after which what was seen counts half.
 	callersForget = 4096
 	// doubtsFor is how many gates' answers in turn must say that a route is one of calls
-	// after one has said that clients ask for it too.
+	// after one has said that clients ask for it too,
 	// and doubtsAtFirst if none had said otherwise before.
 	doubtsFor     = 64
 	doubtsAtFirst = 1
--- a/gate/job.go
+++ b/gate/job.go
@@ -325,7 +325,9 @@
 		Length:   int64(r.Header.ContentLength()),
 		Load:     j.gate.Load(),
 		Slowness: j.slowness,
-		Origin:   j.stream.Origin,
+	}
+	if j.stream.Request.Need != nil {
+		m.Origin = j.stream.Origin // Entries of older builds can't read it.
 	}
 	if m.Length < 0 {
 		m.Length = wire.LengthUnknown
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -27,8 +27,9 @@
 	id        string
 	fences    bool
 	withdraws bool
-	// needs says that the peer knows wire.Need.
-	needs bool
+	// needs says that the peer knows wire.Need, and version is all that it knows.
+	needs   bool
+	version int
 
 	nc       net.Conn
 	w        *writer
@@ -105,6 +106,7 @@
 		fences:    met.version >= wire.VersionFence,
 		withdraws: met.version >= wire.VersionWithdraw,
 		needs:     met.version >= wire.VersionNeed,
+		version:   met.version,
 		spoke:     make(chan struct{}),
 		nc:        nc,
 		w:         newWriter(nc, counters),
@@ -162,6 +164,9 @@
 	return call, nil
 }
 
+// Version returns what the peer knows of the protocol.
+func (c *Conn) Version() int { return c.version }
+
 // Ask sends a question and waits for its reply up to limit.
 func (c *Conn) Ask(topic wire.Topic, payload []byte, limit time.Duration) ([]byte, error) {
 	reply := make(chan *wire.Reply, 1)
--- a/spread/answer.go
+++ b/spread/answer.go
@@ -49,7 +49,7 @@
 	s.noteExchange(now)
 	s.learn(now, d)
 	s.pullFrom(d)
-	r := digestReply{Digest: s.digest(now), Records: s.pastOf(d.Host)}
+	r := digestReply{Digest: s.digestFor(now, d.Calls != 0), Records: s.pastOf(d.Host)}
 	if d.Greeting {
 		r.Records = append(r.Records, s.self())
 	}
--- a/spread/calls_test.go
+++ b/spread/calls_test.go
@@ -91,7 +91,7 @@
 	f := newFleet(2, 1)
 	a, b := f.nodes[0], f.nodes[1]
 	old := &deafLink{link: fleetLink{b}}
-	a.spread.compareCalls(old, b.spread.digest(time.Now()))
+	a.spread.compareCalls(old, b.spread.digestFor(time.Now(), true))
 	if old.asked != 0 {
 		t.Error("nodes that know nothing asked each other")
 	}
@@ -99,12 +99,12 @@
 	if a.spread.compareCalls(old, digest{Host: "old"}); old.asked != 0 {
 		t.Error("a node of an older build is asked")
 	}
-	a.spread.compareCalls(fleetLink{b}, b.spread.digest(time.Now()))
+	a.spread.compareCalls(fleetLink{b}, b.spread.digestFor(time.Now(), true))
 	if len(b.graph().Expected(1)) != 1 {
 		t.Error("the other node was told nothing")
 	}
 	asked := old.asked
-	a.spread.compareCalls(old, b.spread.digest(time.Now()))
+	a.spread.compareCalls(old, b.spread.digestFor(time.Now(), true))
 	if old.asked != asked {
 		t.Error("nodes that know the same asked each other")
 	}
--- a/spread/exchange.go
+++ b/spread/exchange.go
@@ -18,6 +18,8 @@
 // link is a connection to another node.
 type link interface {
 	Ask(topic wire.Topic, payload []byte, limit time.Duration) ([]byte, error)
+	// Version is what the node knows of the protocol.
+	Version() int
 }
 
 // dialTo returns what connects by a dialer.
@@ -84,7 +86,7 @@
 	if err != nil {
 		return nil, reply, err
 	}
-	d := s.digest(time.Now())
+	d := s.digestFor(time.Now(), knowsCalls(l))
 	d.Greeting = greeting
 	err = s.ask(l, target.Host, TopicDigest, &d, &reply)
 	return l, reply, err
--- a/spread/message.go
+++ b/spread/message.go
@@ -53,7 +53,7 @@
 	// not known.
 	ProvenMillis int64
 	// Calls is a number for what the sender knows of the calls of routes; 0 if it does not
-	// know the topic.
+	// know the topic. It is left out then, since a node of an older build can't read it.
 	Calls uint64
 }
 
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -251,7 +251,6 @@
 		Root:            s.view.Digest().Root(),
 		Host:            s.view.Self().Host,
 		Evacuations:     s.evacuations,
-		Calls:           s.callsSum(),
 	}
 	if !s.confirmed.IsZero() {
 		d.ConfirmedMillis = now.Sub(s.confirmed).Milliseconds()
--- a/wire/message.go
+++ b/wire/message.go
@@ -169,7 +169,8 @@
 	Again bool
 	// Call says that the entry takes the request for a call of the server beside it. A gate
 	// that has seen callers ask for the route takes no entry's word for that.
-	Call bool
+	// It travels within Packed, beside a Need.
+	Call bool `msgpack:"-"`
 }
 
 // Data carries a part of a body in either direction.
@@ -254,7 +255,8 @@
 	// percent of usual; 0 if that was not known.
 	Slowness int
 	// Origin is where the gate takes the route's requests to come from, as admit.Origin.
-	Origin uint8
+	// It travels within Packed, and only where the request had a Need.
+	Origin uint8 `msgpack:"-"`
 }
 
 // Reason says why a gate refused a request.
--- a/wire/need_test.go
+++ b/wire/need_test.go
@@ -113,3 +113,69 @@
 		t.Errorf("requests that may go at once: %+v", got)
 	}
 }
+
+// Nodes of an older build refuse a message with more or fewer fields, so that these stay
+// as many.
+func TestRequestsAndResponsesKeepTheirFields(t *testing.T) {
+	for _, c := range []struct {
+		message Message
+		fields  int
+	}{
+		{&Request{Need: &Need{AimMillis: 1}, Call: true}, requestFields},
+		{&Response{Origin: 2}, responseFields},
+	} {
+		frame, err := NewEncoder().Append(nil, c.message)
+		if err != nil {
+			t.Fatal(err)
+		}
+		d := msgpack.NewDecoder(bytes.NewReader(frame[4:]))
+		if _, err := d.DecodeUint8(); err != nil {
+			t.Fatal(err)
+		}
+		if n, err := d.DecodeArrayLen(); err != nil || n != c.fields {
+			t.Errorf("%T has %d fields, want %d (error %v)", c.message, n, c.fields, err)
+		}
+	}
+}
+
+// The fields that requests and responses have had since the first version of the protocol
+// that is still spoken.
+const (
+	requestFields  = 21
+	responseFields = 10
+)
+
+func TestCallAndOriginTravel(t *testing.T) {
+	encoder := NewEncoder()
+	var frames []byte
+	for _, m := range []Message{
+		&Request{ID: 1, Need: &Need{AimMillis: 1}, Call: true},
+		&Request{ID: 2, Need: &Need{AimMillis: 1}},
+		&Response{ID: 1, Origin: 2, Header: Fields{{Name: "A", Value: "b"}}},
+		&Response{ID: 2},
+	} {
+		var err error
+		if frames, err = encoder.Append(frames, m); err != nil {
+			t.Fatal(err)
+		}
+	}
+	reader := NewReader(bytes.NewReader(frames))
+	for _, want := range []bool{true, false} {
+		m, err := reader.Next(MaxFrame)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r := m.(*Request); r.Call != want || len(r.Header) != 0 {
+			t.Errorf("request %d: call %v, header %v", r.ID, r.Call, r.Header)
+		}
+	}
+	for _, want := range []uint8{2, 0} {
+		m, err := reader.Next(MaxFrame)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r := m.(*Response); r.Origin != want || len(r.Header) > 1 {
+			t.Errorf("response %d: origin %d, header %v", r.ID, r.Origin, r.Header)
+		}
+	}
+}
--- a/wire/pack.go
+++ b/wire/pack.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"strconv"
 
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
@@ -30,6 +31,8 @@
 	packCaller  = ":c"
 	packTenant  = ":t"
 	packNeed    = ":n"
+	packCall    = ":l"
+	packOrigin  = ":o"
 )
 
 // ErrPacked says that packed fields cannot be read.
@@ -68,6 +71,9 @@
 		}
 		if m.Need != nil {
 			e.once(packNeed, string(EncodeControl(m.Need)))
+			if m.Call {
+				e.field(packCall, "1")
+			}
 		}
 		packed.Service, packed.Server, packed.Method, packed.Caller, packed.Tenant = "", "", "", "", ""
 		packed.Packed = e.fields(m.Header)
@@ -75,6 +81,9 @@
 		return Append(buf, &packed)
 	case *Response:
 		packed := *m
+		if m.Origin != 0 {
+			e.field(packOrigin, strconv.Itoa(int(m.Origin)))
+		}
 		packed.Packed = e.fields(m.Header)
 		packed.Header = nil
 		return Append(buf, &packed)
@@ -198,6 +207,8 @@
 				m.Caller = f.Value
 			case packTenant:
 				m.Tenant = f.Value
+			case packCall:
+				m.Call = true
 			case packNeed:
 				m.Need = new(Need)
 				if failed := msgpack.Unmarshal([]byte(f.Value), m.Need); failed != nil {
@@ -214,7 +225,19 @@
 			return nil
 		}
 		fields, err := u.unpack(m.Packed)
-		m.Header, m.Packed = fields, nil
+		m.Header = fields[:0]
+		for _, f := range fields {
+			if f.Name != packOrigin {
+				m.Header = append(m.Header, f)
+				continue
+			}
+			origin, failed := strconv.ParseUint(f.Value, 10, 8)
+			if failed != nil {
+				return eris.Wrap(failed, "decode origin")
+			}
+			m.Origin = uint8(origin)
+		}
+		m.Packed = nil
 		return err
 	}
 	return nil
