--- a/calls/graph.go
+++ b/calls/graph.go
@@ -45,9 +45,9 @@
 	// calls are shared out by guess.
 	forgetAfter = 512
 	forgetFirst = 32
-	// next is how soon after an event another one is taken for its consequence: calls
+	// followWithin is how soon after an event another one is taken for its consequence: calls
 	// made together begin, and calls made in turn follow each other, within it.
-	next = 5 * time.Millisecond
+	followWithin = 5 * time.Millisecond
 	// tookShare weighs one call in the mean of their times.
 	tookShare = 0.1
 	// priorExposure is the time at work, in seconds, that each route is taken to have
@@ -235,8 +235,8 @@
 // just ended.
 func (g *Graph) follows(now time.Time, call Route) (together, inTurn bool) {
 	l := g.link(call)
-	together = !l.began.IsZero() && now.Sub(l.began) < next
-	inTurn = !l.ended.IsZero() && now.Sub(l.ended) < next
+	together = !l.began.IsZero() && now.Sub(l.began) < followWithin
+	inTurn = !l.ended.IsZero() && now.Sub(l.ended) < followWithin
 	l.began = now
 	return together, inTurn
 }
