--- a/node/reload_test.go
+++ b/node/reload_test.go
@@ -77,6 +77,7 @@
 	changed.Retries = settings.Retries{Share: 0.1, Extra: 7, Window: time.Second}
 	changed.Listen.Caller = "127.0.0.1:9"
 	changed.Log.LinesPerSecond = 1
+	changed.Overload.ByAim = true
 	n.Reload(changed)
 	if got := limit(); got != 9 {
 		t.Errorf("limit %d at three quarters of 12 slots", got)
@@ -86,7 +87,7 @@
 		t.Fatalf("%d lines", len(lines))
 	}
 	fields := lines[0].ContextMap()
-	if fields["changed"] != true || fmt.Sprint(fields["after_restart"]) != "[listen log]" {
+	if fields["changed"] != true || fmt.Sprint(fields["after_restart"]) != "[listen overload log]" {
 		t.Errorf("logged %v", fields)
 	}
 	if got := n.CallerAddress(); got == changed.Listen.Caller {
