spread, member: a node that starts anew without the store is found by its watchers

What callers saw: a node that started anew while the store was away refused everything at its host for 3 to 10 s, at times more than 20 s (TestEvacuatedZoneGetsNothing, "host-0 serves" never came).

Cause: it knows nobody and can only be found, and those who knew it asked lost nodes in a tenth of their draws. With one node in each of three zones the rest is chance.

Ruled out: that it was met and refused (nobody greeted it); that its address was taken for away (refused connections are not).

Mend: each node is watched by the next two on its zone's ring and one of another zone, who keep a connection to it; an open one costs no message.

--- /dev/null
+++ b/member/ring.go
@@ -0,0 +1,118 @@
+// SPDX-License-Identifier: MIT
+
+package member
+
+import (
+	"slices"
+)
+
+// Watchers of a node. One that starts anew while the platform's store is away knows
+// nobody, so that others have to find it, and to ask nodes at random leaves it to chance
+// when. The nodes of each zone form a ring by the hash of their names, and each is watched
+// by those that follow it. A node takes the wards of those before it that it cannot reach,
+// so that every node has a watcher while any node lives.
+const (
+	// guards is how many nodes of the own zone each node watches, beside those that it
+	// cannot reach: one may fail together with its ward.
+	guards = 2
+)
+
+// ringPurpose orders the nodes of a zone on the ring.
+const ringPurpose = "ring"
+
+// Wards returns the nodes that this one watches: those before it on its zone's ring up to
+// the second that it can reach, and those of the zone before its own that stand between it
+// and the first of these. Where nobody of that zone can be reached, the one before that is
+// watched too.
+func (v *View) Wards() []Record {
+	self := v.entries[v.self]
+	near, reach := v.wardsNear(self)
+	wards := near
+	zones := v.zonesBefore(self.Zone)
+	for _, zone := range zones {
+		far, lost := v.wardsFar(self, zone, reach)
+		wards = append(wards, far...)
+		if !lost {
+			break
+		}
+	}
+	return wards
+}
+
+// wardsNear returns the wards of the own zone, and how far back on the ring the first is
+// that can be reached.
+func (v *View) wardsNear(self *entry) (wards []Record, reach uint64) {
+	reach = ^uint64(0)
+	answering := 0
+	for _, e := range v.zoneBehind(self) {
+		wards = append(wards, e.Record)
+		if !e.lostSince.IsZero() {
+			continue
+		}
+		if answering++; answering == 1 {
+			reach = self.behind(e)
+		}
+		if answering == guards {
+			break
+		}
+	}
+	return wards, reach
+}
+
+// zoneBehind returns the other nodes of the own zone, the nearest before this one first.
+func (v *View) zoneBehind(self *entry) []*entry {
+	var near []*entry
+	for host, e := range v.entries {
+		if host != v.self && e.State != Gone && e.Zone == self.Zone {
+			near = append(near, e)
+		}
+	}
+	slices.SortFunc(near, func(a, b *entry) int {
+		if self.behind(a) < self.behind(b) {
+			return -1
+		}
+		return 1
+	})
+	return near
+}
+
+// wardsFar returns the nodes of another zone that stand within some way back on the ring,
+// and whether no node of that zone can be reached.
+func (v *View) wardsFar(self *entry, zone string, reach uint64) (wards []Record, lost bool) {
+	lost = true
+	for _, host := range v.hosts {
+		e := v.entries[host]
+		if e.Zone != zone || e.State == Gone {
+			continue
+		}
+		lost = lost && !e.lostSince.IsZero()
+		if self.behind(e) < reach {
+			wards = append(wards, e.Record)
+		}
+	}
+	return wards, lost
+}
+
+// zonesBefore returns the other zones by name, the one before a zone first.
+func (v *View) zonesBefore(zone string) []string {
+	var zones []string
+	for _, e := range v.entries {
+		if e.State != Gone && e.Zone != zone && !slices.Contains(zones, e.Zone) {
+			zones = append(zones, e.Zone)
+		}
+	}
+	slices.Sort(zones)
+	at, _ := slices.BinarySearch(zones, zone)
+	before := slices.Concat(zones[at:], zones[:at])
+	slices.Reverse(before)
+	return before
+}
+
+// behind is how far back on the ring another node stands.
+func (e *entry) behind(other *entry) uint64 { return e.place - other.place }
+
+// IsLost reports whether a node did not answer when it was last asked.
+func (v *View) IsLost(host string) bool {
+	e := v.entries[host]
+	return e != nil && !e.lostSince.IsZero()
+}
--- a/member/view.go
+++ b/member/view.go
@@ -28,6 +28,8 @@
 	// lostSince is when the node was first asked in vain since it last answered.
 	lostSince time.Time
 	goneSince time.Time
+	// place is where the node stands on the ring of its zone.
+	place uint64
 	// past is the node's last record of an earlier incarnation that named a
 	// backend server, so that a node that starts anew can be told of it.
 	past Record
@@ -96,7 +98,7 @@
 func (v *View) put(r Record) *entry {
 	e := v.entries[r.Host]
 	if e == nil {
-		e = &entry{}
+		e = &entry{place: rendezvous(ringPurpose, r.Host)}
 		v.entries[r.Host] = e
 		at := sort.SearchStrings(v.hosts, r.Host)
 		v.hosts = append(v.hosts, "")
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -167,6 +167,8 @@
 		metric.Count("table_deferred", "tables", "tables not given for want of byte budget", &c.TablesDeferred),
 		metric.Count("spread_exchanges", "exchanges", "digests sent to other nodes", &c.Exchanges),
 		metric.Count("spread_exchange_failures", "exchanges", "digests that were not answered", &c.ExchangeFailures),
+		metric.Count("spread_wards_lost", "times", "times that a node which this one watches could not be reached", &c.WardsLost),
+		metric.Count("spread_wards_found", "times", "times that such a node was reached again", &c.WardsFound),
 		metric.Count("spread_records", "records", "member records received", &c.RecordsReceived),
 		metric.Count("spread_near_bytes", "bytes", "questions and replies about records sent within the availability zone", &c.NearBytes),
 		metric.Count("spread_far_bytes", "bytes", "questions and replies about records sent to other zones", &c.FarBytes),
--- a/spread/fleet_test.go
+++ b/spread/fleet_test.go
@@ -31,6 +31,8 @@
 	cut func(a, b string) bool
 	// dead are nodes that answer nothing.
 	dead map[string]bool
+	// met are the lives that nodes are connected to; nil if they take no note of them.
+	met map[fleetLine]*fleetNode
 }
 
 type fleetNode struct {
@@ -93,6 +95,7 @@
 	if to == nil || f.dead[to.record.Host] || f.dead[from.record.Host] || (f.cut != nil && f.cut(from.record.Zone, to.record.Zone)) {
 		return nil, errNoWay
 	}
+	f.meets(from, to)
 	return fleetLink{to}, nil
 }
 
@@ -117,6 +120,7 @@
 	n.cancel = cancel
 	wait.Go(func() { n.spread.runRounds(ctx) })
 	wait.Go(func() { n.spread.runPulls(ctx) })
+	wait.Go(func() { n.spread.runGuard(ctx) })
 }
 
 // announceServer has a node's server announce itself.
