balance: a gate's word that it does not know its server's slowness takes back what it told

What callers saw: a server that had been cold while no request came got none afterwards, so that a service of two had half its servers (TestServerThatStartsAgainGetsWork, in each of its parts).

Cause: a gate says 200 of a server that is cold by its announcement, and 0 once that is over and it has not told its speed. Entries dropped the 0, kept the 200 and stayed away; a gate that is not asked does not measure, so no other word came.

Ruled out: that the new life was not known (members and gate show it live), that it was ejected or unreachable (no trouble is noted).

An operator sees what a gate tells in its status.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -45,6 +45,21 @@
 	p.Ended(now, s, r)
 }
 
+// A server that was slow, and of which its gate knows nothing any more, got no work for ever
+// beside one that is quick: what was told of it before stood.
+func TestSlownessThatIsTakenBackIsForgotten(t *testing.T) {
+	p := newTestPool(2, Options{})
+	p.LearnSlowness(start, "n0", 200)
+	p.LearnSlowness(start, "n1", 100)
+	if got := shares(p, start, 100)["s0"]; got != 0 {
+		t.Errorf("share %.2f of a server that is slow", got)
+	}
+	p.LearnSlowness(start, "n0", 0)
+	if got := shares(p, start, 1000)["s0"]; got < 0.4 || got > 0.6 {
+		t.Errorf("share %.2f of a server of which nothing is known any more, want half", got)
+	}
+}
+
 func TestPickAvoidsTrouble(t *testing.T) {
 	now := start.Add(time.Second)
 	tests := []struct {
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -232,18 +232,27 @@
 	}
 }
 
-// LearnSlowness takes how slow the server behind a node is now, in percent of
-// usual.
+// LearnSlowness takes how slow the server behind a node is now, in percent of usual; 0
+// takes back what was told before, since the gate does not know any more.
 func (p *Pool) LearnSlowness(now time.Time, node string, percent int) {
 	for _, s := range p.servers {
-		if s.Node == node && percent > 0 {
-			p.spells.learn(now, s, percent)
-			s.report.Slowness = percent
-			s.heardAt = now
+		if s.Node == node {
+			p.learnSlowness(now, s, percent)
 		}
 	}
 }
 
+func (p *Pool) learnSlowness(now time.Time, s *Server, percent int) {
+	if percent <= 0 {
+		s.slowSince = time.Time{}
+		s.report.Slowness = 0
+		return
+	}
+	p.spells.learn(now, s, percent)
+	s.report.Slowness = percent
+	s.heardAt = now
+}
+
 func (p *Pool) learn(now time.Time, s *Server, load wire.Load) {
 	if load.Seq <= s.report.Seq && now.Sub(s.reportAt) < orderedFor {
 		return
--- a/node/admin.go
+++ b/node/admin.go
@@ -132,6 +132,7 @@
 			Queued:        load.Queued,
 			Limit:         load.Limit,
 			ServiceMicros: load.ServiceMicros,
+			Slowness:      load.Slowness,
 			Draining:      load.Draining,
 		})
 	}
--- a/query/query.go
+++ b/query/query.go
@@ -85,7 +85,10 @@
 	Queued        int    `json:"queued"`
 	Limit         int    `json:"limit"`
 	ServiceMicros int64  `json:"service_us"`
-	Draining      bool   `json:"draining"`
+	// Slowness is what the gate tells entries of its server, in percent of usual; 0 if it
+	// does not know.
+	Slowness int  `json:"slowness"`
+	Draining bool `json:"draining"`
 }
 
 // Burn is the service-level burn of all nodes that answered.
--- a/wire/message.go
+++ b/wire/message.go
@@ -233,7 +233,8 @@
 // server that announced itself to the sender. It is sent on each change, so it
 // holds little.
 type Slowness struct {
-	// Percent of usual.
+	// Percent of usual; 0 if the gate does not know any more, since its server's cold time
+	// has ended and the server has not told.
 	Percent int
 }
 
