balance: a word on slowness that nobody confirms does not hold up the mean it fades to

What it told last fades, from the third second on, to the mean over all that have told, itself among them: of two servers one stays at 250 beside 100, beyond the margin of a tie, and is never asked again.

Read from the code, not seen in a run of whole nodes.

Conclusion: the mean is over those that have told of late.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -60,6 +60,23 @@
 	}
 }
 
+// A server that was slow when it was last asked got no work for ever beside one that goes on
+// telling that it is quick: what had been told of it faded to a mean that it held up itself.
+func TestSlownessThatIsNotConfirmedFades(t *testing.T) {
+	p := newTestPool(2, Options{})
+	p.LearnSlowness(start, "n0", 400)
+	now := start
+	for ; now.Sub(start) < 20*time.Second; now = now.Add(100 * time.Millisecond) {
+		p.LearnSlowness(now, "n1", 100)
+		if age := now.Sub(start); age < heardFor && shares(p, now, 10)["s0"] > 0 {
+			t.Fatalf("a server that is slow is picked %v after it told so", age)
+		}
+	}
+	if got := shares(p, now, 1000)["s0"]; got < 0.4 || got > 0.6 {
+		t.Errorf("share %.2f of a server that was slow %v ago, want half", got, now.Sub(start))
+	}
+}
+
 func TestPickAvoidsTrouble(t *testing.T) {
 	now := start.Add(time.Second)
 	tests := []struct {
--- a/balance/demand.go
+++ b/balance/demand.go
@@ -49,7 +49,7 @@
 	if len(candidates) == 0 {
 		return nil
 	}
-	usual := p.usualSlowness()
+	usual := p.usualSlowness(now)
 	drawn := p.draw(now, rng, candidates, p.choices(slownessChoices))
 	return least(drawn, 0, func(s *Server) float64 {
 		return p.expectedLoss(now, s, usual, demand)
@@ -66,7 +66,7 @@
 	if !demand.Known() || !p.tellSlowness() {
 		return nil
 	}
-	usual := p.usualSlowness()
+	usual := p.usualSlowness(now)
 	least := 1.0
 	if other != nil {
 		least = p.expectedLoss(now, other, usual, demand)
@@ -94,7 +94,7 @@
 	if p.options.NoChecks || !demand.Known() || !p.tellSlowness() {
 		return 0
 	}
-	percent := s.slowness(now, p.usualSlowness())
+	percent := s.slowness(now, p.usualSlowness(now))
 	usual := p.stretch(demand.Work, percent/100)
 	times := p.spells.usualTimes()
 	slow := time.Duration(times * float64(usual))
@@ -131,7 +131,7 @@
 	if !demand.Known() || at.report.Slowness == 0 {
 		return 0
 	}
-	usual := p.usualSlowness()
+	usual := p.usualSlowness(now)
 	slowness := max(at.slowness(now, usual)/100, 1)
 	left := max(demand.Work-time.Duration(float64(been)/slowness), time.Duration(leastLeft*float64(demand.Work)))
 	stay := lateness(p.stretch(left, slowness), demand.Aim)
--- a/balance/demand_test.go
+++ b/balance/demand_test.go
@@ -112,7 +112,7 @@
 	p := slowPool(now, 400, 100)
 	p.spells.lasts = 80 * time.Millisecond
 	d := Demand{Work: 300 * time.Millisecond, Aim: 600 * time.Millisecond}
-	if got := p.expectedTime(now, p.servers[0], p.usualSlowness(), d); got < 1200*time.Millisecond {
+	if got := p.expectedTime(now, p.servers[0], p.usualSlowness(now), d); got < 1200*time.Millisecond {
 		t.Errorf("300 ms of work that begins four times slower takes %v", got)
 	}
 	if got := p.stretch(300*time.Millisecond, 1); got != 300*time.Millisecond {
--- a/balance/outlook.go
+++ b/balance/outlook.go
@@ -72,7 +72,7 @@
 }
 
 func (p *Pool) look(now time.Time, demand Demand) *look {
-	return &look{pool: p, now: now, demand: demand, usual: p.usualSlowness(), mean: p.meanOthers(), took: math.MaxInt64, anywhere: math.MaxInt64}
+	return &look{pool: p, now: now, demand: demand, usual: p.usualSlowness(now), mean: p.meanOthers(), took: math.MaxInt64, anywhere: math.MaxInt64}
 }
 
 // add counts a server.
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -96,7 +96,7 @@
 		if choices == 0 {
 			choices = slownessChoices
 		}
-		usual := p.usualSlowness()
+		usual := p.usualSlowness(now)
 		return clearlyLeast(p.draw(now, rng, candidates, choices), func(s *Server) float64 {
 			return p.expectedBySlowness(now, s, usual)
 		})
--- a/balance/slowness.go
+++ b/balance/slowness.go
@@ -37,21 +37,39 @@
 	return false
 }
 
-// usualSlowness is the mean over the servers that have told, in percent.
-func (p *Pool) usualSlowness() float64 {
-	sum, n := 0, 0
+// usualSlowness is the mean over the servers that have told of late, in percent, or over all
+// that have told if none has. A word that is not confirmed any more fades to it, and must
+// not hold it up: its server would never be tried again.
+func (p *Pool) usualSlowness(now time.Time) float64 {
+	var told, late tally
 	for _, s := range p.servers {
-		if s.report.Slowness > 0 {
-			sum += s.report.Slowness
-			n++
+		if s.report.Slowness == 0 {
+			continue
+		}
+		told.add(s.report.Slowness)
+		if now.Sub(s.heardAt) <= heardFor {
+			late.add(s.report.Slowness)
 		}
 	}
-	if n == 0 {
-		return notTold
+	if late.n > 0 {
+		return late.mean()
 	}
-	return float64(sum) / float64(n)
+	if told.n > 0 {
+		return told.mean()
+	}
+	return notTold
 }
 
+// tally is a sum of figures.
+type tally struct{ sum, n int }
+
+func (t *tally) add(figure int) {
+	t.sum += figure
+	t.n++
+}
+
+func (t *tally) mean() float64 { return float64(t.sum) / float64(t.n) }
+
 // slowness is what is believed of a server's slowness, in percent.
 func (s *Server) slowness(now time.Time, usual float64) float64 {
 	if s.report.Slowness == 0 {
--- a/balance/spell.go
+++ b/balance/spell.go
@@ -94,7 +94,7 @@
 	if !ok || later >= left {
 		return false
 	}
-	slowness := best.slowness(now, p.usualSlowness()) / 100
+	slowness := best.slowness(now, p.usualSlowness(now)) / 100
 	gain := p.lossBy(now, best, demand, p.timeAt(now, best, slowness, demand)) - p.lossBy(now, best, demand, later)
 	return p.atStake(now, gain, slowness, demand) > waitGainLeast
 }
