entry: a request that reached no node waits a moment for one to be heard again

Cause: another attempt needs a server that is without trouble at that moment. Nodes that stood still together are heard again within milliseconds of each other.

Evidence: the request's line has one attempt that took 264.6 ms of the 250 for a connection, and servers that spoke again 3 and 6 ms before; the nodes went on 5 ms before the refusal. Ruled out: a gate's refusal (no gate has such a line). An attempt's line now tells why its node was not reached.

Mend: such a request looks for up to 100 ms, bounded as a wait for room is.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -46,6 +46,9 @@
 	retryAfter time.Duration
 	// notArrived says that the request never got to the gate, through no fault of that.
 	notArrived bool
+	// unsent says that no connection to the server's node was had, and detail why.
+	unsent bool
+	detail string
 	// final says that no other attempt may follow: the caller is gone or its
 	// time is up.
 	final bool
@@ -129,7 +132,7 @@
 func (e *Entry) send(r *request, a *attempt) <-chan struct{} {
 	conn, err := e.dialer.Get(a.node, min(e.settings.ConnectLimit, time.Until(r.deadline)))
 	if err != nil {
-		e.endUnreachable(r, a)
+		e.endUnreachable(r, a, err)
 		return nil
 	}
 	if r.suspect {
@@ -158,7 +161,7 @@
 	}
 	call, err := conn.Start(&m)
 	if err != nil {
-		e.endUnreachable(r, a)
+		e.endUnreachable(r, a, err)
 		return nil
 	}
 	e.Counters.Attempts.Add(1)
@@ -238,8 +241,9 @@
 }
 
 // endUnreachable ends an attempt of which not one byte left this node.
-func (e *Entry) endUnreachable(r *request, a *attempt) {
+func (e *Entry) endUnreachable(r *request, a *attempt, err error) {
 	a.outcome, a.reason = retry.NotRun, wire.ReasonConnect
+	a.unsent, a.detail = true, err.Error()
 	now := time.Now()
 	r.ended(a, now)
 	s := r.service
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -83,6 +83,9 @@
 	Requests, Answered, NotRun, Unknown, BadRequests atomic.Int64
 	// Attempts counts requests sent to gates.
 	Attempts atomic.Int64
+	// NodesAwaited counts requests that went on once a node was heard again, after none
+	// could be reached.
+	NodesAwaited atomic.Int64
 	// Retries counts attempts after the first, and RetriesDenied those that
 	// the budget did not pay for.
 	Retries, RetriesDenied atomic.Int64
--- a/entry/handle.go
+++ b/entry/handle.go
@@ -151,7 +151,7 @@
 		}
 		res.last = a
 		r.note(a)
-		if a.outcome == retry.Answered || a.final || !(e.again(r, a) || r.waitForRoom(a) || e.awaitBudget(r, a)) {
+		if a.outcome == retry.Answered || a.final || !(e.again(r, a) || r.waitForRoom(a) || e.awaitBudget(r, a) || e.awaitNode(r, a)) {
 			break
 		}
 		if a.response != nil {
--- /dev/null
+++ b/entry/reach.go
@@ -0,0 +1,56 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import "time"
+
+const (
+	// reachFor is how long a request that could not leave this node waits for a server's
+	// node to be heard again, and reachLook is how often it looks. Nodes that stood still on
+	// a busy host, all at once, are heard within milliseconds of each other.
+	reachFor  = 100 * time.Millisecond
+	reachLook = 10 * time.Millisecond
+)
+
+// awaitNode waits for a server to which a request can go that has not left this node, since
+// no connection to the node of its server was had in time while all others were silent. It
+// reports whether there is one; if not, the request is refused as not run.
+func (e *Entry) awaitNode(r *request, a *attempt) bool {
+	if !a.unsent || a.denied || e.settings.NoRetries || !r.body.replayable() {
+		return false
+	}
+	until := time.Now().Add(reachFor)
+	for _, bound := range []time.Time{r.refuseBy, r.deadline} {
+		if !bound.IsZero() && bound.Before(until) {
+			until = bound
+		}
+	}
+	look := time.NewTicker(reachLook)
+	defer look.Stop()
+	for now := time.Now(); now.Before(until); now = time.Now() {
+		select {
+		case <-r.gone:
+			return false
+		case <-look.C:
+		}
+		if r.canGo(a) {
+			e.Counters.NodesAwaited.Add(1)
+			return true
+		}
+	}
+	return false
+}
+
+// canGo reports whether some server is without trouble now, of those that were tried too,
+// and pays for going there.
+func (r *request) canGo(a *attempt) bool {
+	s := r.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if s.pool.Others(now, nil) == 0 || r.attempts >= s.terms.Sends() || !s.budget.Take(now, a.cost(&s.terms)) {
+		return false
+	}
+	r.tried = nil
+	return true
+}
--- a/entry/record.go
+++ b/entry/record.go
@@ -33,6 +33,7 @@
 	if a.reason != 0 {
 		told.Reason = a.reason.String()
 	}
+	told.Detail = a.detail
 	if a.response != nil {
 		told.Status = a.response.Status
 	}
--- a/event/event.go
+++ b/event/event.go
@@ -74,8 +74,8 @@
 	// Hedge says that it was sent beside another.
 	Hedge   bool
 	Outcome string
-	// Reason is why it was refused.
-	Reason string
+	// Reason is why it was refused, and Detail why its node was not reached.
+	Reason, Detail string
 	// Status is the server's, if it answered.
 	Status int
 }
@@ -93,6 +93,9 @@
 	if a.Reason != "" {
 		e.AddString("reason", a.Reason)
 	}
+	if a.Detail != "" {
+		e.AddString("detail", a.Detail)
+	}
 	if a.Status != 0 {
 		e.AddInt("status", a.Status)
 	}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -42,6 +42,7 @@
 		metric.Count("quota_lent", "requests", "requests that the keeper of another availability zone paid for", &n.quotas.Counters.Lent),
 		metric.Count("entry_attempts", "requests", "requests sent to gates", &c.Attempts),
 		metric.Count("entry_retries", "requests", "attempts after the first", &c.Retries),
+		metric.Count("entry_nodes_awaited", "requests", "requests that went on once a node was heard again, after none could be reached", &c.NodesAwaited),
 		metric.Count("entry_retries_denied", "requests", "attempts that the retry budget did not pay for", &c.RetriesDenied),
 		metric.Count("entry_hedges", "requests", "second attempts sent while the first had not answered", &c.Hedges),
 		metric.Count("entry_hedges_won", "requests", "requests that the second attempt answered first", &c.HedgesWon),
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -73,6 +73,9 @@
 	MostSends int
 }
 
+// Sends is the most sends of one request.
+func (t Terms) Sends() int { return sends(t.MostSends) }
+
 // Counted reports whether the terms count what reaches servers.
 func (t Terms) Counted() bool { return t.Window > 0 }
 
@@ -119,17 +122,21 @@
 // MaxAttempts bounds the attempts for one request.
 const MaxAttempts = 4
 
+// sends returns a bound on the sends of one request; 0 stands for MaxAttempts.
+func sends(most int) int {
+	if most == 0 {
+		return MaxAttempts
+	}
+	return most
+}
+
 // minLeft is the least remaining time for which another attempt is made.
 const minLeft = time.Millisecond
 
 // Again reports whether the rules allow another attempt; the budget is asked
 // separately.
 func Again(a Attempt) bool {
-	most := a.Most
-	if most == 0 {
-		most = MaxAttempts
-	}
-	if !a.Replayable || a.Attempts >= most || a.Left < minLeft || a.Others <= 0 {
+	if !a.Replayable || a.Attempts >= sends(a.Most) || a.Left < minLeft || a.Others <= 0 {
 		return false
 	}
 	switch a.Outcome {
