gate: a planned stop does not wait for what has outlasted its time

Cause: an order that its server never answers is let run for 30 s beyond its time, and a stop waits for all that runs.

Evidence: each of the lines "stop reached its bound" lists requests at the own gate whose time was up for 3.2 to 4.0 s, none at the entry. The soak now keeps the logs of runs with notes, as these are.

Ruled out: answers that are still owed (told as timed out), silent connections (none then).

Before: TestRequestThatIsNeverAnsweredIsNotUnderWayAfterItsTime fails.

--- a/cmd/ryehaven-soak/main.go
+++ b/cmd/ryehaven-soak/main.go
@@ -35,7 +35,7 @@
 	Stops       bool          `help:"Play planned stops, one or two each 0.7 s, in place of the seeds' schedules."`
 	Programs    string        `help:"Directory of the built commands; they are built if not given."`
 	Older       string        `help:"Directory of the commands of an earlier version, which all nodes begin with; each restart upgrades one."`
-	Keep        string        `default:"out/soak" help:"Directory for settings, logs and histories of runs that fail."`
+	Keep        string        `default:"out/soak" help:"Directory for settings, logs and histories of runs that fail, and for logs of those with notes."`
 	Regressions bool          `help:"Play every run that ever failed in place of seeds."`
 	Schedule    bool          `help:"Print the schedules of the seeds and play none."`
 }
@@ -143,7 +143,7 @@
 	}
 }
 
-// play plays one seed. Its directory stays if a promise was broken.
+// play plays one seed. Its directory stays if a promise was broken or something was noted.
 // steps replace the schedule that the seed draws; nil leaves it.
 func play(ctx context.Context, args arguments, programs string, seed uint64, steps []soak.Step) (soak.Report, error) {
 	dir := filepath.Join(args.Keep, fmt.Sprint("seed-", seed))
@@ -186,5 +186,9 @@
 		fmt.Printf("  kept in %s; play it again: ryehaven-soak --seed %d --hosts %d --callers %d --length %s\n", dir, seed, report.Hosts, args.Callers, args.Length)
 		return report, nil
 	}
+	if len(report.Notes) > 0 {
+		fmt.Printf("  logs kept in %s for the notes\n", dir)
+		return report, nil
+	}
 	return report, os.RemoveAll(dir)
 }
--- a/gate/silence.go
+++ b/gate/silence.go
@@ -283,16 +283,22 @@
 	g.advance(now)
 }
 
-// isOver reports whether nobody waits for the job any more, although it may be at work:
-// its time is up, so that its entry was told, and its connection is suspected or was
-// found mute, or the server says since then that it is not at work. A planned stop that
-// waits for it runs to its bound and ends as if it had cut it off. It is called with the
-// lock held.
+// outlivedFor is how long a run may outlast its request's time and still be waited for: what
+// servers are told as their deadline is up to as much later where a connection was slow to
+// open.
+const outlivedFor = 500 * time.Millisecond
+
+// isOver reports whether nobody waits for the job any more, although it may be at work: its
+// time is up, so that its entry was told and its server was to stop. That is certain after a
+// while, or sooner if its connection is suspected or was found mute, or the server says that
+// it is not at work. A planned stop that waits for it runs to its bound and ends as if it had
+// cut it off. It is called with the lock held.
 func (g *Gate) isOver(j *job, now time.Time) bool {
-	if now.Before(j.stream.Expiry) {
+	late := now.Sub(j.stream.Expiry)
+	if late < 0 {
 		return false
 	}
-	return j.mute || (j.isOut() && (!j.denied.IsZero() || g.suspects(j)))
+	return late >= outlivedFor || j.mute || (j.isOut() && (!j.denied.IsZero() || g.suspects(j)))
 }
 
 // isMute reports whether the job's connection was found silent.
--- a/gate/stop_silence_test.go
+++ b/gate/stop_silence_test.go
@@ -50,3 +50,26 @@
 		})
 	}
 }
+
+// A server took an order and never answered. What a planned stop waited for had been told to
+// its caller as timed out seconds before, and the stop ran to its bound and ended as if it had
+// cut requests off.
+func TestRequestThatIsNeverAnsweredIsNotUnderWayAfterItsTime(t *testing.T) {
+	const budget = 300 * time.Millisecond
+	b := newBench(t, 1, 5)
+	call := b.start("/once", func(r *wire.Request) {
+		r.Repeatable = false
+		r.BudgetMicros = budget.Microseconds()
+	})
+	b.running()
+	if busy := b.gate.Busy(); busy != 1 {
+		t.Errorf("%d requests are under way before its time is up", busy)
+	}
+	time.Sleep(budget)
+	call.Cancel()
+	for until := time.Now().Add(patience); b.gate.Busy() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatalf("%d requests are still under way", b.gate.Busy())
+		}
+	}
+}
