entry: what went into a silence waits a moment for a node to be heard again, too

Before: the new case of TestRequestThatReachedNoNodeWaitsForOneToBeHeard does not go on; after: it does.

--- a/entry/reach.go
+++ b/entry/reach.go
@@ -5,18 +5,18 @@
 import "time"
 
 const (
-	// reachFor is how long a request that could not leave this node waits for a server's
-	// node to be heard again, and reachLook is how often it looks. Nodes that stood still on
-	// a busy host, all at once, are heard within milliseconds of each other.
+	// reachFor is how long a request that reached no node waits for a server's node to be
+	// heard again, and reachLook is how often it looks. Nodes that stood still together, as
+	// on a busy host, are heard within milliseconds of each other.
 	reachFor  = 100 * time.Millisecond
 	reachLook = 10 * time.Millisecond
 )
 
-// awaitNode waits for a server to which a request can go that has not left this node, since
-// no connection to the node of its server was had in time while all others were silent. It
-// reports whether there is one; if not, the request is refused as not run.
+// awaitNode waits for a server to which a request can go that has reached no node, while all
+// others were silent: it has not left this one, or went into a silence. It reports whether
+// there is one; if not, the request is refused as not run.
 func (e *Entry) awaitNode(r *request, a *attempt) bool {
-	if !a.unsent || a.denied || e.settings.NoRetries || !r.body.replayable() {
+	if !(a.unsent || a.notArrived) || a.denied || e.settings.NoRetries || !r.body.replayable() {
 		return false
 	}
 	until := time.Now().Add(reachFor)
--- a/entry/reach_test.go
+++ b/entry/reach_test.go
@@ -28,6 +28,7 @@
 		back, goes bool
 	}{
 		{"a node is heard again", func(*request, *attempt) {}, true, true},
+		{"it went into a silence", func(_ *request, a *attempt) { a.unsent, a.notArrived = false, true }, true, true},
 		{"no node is heard again", func(*request, *attempt) {}, false, false},
 		{"its gate refused it", func(_ *request, a *attempt) { a.unsent = false }, true, false},
 		{"its caller has gone", func(r *request, _ *attempt) { close(r.gone) }, true, false},
