--- a/member/ring.go
+++ b/member/ring.go
@@ -3,60 +3,58 @@
 package member
 
 import (
+	"cmp"
 	"slices"
 )
 
-// Watchers of a node. One that starts anew while the platform's store is away knows
+// Monitors of a node. One that starts anew while the platform's store is away knows
 // nobody, so that others have to find it, and to ask nodes at random leaves it to chance
-// when. The nodes of each zone form a ring by the hash of their names, and each is watched
-// by those that follow it. A node takes the wards of those before it that it cannot reach,
-// so that every node has a watcher while any node lives.
-const (
-	// guards is how many nodes of the own zone each node watches, beside those that it
-	// cannot reach: one may fail together with its ward.
-	guards = 2
-)
+// when. The nodes of each zone form a ring by the hash of their names, and each is monitored
+// by those that follow it. A node takes over from those before it that it cannot reach, so
+// that every node has a monitor while any node lives.
+
+// monitorsNear is how many nodes of its own zone monitor a node; one may fail with it.
+const monitorsNear = 2
 
 // ringPurpose orders the nodes of a zone on the ring.
 const ringPurpose = "ring"
 
-// Wards returns the nodes that this one watches: those before it on its zone's ring up to
-// the second that it can reach, and those of the zone before its own that stand between it
+// Monitored returns the nodes that this one monitors: those before it on its zone's ring up
+// to the second that it can reach, and those of the zone before its own that stand between it
 // and the first of these. Where nobody of that zone can be reached, the one before that is
-// watched too.
-func (v *View) Wards() []Record {
+// monitored too.
+func (v *View) Monitored() []Record {
 	self := v.entries[v.self]
-	near, reach := v.wardsNear(self)
-	wards := near
-	zones := v.zonesBefore(self.Zone)
-	for _, zone := range zones {
-		far, lost := v.wardsFar(self, zone, reach)
-		wards = append(wards, far...)
+	near, reach := v.monitoredNear(self)
+	found := near
+	for _, zone := range v.zonesBefore(self.Zone) {
+		far, lost := v.monitoredFar(self, zone, reach)
+		found = append(found, far...)
 		if !lost {
 			break
 		}
 	}
-	return wards
+	return found
 }
 
-// wardsNear returns the wards of the own zone, and how far back on the ring the first is
+// monitoredNear returns those of the own zone, and how far back on the ring the first is
 // that can be reached.
-func (v *View) wardsNear(self *entry) (wards []Record, reach uint64) {
+func (v *View) monitoredNear(self *entry) (found []Record, reach uint64) {
 	reach = ^uint64(0)
 	answering := 0
 	for _, e := range v.zoneBehind(self) {
-		wards = append(wards, e.Record)
+		found = append(found, e.Record)
 		if !e.lostSince.IsZero() {
 			continue
 		}
 		if answering++; answering == 1 {
 			reach = self.behind(e)
 		}
-		if answering == guards {
+		if answering == monitorsNear {
 			break
 		}
 	}
-	return wards, reach
+	return found, reach
 }
 
 // zoneBehind returns the other nodes of the own zone, the nearest before this one first.
@@ -67,18 +65,13 @@
 			near = append(near, e)
 		}
 	}
-	slices.SortFunc(near, func(a, b *entry) int {
-		if self.behind(a) < self.behind(b) {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(near, func(a, b *entry) int { return cmp.Compare(self.behind(a), self.behind(b)) })
 	return near
 }
 
-// wardsFar returns the nodes of another zone that stand within some way back on the ring,
+// monitoredFar returns the nodes of another zone that stand within some way back on the ring,
 // and whether no node of that zone can be reached.
-func (v *View) wardsFar(self *entry, zone string, reach uint64) (wards []Record, lost bool) {
+func (v *View) monitoredFar(self *entry, zone string, reach uint64) (found []Record, lost bool) {
 	lost = true
 	for _, host := range v.hosts {
 		e := v.entries[host]
@@ -87,10 +80,10 @@
 		}
 		lost = lost && !e.lostSince.IsZero()
 		if self.behind(e) < reach {
-			wards = append(wards, e.Record)
+			found = append(found, e.Record)
 		}
 	}
-	return wards, lost
+	return found, lost
 }
 
 // zonesBefore returns the other zones by name, the one before a zone first.
--- a/spread/fleet_test.go
+++ b/spread/fleet_test.go
@@ -120,7 +120,7 @@
 	n.cancel = cancel
 	wait.Go(func() { n.spread.runRounds(ctx) })
 	wait.Go(func() { n.spread.runPulls(ctx) })
-	wait.Go(func() { n.spread.runGuard(ctx) })
+	wait.Go(func() { n.spread.runMonitor(ctx) })
 }
 
 // announceServer has a node's server announce itself.
--- a/spread/round.go
+++ b/spread/round.go
@@ -38,7 +38,7 @@
 	var wait sync.WaitGroup
 	wait.Go(func() { s.runRounds(ctx) })
 	wait.Go(func() { s.runPulls(ctx) })
-	wait.Go(func() { s.runGuard(ctx) })
+	wait.Go(func() { s.runMonitor(ctx) })
 	if s.platform != nil {
 		wait.Go(func() { s.runWatch(ctx) })
 		wait.Go(func() { s.runProbes(ctx) })
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -73,9 +73,9 @@
 	// EntriesLeftOut counts readings of the list of hosts that left out entries which
 	// cannot be used.
 	EntriesLeftOut atomic.Int64
-	// WardsLost and WardsFound count how often a node that this one watches could not be
+	// MonitoredLost and MonitoredFound count how often a node that this one monitors could not be
 	// reached, and could be again.
-	WardsLost, WardsFound atomic.Int64
+	MonitoredLost, MonitoredFound atomic.Int64
 	// RecordsReceived counts member records.
 	RecordsReceived atomic.Int64
 	// NearBytes and FarBytes count the bytes of questions and replies sent to
