peer: a node is noted as away before anybody is told that it could not be reached

What callers could see: a second wait for a connection to a node that had just been found not to be heard.

Cause: who waited for the connection was told of its failure first, and the node noted after that, by another goroutine. Evidence: the test's line has a timed out connection and a node that is not away. Ruled out: that it was taken back; nothing is heard in the test.

--- a/peer/dialer.go
+++ b/peer/dialer.go
@@ -157,13 +157,15 @@
 	}
 }
 
-// openFor opens the connection that somebody has asked for.
+// openFor opens the connection that somebody has asked for. Who waits for it and is told that
+// nothing was heard finds the node noted as away.
 func (d *Dialer) openFor(address string, s *slot) {
-	d.open(address, s, d.Limit)
+	d.dial(address, s, d.Limit)
 	if s.err == nil {
 		d.met(address, s.conn)
 	}
 	d.tried(address, s)
+	close(s.ready)
 }
 
 // met tells of the node on a connection that is in its place, so that who is told finds
@@ -186,6 +188,11 @@
 
 func (d *Dialer) open(address string, s *slot, limit time.Duration) {
 	defer close(s.ready)
+	d.dial(address, s, limit)
+}
+
+// dial is open without saying that it has ended.
+func (d *Dialer) dial(address string, s *slot, limit time.Duration) {
 	d.Counters.Dials.Add(1)
 	nc, err := sock.Dial(address, limit)
 	if err == nil {
