--- a/entry/handle.go
+++ b/entry/handle.go
@@ -231,15 +231,21 @@
 		return false
 	}
 	defer r.service.endWait()
-	look := time.NewTicker(budgetEvery)
-	defer look.Stop()
-	for now := time.Now(); now.Before(until); now = time.Now() {
+	return r.look(budgetEvery, until, func() bool { return e.payAgain(r, a) })
+}
+
+// look waits until something holds, at which it looks from time to time, and reports whether
+// it came to hold before a time while the caller waited.
+func (r *request) look(every time.Duration, until time.Time, holds func() bool) bool {
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	for time.Now().Before(until) {
 		select {
 		case <-r.gone:
 			return false
-		case <-look.C:
+		case <-ticker.C:
 		}
-		if e.payAgain(r, a) {
+		if holds() {
 			return true
 		}
 	}
--- a/entry/reach.go
+++ b/entry/reach.go
@@ -25,20 +25,11 @@
 			until = bound
 		}
 	}
-	look := time.NewTicker(reachLook)
-	defer look.Stop()
-	for now := time.Now(); now.Before(until); now = time.Now() {
-		select {
-		case <-r.gone:
-			return false
-		case <-look.C:
-		}
-		if r.canGo(a) {
-			e.Counters.NodesAwaited.Add(1)
-			return true
-		}
+	goes := r.look(reachLook, until, func() bool { return r.canGo(a) })
+	if goes {
+		e.Counters.NodesAwaited.Add(1)
 	}
-	return false
+	return goes
 }
 
 // canGo reports whether some server is without trouble now, of those that were tried too,
