gate: rate limits and leaving that servers report are logged and counted

Change: the dialect names both fields, the gate keeps the last report in the order in which responses were sent, with a log line for each change and the kind of response that said so, counters, gauges and columns in the status. Nothing acts on them yet.

--- a/cmd/ryehaven/read.go
+++ b/cmd/ryehaven/read.go
@@ -55,16 +55,23 @@
 		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%d\t%s\t%s\n", s.Host, s.Zone, s.State, s.Generation,
 			formatConfirmed(s.ConfirmedMillis), s.Nodes, strings.Join(s.Unreachable, ","), strings.Join(s.Evacuated, ","))
 	}
-	fmt.Fprintln(w, "\nHOST\tSERVER\tIN FLIGHT\tQUEUED\tLIMIT\tSERVICE TIME\tDRAINING")
+	fmt.Fprintln(w, "\nHOST\tSERVER\tIN FLIGHT\tQUEUED\tLIMIT\tSERVICE TIME\tRATE LIMIT\tDRAINING")
 	for _, s := range all {
 		for _, g := range s.Gates {
-			fmt.Fprintf(w, "%s\t%s/%s\t%d\t%d\t%d\t%.2f ms\t%t\n", s.Host, g.Service, g.Server,
-				g.InFlight, g.Queued, g.Limit, float64(g.ServiceMicros)/1000, g.Draining)
+			fmt.Fprintf(w, "%s\t%s/%s\t%d\t%d\t%d\t%.2f ms\t%s\t%t\n", s.Host, g.Service, g.Server,
+				g.InFlight, g.Queued, g.Limit, float64(g.ServiceMicros)/1000, formatRateLimit(g.RateLimit), g.Draining)
 		}
 	}
 	_ = w.Flush() // Fails only if standard output is closed: there is nowhere to report it.
 }
 
+func formatRateLimit(perSecond *float64) string {
+	if perSecond == nil {
+		return "none"
+	}
+	return fmt.Sprintf("%g/s", *perSecond)
+}
+
 func formatConfirmed(ms int64) string {
 	if ms < 0 {
 		return "never"
--- a/event/event.go
+++ b/event/event.go
@@ -364,6 +364,76 @@
 	return nil
 }
 
+// ResponseKind is the kind of a backend server's response.
+type ResponseKind string
+
+// The kinds of responses.
+const (
+	// RunResponse is the response to a request that the server ran.
+	RunResponse ResponseKind = "answer"
+	// RejectionResponse is the response to a request that the server did not run.
+	RejectionResponse ResponseKind = "rejection"
+	// ProbeResponse is the response to a probe.
+	ProbeResponse ResponseKind = "probe"
+)
+
+// ServerRateLimit reports that a backend server has set, changed or lifted the limit on the rate
+// of its requests, or that it sent an invalid one, which changes nothing.
+type ServerRateLimit struct {
+	standalone
+
+	Service string
+	Server  string
+	// Limited is whether a limit is in force now, and PerSecond the limit in requests per
+	// second.
+	Limited   bool
+	PerSecond float64
+	// Response is the kind of the response that says so; blank if an entry knew the limit.
+	Response ResponseKind
+	// Invalid is the invalid value, if there was one.
+	Invalid string
+}
+
+// Message implements Event.
+func (*ServerRateLimit) Message() string { return "server rate limit" }
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (r *ServerRateLimit) MarshalLogObject(e zapcore.ObjectEncoder) error {
+	e.AddString("service", r.Service)
+	e.AddString("server", r.Server)
+	e.AddBool("limited", r.Limited)
+	if r.Limited {
+		e.AddFloat64("per_second", r.PerSecond)
+	}
+	if r.Response != "" {
+		e.AddString("response", string(r.Response))
+	}
+	if r.Invalid != "" {
+		e.AddString("invalid", r.Invalid)
+	}
+	return nil
+}
+
+// ServerLeaving reports that a backend server has said in a response that it is leaving.
+type ServerLeaving struct {
+	standalone
+
+	Service  string
+	Server   string
+	Response ResponseKind
+}
+
+// Message implements Event.
+func (*ServerLeaving) Message() string { return "server is leaving" }
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (l *ServerLeaving) MarshalLogObject(e zapcore.ObjectEncoder) error {
+	e.AddString("service", l.Service)
+	e.AddString("server", l.Server)
+	e.AddString("response", string(l.Response))
+	return nil
+}
+
 // Member is a change of the record that a node holds of another node.
 type Member struct {
 	standalone
--- a/gate/connprobe.go
+++ b/gate/connprobe.go
@@ -188,6 +188,8 @@
 	dialect := &g.settings.Dialect
 	if id := exchange.Response.Header.Peek(dialect.ServerID); dialect.Strict() && len(id) > 0 && string(id) != member.ServerIncarnationOf(row.Name).ID {
 		g.wrongServer()
+	} else {
+		g.observeServerState(p.sentAt, event.ProbeResponse, &exchange.Response.Header)
 	}
 	exchange.Finish(whole)
 	if !whole || exchange.Response.StatusCode() != fasthttp.StatusOK {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -68,6 +68,9 @@
 	slowness     int
 	slownessAsOf time.Time
 	cold         coldState
+	rateLimit    rateLimit
+	// leaving is set once the server has said in a response that it is leaving.
+	leaving bool
 	// lastRequest is when the last request arrived, and lastTick when Tick was last called.
 	lastRequest time.Time
 	lastTick    time.Time
--- a/gate/job.go
+++ b/gate/job.go
@@ -89,7 +89,9 @@
 		return
 	}
 	j.gate.updateSlownessAndProbe(&exchange.Response.Header)
-	switch class, err := j.classify(&exchange.Response); class {
+	class, err := j.classify(&exchange.Response)
+	j.observeServerState(&exchange.Response, class)
+	switch class {
 	case notRun:
 		exchange.Finish(false)
 		j.finishRefused(wire.ReasonShed)
--- a/gate/settings.go
+++ b/gate/settings.go
@@ -88,6 +88,9 @@
 	Probes, FailedProbes atomic.Int64
 	// BadReports counts responses whose cold time could not be parsed.
 	BadReports atomic.Int64
+	// RateLimits counts how often the server set a rate limit after it had none, and
+	// BadRateLimits the responses whose rate limit could not be parsed.
+	RateLimits, BadRateLimits atomic.Int64
 	// UnresponsiveConnections counts connections to the server that were found unresponsive
 	// while it answered on a new one, and UnansweredProbes probes that it answered neither on
 	// a kept nor on a new connection.
--- a/header/dialect.go
+++ b/header/dialect.go
@@ -3,6 +3,7 @@
 package header
 
 import (
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -35,6 +36,12 @@
 	// milliseconds. A response without it means that the server is warm. The name is blank
 	// if servers do not report this.
 	Cold string
+	// RateLimit in a response is the number of requests per second that the server accepts
+	// in total, as long as its responses have the field; see [ParseRateLimit].
+	RateLimit string
+	// Leaving in a response is "1" if the server is about to stop and must get no more
+	// requests. Both fields are forwarded to callers.
+	Leaving string
 	// Seal is the server's signature. A response with a status below 500 is not accepted
 	// without it.
 	Seal string
@@ -109,6 +116,30 @@
 	return time.Duration(ms * float64(time.Millisecond)), true
 }
 
+// maxRateLimit bounds a rate limit, in requests per second; higher ones count as this.
+const maxRateLimit = 1e6
+
+// ParseRateLimit parses the values of the rate limit fields of one response, in requests per
+// second. Of several valid values the lowest applies; reported is false if there is none. ok is
+// false if any value is invalid.
+func ParseRateLimit[T ~string | ~[]byte](values ...T) (perSecond float64, reported, ok bool) {
+	ok = true
+	for _, text := range values {
+		v, err := strconv.ParseFloat(strings.TrimSpace(string(text)), 64)
+		if err != nil || !(v >= 0) || math.IsInf(v, 0) {
+			ok = false
+			continue
+		}
+		if v = min(v, maxRateLimit); !reported || v < perSecond {
+			perSecond, reported = v, true
+		}
+	}
+	return perSecond, reported, ok
+}
+
+// IsLeaving reports whether the value of a leaving field says that the server is leaving.
+func IsLeaving[T ~string | ~[]byte](value T) bool { return strings.TrimSpace(string(value)) == "1" }
+
 // ParseLoad parses "running,waiting,slots" or "running,waiting,slots,slowness".
 func ParseLoad(text string) (Load, bool) {
 	parts := strings.Split(text, ",")
--- a/header/dialect_test.go
+++ b/header/dialect_test.go
@@ -67,3 +67,52 @@
 		}
 	}
 }
+
+func TestParseRateLimit(t *testing.T) {
+	for _, test := range []struct {
+		values       []string
+		want         float64
+		reported, ok bool
+	}{
+		{nil, 0, false, true},
+		{[]string{"7.8"}, 7.8, true, true},
+		{[]string{" 0 "}, 0, true, true},
+		{[]string{"9", "2.5"}, 2.5, true, true},
+		{[]string{"soon", "2.5"}, 2.5, true, false},
+		{[]string{"-1"}, 0, false, false},
+		{[]string{""}, 0, false, false},
+		{[]string{"NaN"}, 0, false, false},
+		{[]string{"Inf"}, 0, false, false},
+		{[]string{"1e400"}, 0, false, false},
+		{[]string{"1e300"}, maxRateLimit, true, true},
+	} {
+		if got, reported, ok := ParseRateLimit(test.values...); got != test.want || reported != test.reported || ok != test.ok {
+			t.Errorf("%q is parsed as %g, %v, %v", test.values, got, reported, ok)
+		}
+	}
+}
+
+func TestIsLeaving(t *testing.T) {
+	for value, want := range map[string]bool{"1": true, " 1": true, "": false, "0": false, "yes": false} {
+		if IsLeaving(value) != want {
+			t.Errorf("%q: leaving %v", value, !want)
+		}
+	}
+}
+
+// What a server reports about its limits reaches the callers too.
+func TestReportsOfServersAreForwarded(t *testing.T) {
+	d := Dialect{Load: "X-Load", RateLimit: "X-Limit", Leaving: "X-Leaving"}
+	d.Prepare()
+	var h fasthttp.ResponseHeader
+	for _, name := range []string{"X-Load", "X-Limit", "X-Leaving"} {
+		h.Set(name, "1")
+	}
+	forwarded := map[string]bool{}
+	for _, f := range d.FromResponse(&h) {
+		forwarded[f.Name] = true
+	}
+	if forwarded["X-Load"] || !forwarded["X-Limit"] || !forwarded["X-Leaving"] {
+		t.Errorf("forwarded: %v", forwarded)
+	}
+}
--- a/node/admin.go
+++ b/node/admin.go
@@ -125,7 +125,7 @@
 	gates := make([]query.Gate, 0, len(n.gates))
 	for key, g := range n.gates {
 		load := g.Load()
-		gates = append(gates, query.Gate{
+		status := query.Gate{
 			Service:       key.service,
 			Server:        key.server,
 			InFlight:      load.InFlight,
@@ -134,7 +134,12 @@
 			ServiceMicros: load.ServiceMicros,
 			Slowness:      load.Slowness,
 			Draining:      load.Draining,
-		})
+			ServerLeaving: g.ServerLeaving(),
+		}
+		if perSecond, limited := g.RateLimit(); limited {
+			status.RateLimit = &perSecond
+		}
+		gates = append(gates, status)
 	}
 	sort.Slice(gates, func(i, j int) bool { return gates[i].Server < gates[j].Server })
 	return gates
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -104,6 +104,8 @@
 		n.gateMetric("gate_evicted", "requests", "queued requests evicted in favor of more urgent ones", func(c *counters) *atomic.Int64 { return &c.Evicted }),
 		n.gateMetric("gate_measured", "calls", "probes of the backend server's load", func(c *counters) *atomic.Int64 { return &c.Probes }),
 		n.gateMetric("gate_bad_reports", "answers", "answers to probes whose cold time could not be parsed", func(c *counters) *atomic.Int64 { return &c.BadReports }),
+		n.gateMetric("gate_rate_limits", "limits", "times that the backend server began to report a limit on the rate of its requests", func(c *counters) *atomic.Int64 { return &c.RateLimits }),
+		n.gateMetric("gate_bad_rate_limits", "answers", "answers whose rate limit could not be parsed", func(c *counters) *atomic.Int64 { return &c.BadRateLimits }),
 		n.gateMetric("gate_checked", "calls", "probes of the backend server's speed before a request was sent to it", func(c *counters) *atomic.Int64 { return &c.Checks }),
 		n.gateMetric("gate_mute", "connections", "connections on which the backend server did not respond while it answered on a new one", func(c *counters) *atomic.Int64 { return &c.UnresponsiveConnections }),
 		n.gateMetric("gate_silent", "questions", "probes that the backend server answered neither on a kept nor on a new connection", func(c *counters) *atomic.Int64 { return &c.UnansweredProbes }),
@@ -111,6 +113,21 @@
 		n.gateMetric("gate_server_ended", "ends", "exits of the backend server that left requests unanswered", func(c *counters) *atomic.Int64 { return &c.ServerExits }),
 		n.gateMetric("gate_measure_failed", "calls", "probes of the backend server's load without an answer", func(c *counters) *atomic.Int64 { return &c.FailedProbes }),
 	}
+	servers := func(is func(g *gate.Gate) bool) func() int64 {
+		return func() int64 {
+			count := int64(0)
+			for _, g := range n.allGates() {
+				if is(g) {
+					count++
+				}
+			}
+			return count
+		}
+	}
+	s = append(s,
+		metric.Metric{Name: "gate_rate_limited", Unit: "servers", Meaning: "backend servers that currently report a limit on the rate of their requests", Value: servers(func(g *gate.Gate) bool { _, limited := g.RateLimit(); return limited })},
+		metric.Metric{Name: "gate_leaving", Unit: "servers", Meaning: "backend servers that have reported in a response that they are leaving", Value: servers((*gate.Gate).ServerLeaving)},
+	)
 	priorityLimits := func(part func(reserved, refused int) int) func() int64 {
 		return func() int64 {
 			sum, now := 0, time.Now()
--- a/query/query.go
+++ b/query/query.go
@@ -92,6 +92,10 @@
 	// of the usual one; 0 if not known.
 	Slowness int  `json:"slowness"`
 	Draining bool `json:"draining"`
+	// RateLimit is the limit on its requests that the server reports, in requests per second;
+	// nil if it reports none. ServerLeaving says that it has reported that it is leaving.
+	RateLimit     *float64 `json:"rate_limit_per_s,omitempty"`
+	ServerLeaving bool     `json:"server_leaving,omitempty"`
 }
 
 // Burn is the error budget burn of all services, over all nodes that answered.
