admit, gate, balance, entry: rate limits that servers report are kept

Cause: of what a server says about itself in its responses the gate read its load, its cold time and its ID; the limit was forwarded like any other field.

Change: the gate is the only way to its server, so it keeps the limit for all entries, by the same token bucket, queue order and shares as a cold rate: a bound on the rate has two reasons now (admit.rateBounds). admit.ReportedLimit orders responses by when their requests were sent: one that was sent before the present limit was known can only lower it, rejections don't lift it, and probes only where they have had it. Entries hear of the limit with the headroom, avoid the server while it has no tokens, refuse at once what servers that are all limited can't take, and send what they know with each request, so that a gate that starts anew keeps to it before it hears its server. wire.Headroom and wire.Requirements have one number more, which older builds skip; the reason rate-limit is an unknown reason to them, not run, and they try another server.

--- a/admit/aim.go
+++ b/admit/aim.go
@@ -87,7 +87,7 @@
 // Otherwise it would displace several that can meet theirs: it is late because the server is
 // slow, and therefore it also holds its slot for longer.
 func (q *Queue) hasSpareSlot(now time.Time) bool {
-	if q.Cold(now) && !q.coldTokens.hasToken(now) {
+	if !q.rates.allow(now) {
 		return false // The tokens that are left go to requests that can meet their aim.
 	}
 	return q.lateInFlight+q.demand.slots(now, levels) < q.Limit()
--- a/admit/callreserve.go
+++ b/admit/callreserve.go
@@ -103,8 +103,8 @@
 	if !q.settings.ReserveForCalls {
 		return 0
 	}
-	if q.Cold(now) {
-		q.callReserve.resetWindow(now) // Calls wait for the cold rate then, and more slots would not help.
+	if q.rates.enforced(now) {
+		q.callReserve.resetWindow(now) // Calls wait for the bounded rate then, and more slots would not help.
 	}
 	q.callReserve.endWindow(now, int(maxReserveShare*float64(q.Limit())))
 	if now.Sub(q.callReserve.lastCall) > reserveIdleTimeout {
--- a/admit/order.go
+++ b/admit/order.go
@@ -84,20 +84,20 @@
 }
 
 // overallPosition is the place among all levels of a ticket with a place inLevel among its own
-// level. At a cold server calls and client requests take turns.
+// level. While the rate is bounded, calls and client requests take turns.
 func (q *Queue) overallPosition(now time.Time, level, inLevel int) int {
 	position := inLevel
 	for i := 1; i < level; i++ {
 		position += q.eligible(now, i)
 	}
-	cold := q.Cold(now)
+	bounded := q.rates.enforced(now)
 	switch {
-	case level == 0 && cold:
-		return position + min(q.waitingClientRequests(now), q.coldSplit.clientsBefore(position))
+	case level == 0 && bounded:
+		return position + min(q.waitingClientRequests(now), q.rateSplit.clientsBefore(position))
 	case level == 0:
 		return position
-	case sharesColdRate(level) && cold:
-		return position + min(q.eligible(now, 0), q.coldSplit.callsBefore(position))
+	case sharesRate(level) && bounded:
+		return position + min(q.eligible(now, 0), q.rateSplit.callsBefore(position))
 	}
 	return position + q.eligible(now, 0)
 }
@@ -113,11 +113,11 @@
 	return n
 }
 
-// waitingClientRequests counts the waiting client requests that share the cold rate with calls.
+// waitingClientRequests counts the waiting client requests that share a bounded rate with calls.
 func (q *Queue) waitingClientRequests(now time.Time) int {
 	n := 0
 	for level := range q.waiting {
-		if sharesColdRate(level) {
+		if sharesRate(level) {
 			n += q.eligible(now, level)
 		}
 	}
@@ -125,12 +125,12 @@
 }
 
 // nextTicket is the level and the index of the ticket to dispatch next; the index is negative if
-// none may be dispatched. Calls go first, unless the server is cold and client requests have got
+// none may be dispatched. Calls go first, unless the rate is bounded and client requests have got
 // less than their share.
 func (q *Queue) nextTicket(now time.Time) (level, index int) {
-	if q.Cold(now) && q.coldSplit.clientsFirst() {
+	if q.rates.enforced(now) && q.rateSplit.clientsFirst() {
 		for level := range levels {
-			if index := q.nextDispatchable(now, level); sharesColdRate(level) && index >= 0 {
+			if index := q.nextDispatchable(now, level); sharesRate(level) && index >= 0 {
 				return level, index
 			}
 		}
@@ -153,6 +153,6 @@
 	return index
 }
 
-// sharesColdRate reports whether the requests of a level share the cold rate with calls. That is so
+// sharesRate reports whether the requests of a level share a bounded rate with calls. That is so
 // for client requests of all priorities but the lowest.
-func sharesColdRate(level int) bool { return level > 0 && level < levels-1 }
+func sharesRate(level int) bool { return level > 0 && level < levels-1 }
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -39,12 +39,10 @@
 	queued       int
 	// lastAnswer is when the server last answered a request, or when a request
 	// was dispatched while none was in flight.
-	lastAnswer time.Time
-	waiting    [levels][]*Ticket
-	// coldTokens counts what the server gets, and is enforced until coldUntil.
-	coldTokens  tokenBucket
-	coldUntil   time.Time
-	coldSplit   coldSplit
+	lastAnswer  time.Time
+	waiting     [levels][]*Ticket
+	rates       rateBounds
+	rateSplit   rateSplit
 	serviceTime movingAverage
 	// callServiceTime is the average of calls alone.
 	callServiceTime movingAverage
@@ -74,21 +72,26 @@
 		q.knee.setBounds(max((s.MaxLearnedLimit+1)/2, 1), s.MaxLearnedLimit, s.Slots)
 		q.learnedLimit = q.knee.current
 	}
-	q.coldTokens.rate = s.Cold
+	q.rates.cold.rate = s.Cold
 }
 
 // SetCold sets until when the server is, or may be, cold and gets no more than its
 // cold rate.
-func (q *Queue) SetCold(until time.Time) { q.coldUntil = until }
+func (q *Queue) SetCold(until time.Time) { q.rates.coldUntil = until }
 
 // StartTokenBucket starts the token bucket of the cold rate, empty, at a time. A previous
 // instance of the gate may have used all tokens before that time.
-func (q *Queue) StartTokenBucket(start time.Time) { q.coldTokens.refill(start) }
+func (q *Queue) StartTokenBucket(start time.Time) { q.rates.cold.refill(start) }
+
+// SetReportedRate sets the rate that the server has reported as its limit; the zero Rate sets no
+// bound.
+func (q *Queue) SetReportedRate(now time.Time, r Rate) { q.rates.setReported(now, r) }
 
 // Cold reports whether the server's cold rate is enforced.
-func (q *Queue) Cold(now time.Time) bool {
-	return q.settings.Cold.isSet() && now.Before(q.coldUntil)
-}
+func (q *Queue) Cold(now time.Time) bool { return q.rates.isCold(now) }
+
+// RateLimited reports whether a rate that the server has reported is enforced.
+func (q *Queue) RateLimited() bool { return q.rates.reported.rate.isSet() }
 
 // SetDraining starts or stops refusing new requests. Requests that are queued
 // already may still be dispatched; see Flush.
@@ -151,8 +154,8 @@
 func (q *Queue) Offer(now time.Time, t *Ticket) (evicted *Ticket) {
 	t.offeredAt = now
 	q.updateLearnedLimit(now)
-	if q.Cold(now) && (t.Call || sharesColdRate(t.level())) {
-		q.coldSplit.arrived(t.Call)
+	if q.rates.enforced(now) && (t.Call || sharesRate(t.level())) {
+		q.rateSplit.arrived(t.Call)
 	}
 	q.levels.endWindow(now)
 	t.levelRejected = q.levels.rejects(t)
@@ -213,7 +216,7 @@
 // that other requests may not, since the request that made it holds a slot at its
 // own server for as long as the call waits.
 func (q *Queue) canDispatch(now time.Time, t *Ticket) bool {
-	if q.Cold(now) && !q.coldTokens.hasToken(now) {
+	if !q.rates.allow(now) {
 		return false
 	}
 	if t.Call && q.callsWaitLong() {
@@ -262,7 +265,7 @@
 		return
 	}
 	q.Done(now, t, false)
-	q.coldTokens.putBack()
+	q.rates.putBack()
 }
 
 // Cancel refuses a queued ticket and reports whether it did. A dispatched ticket
@@ -398,9 +401,9 @@
 	if t.dispatchedLate = q.timeliness(now, t) == missesAim; t.dispatchedLate {
 		q.lateInFlight++
 	}
-	q.coldTokens.take(now)
-	if q.Cold(now) && (t.Call || sharesColdRate(t.level())) {
-		q.coldSplit.dispatched(t.Call)
+	q.rates.take(now)
+	if q.rates.enforced(now) && (t.Call || sharesRate(t.level())) {
+		q.rateSplit.dispatched(t.Call)
 	}
 	q.usage.add(now, t)
 }
--- a/admit/coldsplit.go
+++ b/admit/ratesplit.go
@@ -4,15 +4,15 @@
 
 import "math"
 
-// coldSplit divides the requests that a cold server may get between calls and client requests.
-// Calls go first, since work has already been done for them. But where calls alone would use the
-// whole cold rate, client requests at the same server would get nothing, although the requests that
+// rateSplit divides the requests that a server with a bounded rate may get between calls and client
+// requests. Calls go first, since work has already been done for them. But where calls alone would
+// use the whole rate, client requests at the same server would get nothing, although the requests that
 // made the calls use as much of their own servers and may be late in the end. So each side gets a
-// share of the cold rate in proportion to its arrivals. Requests of the lowest priority have no
+// share of the rate in proportion to its arrivals. Requests of the lowest priority have no
 // share: they get what is left.
 //
 // The zero value has seen no requests and begins with equal shares.
-type coldSplit struct {
+type rateSplit struct {
 	// clientBias is the share of client requests among recent arrivals, less one half.
 	clientBias float64
 	// clientDeficit is how many requests the client requests have got less than their share; it
@@ -30,12 +30,12 @@
 )
 
 // clientShare is the share of client requests, from 0 to 1.
-func (s *coldSplit) clientShare() float64 {
+func (s *rateSplit) clientShare() float64 {
 	return min(max(s.clientBias+0.5, minSplitShare), 1-minSplitShare)
 }
 
 // arrived counts a request that arrived.
-func (s *coldSplit) arrived(call bool) {
+func (s *rateSplit) arrived(call bool) {
 	sample := 0.5
 	if call {
 		sample = -0.5
@@ -44,7 +44,7 @@
 }
 
 // dispatched counts a request that was sent to the server.
-func (s *coldSplit) dispatched(call bool) {
+func (s *rateSplit) dispatched(call bool) {
 	if call {
 		s.clientDeficit += s.clientShare()
 	} else {
@@ -54,17 +54,17 @@
 }
 
 // clientsFirst reports whether a client request goes before a call.
-func (s *coldSplit) clientsFirst() bool { return s.clientDeficit >= 1 }
+func (s *rateSplit) clientsFirst() bool { return s.clientDeficit >= 1 }
 
 // callsBefore is how many calls go before the n-th client request from now on, if that many
 // wait.
-func (s *coldSplit) callsBefore(n int) int {
+func (s *rateSplit) callsBefore(n int) int {
 	clientShare := s.clientShare()
 	return nonNegative(math.Ceil((1 + float64(n-1)*(1-clientShare) - s.clientDeficit) / clientShare))
 }
 
 // clientsBefore is how many client requests go before the n-th call, if that many wait.
-func (s *coldSplit) clientsBefore(n int) int {
+func (s *rateSplit) clientsBefore(n int) int {
 	clientShare := s.clientShare()
 	return nonNegative(math.Floor((s.clientDeficit+float64(n-1)*clientShare-1)/(1-clientShare)) + 1)
 }
--- a/admit/coldsplit_test.go
+++ b/admit/ratesplit_test.go
@@ -143,7 +143,7 @@
 // that has got too little has its turn.
 func TestColdSplit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var split coldSplit
+		var split rateSplit
 		for range rapid.IntRange(0, 200).Draw(t, "steps") {
 			call := rapid.Bool().Draw(t, "call")
 			if rapid.Bool().Draw(t, "arrived") {
--- a/admit/wait.go
+++ b/admit/wait.go
@@ -5,34 +5,25 @@
 import "time"
 
 // RetryAfter is when a refused request may be accepted: once everything queued
-// and half of what is in flight has been answered at the present rate, and a cold
-// server may get one more request.
+// and half of what is in flight has been answered at the present rate, and the
+// server may get one more request by the bounds on its rate.
 func (q *Queue) RetryAfter(now time.Time) time.Duration {
 	ahead := q.queued + q.inFlight/2 + 1
-	return max(time.Duration(ahead)*q.answerInterval(), q.coldWait(now, q.queued+1), time.Millisecond)
+	return max(time.Duration(ahead)*q.answerInterval(), q.rates.wait(now, q.queued+1), time.Millisecond)
 }
 
-// coldWait is how long it takes until a cold server may get a number of requests; 0
-// if it is not cold.
-func (q *Queue) coldWait(now time.Time, requests int) time.Duration {
-	if !q.Cold(now) {
-		return 0
-	}
-	return min(q.coldTokens.timeUntilTokens(now, requests), q.coldUntil.Sub(now))
-}
-
-// ColdRateWaits returns the time between two requests that a cold server may get, and how long one
-// more request of each level would wait for its turn: calls, then each priority. A wait is negative
-// by one interval for each further request that could go at once. All are 0 while no cold rate is
-// enforced.
-func (q *Queue) ColdRateWaits(now time.Time) (interval time.Duration, waits [levels]time.Duration) {
-	if !q.Cold(now) {
+// RateWaits returns the time between two requests that the server may get, and how long one more
+// request of each level would wait for its turn: calls, then each priority. A wait is negative by
+// one interval for each further request that could go at once. All are 0 while the rate is not
+// bounded.
+func (q *Queue) RateWaits(now time.Time) (interval time.Duration, waits [levels]time.Duration) {
+	if !q.rates.enforced(now) {
 		return 0, waits
 	}
 	for level := range waits {
-		waits[level] = q.coldTokens.timeUntilNth(now, q.overallPosition(now, level, 1+len(q.waiting[level])))
+		waits[level] = q.rates.timeUntilNth(now, q.overallPosition(now, level, 1+len(q.waiting[level])))
 	}
-	return q.coldTokens.rate.interval(), waits
+	return q.rates.interval(now), waits
 }
 
 // meetsDeadline reports whether t would be answered before its deadline, given
@@ -47,13 +38,14 @@
 // mayQueue reports whether the expected wait of t allows to queue it. If the wait
 // is bounded and would be too long, t is refused at once, so that another server
 // is tried. A patient ticket has no other server, and is queued in the hope of a
-// shorter wait. A call is refused only if it would wait too long for the cold rate.
+// shorter wait, unless it waits for a rate that the server has reported: that has no end in sight.
+// A call is refused only if it would wait too long for the bounds on the rate.
 func (q *Queue) mayQueue(now time.Time, t *Ticket) bool {
 	if t.MaxWait == 0 {
 		return q.meetsDeadline(now, t)
 	}
-	if t.Call {
-		return q.coldWait(now, q.position(now, t)) <= t.MaxWait
+	if t.Call || q.RateLimited() && t.Patient {
+		return q.rates.wait(now, q.position(now, t)) <= t.MaxWait
 	}
 	return t.Patient || q.expectedWait(now, t) <= t.MaxWait
 }
@@ -62,7 +54,7 @@
 // one, and at least the time that a stalled server has not answered.
 func (q *Queue) expectedWait(now time.Time, t *Ticket) time.Duration {
 	ahead := q.position(now, t)
-	return max(time.Duration(ahead)*q.answerInterval(), q.Stalled(now), q.coldWait(now, ahead))
+	return max(time.Duration(ahead)*q.answerInterval(), q.Stalled(now), q.rates.wait(now, ahead))
 }
 
 // queueRefusalCause is why a ticket that may not be queued is refused: AboveShare if a ticket of a
@@ -84,7 +76,7 @@
 // server's last answer.
 func (q *Queue) queueTime(now time.Time, t *Ticket) time.Duration {
 	ahead := q.position(now, t)
-	return max(time.Duration(ahead)*q.answerInterval(), now.Sub(q.lastAnswer), q.coldWait(now, ahead))
+	return max(time.Duration(ahead)*q.answerInterval(), now.Sub(q.lastAnswer), q.rates.wait(now, ahead))
 }
 
 // answerInterval is the expected time between two answers at the present limit.
--- a/balance/cold.go
+++ b/balance/cold.go
@@ -10,16 +10,16 @@
 
 // A server that has just started is cold: it is slow for some seconds. If the table has a
 // cold rate, the server's gate admits that many requests a second by a token bucket, and
-// queues or refuses the others. Gates report both (wire.Headroom); between two reports an
-// entry counts down by itself. If a report is lost, the gate's refusals still show that its
-// server is cold.
+// queues or refuses the others. It does the same while the server reports a rate limit. Gates
+// report both (wire.Headroom); between two reports an entry counts down by itself. If a report
+// is lost, the gate's refusals still show that the server lacks tokens.
 
 // coldSlowness is the least slowness assumed for a cold server that has not reported its
 // slowness, in percent of usual.
 const coldSlowness = 200
 
-// tokenState is what an entry knows about the tokens of a cold server in addition to the
-// gate's last report.
+// tokenState is what an entry knows about the tokens of a server with a bounded rate in
+// addition to the gate's last report.
 type tokenState struct {
 	// debt is for how long, from debtAt on, the requests that this entry has sent since
 	// the last report use up the server's tokens.
@@ -45,6 +45,7 @@
 func (s *Server) updateHeadroom(now time.Time, headroom wire.Headroom) {
 	s.headroom, s.headroomAt = clampHeadroom(headroom), now
 	s.tokens = tokenState{}
+	s.updateRateLimit(now, headroom.RateLimit)
 }
 
 // The largest values that are accepted in reports of headroom.
@@ -70,16 +71,21 @@
 	return max(time.Duration(s.headroom.ColdMillis)*time.Millisecond-max(now.Sub(s.headroomAt), 0), 0)
 }
 
-// recordSent records a request sent to a server that may be cold.
+// rateBounded reports whether the gate bounds the rate of the requests to its server.
+func (s *Server) rateBounded(now time.Time) bool {
+	return s.hasRateLimit() || s.ColdRemaining(now) > 0
+}
+
+// recordSent records a request sent to a server whose rate may be bounded.
 func (s *Server) recordSent(now time.Time) {
-	if s.headroom.TokenIntervalMillis > 0 && s.ColdRemaining(now) > 0 {
+	if s.headroom.TokenIntervalMillis > 0 && s.rateBounded(now) {
 		s.tokens.take(now, time.Duration(s.headroom.TokenIntervalMillis)*time.Millisecond)
 	}
 }
 
-// recordColdRefusal records that the gate refused a request because its server is cold, and
-// after which time it admits the next one.
-func (s *Server) recordColdRefusal(now time.Time, retryAfter time.Duration) {
+// recordTokenRefusal records that the gate refused a request for lack of tokens, and after which
+// time it admits the next one.
+func (s *Server) recordTokenRefusal(now time.Time, retryAfter time.Duration) {
 	s.tokens.refusedUntil = now.Add(min(max(retryAfter, 0), time.Duration(maxTokenMillis)*time.Millisecond))
 }
 
@@ -94,17 +100,17 @@
 // tokenWait returns how long one more request of a level would wait for a token of the
 // server's gate; 0 if a token is available.
 func (s *Server) tokenWait(now time.Time, level int) time.Duration {
-	cold := s.ColdRemaining(now)
-	if cold == 0 && (s.headroom.ColdMillis > 0 || !now.Before(s.tokens.refusedUntil)) {
+	cold, limited := s.ColdRemaining(now), s.hasRateLimit()
+	if cold == 0 && !limited && (s.headroom.ColdMillis > 0 || !now.Before(s.tokens.refusedUntil)) {
 		return 0
 	}
 	wait := max(s.tokens.refusedUntil.Sub(now), 0)
-	if s.headroom.TokenIntervalMillis > 0 && cold > 0 {
+	if s.headroom.TokenIntervalMillis > 0 && s.rateBounded(now) {
 		headroom := s.headroom.After(now.Sub(s.headroomAt))
 		reported := time.Duration(*headroom.TokenWaits()[level])*time.Millisecond + s.tokens.debtLeft(now)
 		wait = max(wait, reported)
 	}
-	if cold > 0 {
+	if cold > 0 && !limited {
 		wait = min(wait, cold) // A warm server needs no tokens.
 	}
 	return wait
--- a/balance/cold_test.go
+++ b/balance/cold_test.go
@@ -90,7 +90,7 @@
 	p := newTestPool(1, Options{})
 	s := p.servers[0]
 	p.UpdateHeadroom(start, s.Node, coldHeadroom)
-	s.recordColdRefusal(start.Add(2900*time.Millisecond), time.Second)
+	s.recordTokenRefusal(start.Add(2900*time.Millisecond), time.Second)
 	if got := s.tokenWait(start.Add(2950*time.Millisecond), bulkLevel); got != 50*time.Millisecond {
 		t.Errorf("wait %s shortly before the end of the cold time, want 50ms", got)
 	}
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/ryehaven/ryehaven/admit"
 	"github.com/ryehaven/ryehaven/wire"
 )
 
@@ -53,6 +54,8 @@
 	headroom   wire.Headroom
 	headroomAt time.Time
 	tokens     tokenState
+	// rateLimit is the limit that the server reports, as far as the entry knows.
+	rateLimit admit.ReportedLimit
 	// report is the load that the gate reported last, at reportAt. ownAtReport is the
 	// number of the entry's own outstanding requests at that time.
 	report              wire.Load
@@ -281,8 +284,8 @@
 	switch r.Refused {
 	case wire.ReasonDraining, wire.ReasonNoServer:
 		s.drainingUntil = now.Add(drainingDuration)
-	case wire.ReasonCold:
-		s.recordColdRefusal(now, r.RetryAfter)
+	case wire.ReasonCold, wire.ReasonRateLimit:
+		s.recordTokenRefusal(now, r.RetryAfter)
 		s.fullUntil = now.Add(min(r.RetryAfter, maxFullDuration))
 	case wire.ReasonOverload, wire.ReasonShed:
 		s.fullUntil = now.Add(min(r.RetryAfter, maxFullDuration))
--- a/balance/replay_test.go
+++ b/balance/replay_test.go
@@ -81,7 +81,7 @@
 func (r *replay) sendHeadroom() {
 	for name, q := range r.queues {
 		headroom := wire.Headroom{AdmittedPriorities: 3, ColdMillis: max(r.coldEnd.Sub(r.now), 0).Milliseconds()}
-		interval, waits := q.ColdRateWaits(r.now)
+		interval, waits := q.RateWaits(r.now)
 		headroom.TokenIntervalMillis = interval.Milliseconds()
 		for level, wait := range headroom.TokenWaits() {
 			*wait = waits[level].Milliseconds()
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -28,7 +28,9 @@
 	// slowness is the slowness that the entry assumes of the server, for its gate to
 	// check; 0 if the gate needs no check.
 	slowness int
-	began    time.Time
+	// rateLimit is the limit that the server reports, as far as the entry knows.
+	rateLimit wire.RateLimit
+	began     time.Time
 	// logIndex is the attempt's index in the request's attemptLog.
 	logIndex int
 	// concurrent says that another server is handling the request at the same time.
@@ -123,6 +125,7 @@
 		server:     server,
 		name:       server.Name,
 		node:       server.Node,
+		rateLimit:  server.RateLimit(),
 		onlyServer: pool.CountUntried(now, r.tried) == 0,
 		began:      now,
 	}
@@ -155,7 +158,7 @@
 	m.Patient = a.onlyServer
 	m.Slowness = a.slowness
 	m.MayHaveReachedServer = a.concurrent || r.serversReached > 0
-	m.Requirements = r.requirements(time.Now())
+	m.Requirements = r.requirements(time.Now(), a)
 	if !r.refuseBy.IsZero() {
 		m.Patient = r.mayQueue
 		m.WaitMicros = max(time.Until(r.refuseBy), time.Millisecond).Microseconds()
@@ -188,6 +191,7 @@
 	switch {
 	case head.Response != nil:
 		a.response = head.Response
+		e.observeServerState(r.service, a, head.Response)
 		e.learnCallOrigin(r, head.Response)
 		a.outcome = outcomeOfStatus(head.Response.Status)
 		failed := a.outcome == retry.ServerError && !head.Response.NoRetry
--- a/entry/callerretry_test.go
+++ b/entry/callerretry_test.go
@@ -75,7 +75,7 @@
 		if got := r.refuseBy.Sub(r.began); got != route.Aim/refuseAimDivisor {
 			t.Errorf("%q: waits %v for headroom, want as long as a first try", test.timeout, got)
 		}
-		requirements := r.requirements(r.began)
+		requirements := r.requirements(r.began, &attempt{})
 		if requirements.AgeMillis != r.age.Milliseconds() || requirements.AimMillis != (route.Aim-r.age).Milliseconds() {
 			t.Errorf("%q: gates get %+v", test.timeout, requirements)
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -69,9 +69,9 @@
 	// is admitted only if there is headroom for its calls too; with nil, only the
 	// headroom for the request itself counts.
 	Calls *calls.Tracker
-	// RefuseWhenCold refuses at once the requests for which cold servers have no
-	// headroom.
-	RefuseWhenCold bool
+	// RefuseWhenRateBound refuses at once the requests for which servers that are cold or
+	// report rate limits have no headroom.
+	RefuseWhenRateBound bool
 	// DetectCallerRetries distinguishes requests that callers retry from first tries.
 	DetectCallerRetries bool
 	// NoTableRetryAfter is the retry delay that callers are given while the node has no
@@ -105,6 +105,9 @@
 	// RefusedCold counts requests that were not sent because the servers are cold; they
 	// are included in NotRun.
 	RefusedCold atomic.Int64
+	// RefusedRateLimit counts requests that were not sent because the servers report rate
+	// limits; they are included in NotRun.
+	RefusedRateLimit atomic.Int64
 	// UnknownKeys counts requests without a key that the table knows; they are included
 	// in BadRequests.
 	UnknownKeys atomic.Int64
--- a/entry/handle.go
+++ b/entry/handle.go
@@ -125,17 +125,16 @@
 	// blamedFor is for how long the request is not run because servers have crashed while
 	// running it.
 	blamedFor time.Duration
-	// coldRetryAfter is the retry delay of a request that was not sent because the
-	// servers are cold.
-	coldRetryAfter time.Duration
+	// deferral says whether the request was not sent because the servers' rates are bounded.
+	deferral deferral
 }
 
 // runAttempts makes attempts until one is final, or until the retry rules or the budget
 // allow no other.
 func (e *Entry) runAttempts(r *request) result {
 	r.service.countNewRequest(time.Now())
-	if after := e.coldRetryAfter(r); after > 0 {
-		return result{coldRetryAfter: after}
+	if d := e.deferral(r); d.retryAfter > 0 {
+		return result{deferral: d}
 	}
 	var res result
 	var errorAnswer *attempt
@@ -162,7 +161,7 @@
 		}
 	}
 	res.mayHaveRun = r.mayHaveRun
-	e.extendColdRetryAfter(r, &res)
+	e.extendRetryAfter(r, &res)
 	if res.last != nil && res.last.response == nil && errorAnswer != nil && !res.last.final {
 		res.last = errorAnswer // A server's own error is more specific than a refusal.
 	}
--- a/entry/cold_test.go
+++ b/entry/ratebound_test.go
@@ -40,25 +40,26 @@
 	}
 	key := &table.Tenant{Name: "a"}
 	for _, c := range []struct {
-		name           string
-		refuseWhenCold bool
-		request        *request
-		refused        bool
+		name    string
+		refuse  bool
+		request *request
+		refused bool
 	}{
 		{"a request with a tenant's key", true, requestFrom(key), true},
 		{"the setting is off", false, requestFrom(key), false},
 		{"it may be a call", true, requestFrom(nil), false},
 		{"no route says when the answer is due", true, func() *request { r := requestFrom(key); r.stats = nil; return r }(), false},
 	} {
-		e := New(Settings{RefuseWhenCold: c.refuseWhenCold}, nil)
-		after := e.coldRetryAfter(c.request)
+		e := New(Settings{RefuseWhenRateBound: c.refuse}, nil)
+		d := e.deferral(c.request)
+		after := d.retryAfter
 		if (after > 0) != c.refused || (c.refused && (after < 1900*time.Millisecond || after > 3*time.Second)) {
 			t.Errorf("%s: retry after %s", c.name, after)
 		}
 		if got := e.Counters.RefusedCold.Load(); (got == 1) != c.refused {
 			t.Errorf("%s: %d counted", c.name, got)
 		}
-		f := failureOf(result{coldRetryAfter: after})
+		f := failureOf(result{deferral: d})
 		if c.refused && (f.status != 503 || f.outcome != "not-run" || f.retryAfter != after) {
 			t.Errorf("%s: %+v", c.name, f)
 		}
@@ -78,7 +79,7 @@
 			stats: &routeStats{assumedWork: 200 * time.Millisecond}, aim: now.Add(600 * time.Millisecond), deadline: now.Add(4 * time.Second),
 		}
 		res := result{last: &attempt{outcome: retry.Overloaded, reason: c.reason, retryAfter: 55 * time.Millisecond}}
-		New(Settings{RefuseWhenCold: true}, nil).extendColdRetryAfter(r, &res)
+		New(Settings{RefuseWhenRateBound: true}, nil).extendRetryAfter(r, &res)
 		if got := res.last.retryAfter; (got > time.Second) != c.extended {
 			t.Errorf("%s: retry after %s", c.reason, got)
 		}
--- a/entry/reply.go
+++ b/entry/reply.go
@@ -99,8 +99,8 @@
 	if res.blamedFor > 0 && !res.mayHaveRun {
 		return blamedFailure(res.blamedFor)
 	}
-	if res.coldRetryAfter > 0 {
-		return coldFailure(res.coldRetryAfter)
+	if res.deferral.retryAfter > 0 {
+		return res.deferral.failure()
 	}
 	if res.last == nil {
 		return failure{
--- a/explain/loss.go
+++ b/explain/loss.go
@@ -18,6 +18,7 @@
 	RefusedFull     Loss = "refused: servers full"
 	RefusedSlow     Loss = "refused: servers slow"
 	RefusedCold     Loss = "refused: servers cold"
+	RefusedLimit    Loss = "refused: servers limit their rate"
 	RefusedLate     Loss = "refused: could not be in time"
 	RefusedLeaving  Loss = "refused: servers leave or their zone is evacuated"
 	RefusedCalls    Loss = "refused: no room for the calls that it would make"
@@ -117,6 +118,8 @@
 		return RefusedSlow
 	case "cold":
 		return RefusedCold
+	case "rate-limit":
+		return RefusedLimit
 	case "late":
 		return RefusedLate
 	case "draining":
@@ -146,6 +149,8 @@
 		return RefusedStopping
 	case strings.Contains(detail, "are cold"):
 		return RefusedCold
+	case strings.Contains(detail, "report rate limits"):
+		return RefusedLimit
 	case strings.Contains(detail, "no table"):
 		return RefusedNoTable
 	}
--- a/explain/summary_test.go
+++ b/explain/summary_test.go
@@ -44,6 +44,8 @@
 		{RefusedFull, entryLine("1", fmt.Sprintf(refused, "overload"))},
 		{RefusedSlow, entryLine("1", fmt.Sprintf(refused, "slow"))},
 		{RefusedCold, entryLine("1", fmt.Sprintf(refused, "cold"))},
+		{RefusedLimit, entryLine("1", `"outcome":"not-run","status":503,"detail":"the service's backend servers report rate limits that leave no room for one more request now"`)},
+		{RefusedLimit, entryLine("1", fmt.Sprintf(refused, "rate-limit"))},
 		{RefusedLate, entryLine("1", fmt.Sprintf(refused, "late"))},
 		{RefusedLeaving, entryLine("1", fmt.Sprintf(refused, "draining"))},
 		{RefusedDeadline, entryLine("1", fmt.Sprintf(refused, "deadline"))},
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -273,6 +273,7 @@
 		return
 	}
 	now := time.Now()
+	g.assumeRateLimit(now, j)
 	g.queue.SetSlowdown(g.slowdown(now))
 	evicted := g.queue.Offer(now, &j.ticket)
 	left := []*admit.Ticket{&j.ticket}
@@ -318,7 +319,12 @@
 	case admit.Late:
 		return wire.ReasonLate
 	}
-	if g.queue.InFlight() < g.queue.Limit() && g.queue.Cold(time.Now()) {
+	switch {
+	case g.queue.InFlight() >= g.queue.Limit():
+		return wire.ReasonOverload
+	case g.queue.RateLimited():
+		return wire.ReasonRateLimit
+	case g.queue.Cold(time.Now()):
 		return wire.ReasonCold
 	}
 	return wire.ReasonOverload
--- a/gate/headroom.go
+++ b/gate/headroom.go
@@ -25,7 +25,7 @@
 // headroom returns the present headroom. It is called with the lock held.
 func (g *Gate) headroom(now time.Time) wire.Headroom {
 	headroom := wire.Headroom{AdmittedPriorities: int64(table.Priorities)}
-	g.addCold(now, &headroom)
+	g.addRate(now, &headroom)
 	g.addPriorityLimits(now, &headroom)
 	return headroom
 }
--- a/gate/probe.go
+++ b/gate/probe.go
@@ -91,6 +91,9 @@
 	if g.needsColdProbe(now) {
 		after = 0
 	}
+	if g.needsRateLimitProbe(now) {
+		return true
+	}
 	return g.drain == 0 && now.Sub(g.lastRequest) < demandWindow && now.Sub(g.slownessAsOf) >= after
 }
 
--- a/gate/coldheadroom.go
+++ b/gate/rateheadroom.go
@@ -8,23 +8,25 @@
 	"github.com/ryehaven/ryehaven/wire"
 )
 
-// addCold adds what is known of the server's cold time to an update for the entries. It is
-// called with the lock held.
-func (g *Gate) addCold(now time.Time, headroom *wire.Headroom) {
-	left := g.cold.end().Sub(now)
-	if left <= 0 {
+// addRate adds what is known of the bounds on the rate of requests to an update for the entries:
+// the server's cold time, and the limit that it reports. It is called with the lock held.
+func (g *Gate) addRate(now time.Time, headroom *wire.Headroom) {
+	if left := g.cold.end().Sub(now); left > 0 {
+		headroom.ColdMillis = (left + time.Millisecond - 1).Milliseconds()
+	}
+	headroom.RateLimit = g.wireRateLimit()
+	if !headroom.RateBounded() {
 		return
 	}
-	headroom.ColdMillis = (left + time.Millisecond - 1).Milliseconds()
-	interval, waits := g.queue.ColdRateWaits(now)
+	interval, waits := g.queue.RateWaits(now)
 	headroom.TokenIntervalMillis = interval.Milliseconds()
 	for level, wait := range headroom.TokenWaits() {
 		*wait = waits[level].Milliseconds()
 	}
 }
 
-// Changes of a cold server's state that entries are notified of. Between updates, entries
-// extrapolate the last one by themselves.
+// Changes of the state of a server with a bounded rate that entries are notified of. Between
+// updates, entries extrapolate the last one by themselves.
 const (
 	// minColdChangeMillis is by how much the end of the cold time must have moved.
 	minColdChangeMillis = 200
@@ -39,13 +41,20 @@
 // entries. believed is the last update, made some time ago, as entries extrapolate it.
 func headroomChanged(believed, headroom wire.Headroom, ago time.Duration) bool {
 	cold := believed.ColdMillis - headroom.ColdMillis
+	_, wasLimited := believed.RateLimit.PerSecond()
+	_, limited := headroom.RateLimit.PerSecond()
 	switch {
 	case (believed.ColdMillis == 0) != (headroom.ColdMillis == 0), max(cold, -cold) > minColdChangeMillis:
 		return true
+	case wasLimited != limited:
+		return true
+	case limited && ago < tokenChangeInterval: // A server may report another limit in each response.
+		believed.TokenIntervalMillis = headroom.TokenIntervalMillis
 	case believed.TokenIntervalMillis != headroom.TokenIntervalMillis:
 		return true
 	}
 	believed.ColdMillis, headroom.ColdMillis = 0, 0
+	believed.RateLimit, headroom.RateLimit = 0, 0
 	believedWaits, waits := believed.TokenWaits(), headroom.TokenWaits()
 	for level, wait := range waits {
 		change := *believedWaits[level] - *wait
--- a/gate/ratelimit.go
+++ b/gate/ratelimit.go
@@ -7,49 +7,31 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/ryehaven/ryehaven/admit"
 	"github.com/ryehaven/ryehaven/event"
 	"github.com/ryehaven/ryehaven/header"
+	"github.com/ryehaven/ryehaven/wire"
 )
 
-// rateLimit is the limit on the rate of requests that the server reports in its responses. It
-// holds for as long as they report it. The gate's lock guards it. The zero value has no limit.
+// A server that lacks capacity may report in its responses how many requests per second it accepts
+// in total. The gate is the only way to its server, so it enforces the limit for all entries. A
+// gate that has just started learns it from the first response, and before that from the entries,
+// which send what they know with their requests.
+
+// rateLimit is what a gate knows of its server's rate limit. The gate's lock guards it.
 type rateLimit struct {
-	// perSecond is the limit if limited is set.
-	perSecond float64
-	limited   bool
-	// asOf is when the response was read that set the state.
-	asOf time.Time
-	// onProbes is set once the response to a probe had the limit. Until then, a probe without it
-	// says nothing.
+	reported admit.ReportedLimit
+	// onProbes is set once the response to a probe had a limit. Until then, a probe without one
+	// says nothing, since servers may leave it out there.
 	onProbes bool
+	// heardAt is when a response of the server was last read.
+	heardAt time.Time
 	// invalid is set while the server sends limits that cannot be parsed.
 	invalid bool
 	// loggedAt is when a change of the limit was last logged.
 	loggedAt time.Time
 }
 
-// observe updates the state from a response, and reports whether that changed. Responses may be
-// read in another order than they were sent, so a response to a request that was sent before the
-// present state was known can only lower the limit. Rejections do not lift it, since a server may
-// leave the field out of them.
-func (l *rateLimit) observe(now, sentAt time.Time, kind event.ResponseKind, perSecond float64, reported bool) (changed bool) {
-	isNewer := sentAt.After(l.asOf)
-	before, wasLimited := l.perSecond, l.limited
-	switch {
-	case reported:
-		l.onProbes = l.onProbes || kind == event.ProbeResponse
-		if !isNewer && l.limited && perSecond >= l.perSecond {
-			return false
-		}
-		l.perSecond, l.limited, l.asOf = perSecond, true, now
-	case !l.limited, !isNewer, kind == event.RejectionResponse, kind == event.ProbeResponse && !l.onProbes:
-		return false
-	default:
-		l.perSecond, l.limited, l.asOf = 0, false, now
-	}
-	return l.limited != wasLimited || l.perSecond != before
-}
-
 // observeServerState takes what the server reports about itself from the response to a job.
 func (j *job) observeServerState(r *fasthttp.Response, class responseClass) {
 	kind := event.RunResponse
@@ -69,18 +51,20 @@
 	if dialect.Leaving != "" && header.IsLeaving(h.Peek(dialect.Leaving)) {
 		g.serverLeaving(kind)
 	}
-	if dialect.RateLimit != "" {
-		g.updateRateLimit(sentAt, kind, h.PeekAll(dialect.RateLimit))
+	if dialect.RateLimit != "" && g.updateRateLimit(sentAt, kind, h.PeekAll(dialect.RateLimit)) && g.settings.OnUpdate != nil {
+		g.settings.OnUpdate()
 	}
 }
 
-// updateRateLimit takes the server's rate limit from the values of its fields in a response.
-func (g *Gate) updateRateLimit(sentAt time.Time, kind event.ResponseKind, values [][]byte) {
+// updateRateLimit takes the server's rate limit from the values of its fields in a response, and
+// reports whether it has changed.
+func (g *Gate) updateRateLimit(sentAt time.Time, kind event.ResponseKind, values [][]byte) (changed bool) {
 	perSecond, reported, valid := header.ParseRateLimit(values...)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
 	l := &g.rateLimit
+	l.heardAt = now
 	if !valid {
 		g.Counters.BadRateLimits.Add(1)
 		if !l.invalid {
@@ -89,18 +73,63 @@
 	}
 	l.invalid = !valid
 	if !valid && !reported {
-		return // What was reported before holds.
+		return false // What was reported before holds.
 	}
-	wasLimited := l.limited
-	if !l.observe(now, sentAt, kind, perSecond, reported) {
-		return
+	probeHadLimit := kind == event.ProbeResponse && reported && !l.onProbes
+	l.onProbes = l.onProbes || probeHadLimit
+	_, wasLimited := l.reported.PerSecond()
+	// Servers may leave the limit out of rejections.
+	mayLift := kind == event.RunResponse || kind == event.ProbeResponse && l.onProbes
+	changed = l.reported.Observe(now, sentAt, perSecond, reported, mayLift)
+	if !changed && !probeHadLimit {
+		return false
 	}
-	if l.limited && !wasLimited {
+	limited := g.enforceRateLimit(now)
+	if limited && !wasLimited {
 		g.Counters.RateLimits.Add(1)
 	}
-	if l.limited != wasLimited || now.Sub(l.loggedAt) >= rateLimitLogInterval {
+	if limited != wasLimited || now.Sub(l.loggedAt) >= rateLimitLogInterval {
 		g.logRateLimit(now, kind, "")
 	}
+	return changed
+}
+
+// enforceRateLimit puts the present rate limit in force, and reports whether there is one. It is
+// called with the lock held.
+func (g *Gate) enforceRateLimit(now time.Time) (limited bool) {
+	perSecond, limited := g.rateLimit.reported.PerSecond()
+	var rate admit.Rate
+	if limited {
+		rate = admit.ReportedRate(perSecond, !g.rateLimit.onProbes)
+	}
+	g.queue.SetReportedRate(now, rate)
+	g.advance(now)
+	return limited
+}
+
+// assumeRateLimit takes over the rate limit that the entry of a job knows, unless the gate has
+// heard its server. It is called with the lock held.
+func (g *Gate) assumeRateLimit(now time.Time, j *job) {
+	requirements := j.stream.Request.Requirements
+	if requirements == nil {
+		return
+	}
+	perSecond, limited := requirements.RateLimit.PerSecond()
+	if limited && g.rateLimit.reported.Assume(now, perSecond) {
+		g.enforceRateLimit(now)
+		g.logRateLimit(now, "", "")
+	}
+}
+
+// rateLimitProbeInterval is how often the server is probed for a change of its rate limit while
+// nothing else is heard from it.
+const rateLimitProbeInterval = 500 * time.Millisecond
+
+// needsRateLimitProbe reports whether a probe should find out whether the server still limits its
+// rate. It is called with the lock held.
+func (g *Gate) needsRateLimitProbe(now time.Time) bool {
+	_, limited := g.rateLimit.reported.PerSecond()
+	return limited && g.drain == 0 && now.Sub(g.rateLimit.heardAt) >= rateLimitProbeInterval
 }
 
 // rateLimitLogInterval is the shortest time between two log lines about changes of a limit.
@@ -109,8 +138,9 @@
 // logRateLimit logs the present rate limit. It is called with the lock held.
 func (g *Gate) logRateLimit(now time.Time, kind event.ResponseKind, invalid string) {
 	g.rateLimit.loggedAt = now
+	perSecond, limited := g.rateLimit.reported.PerSecond()
 	g.settings.Recorder.Record(&event.ServerRateLimit{
-		Service: g.row.Service, Server: g.name, Limited: g.rateLimit.limited, PerSecond: g.rateLimit.perSecond, Response: kind, Invalid: invalid,
+		Service: g.row.Service, Server: g.name, Limited: limited, PerSecond: perSecond, Response: kind, Invalid: invalid,
 	})
 }
 
@@ -132,23 +162,17 @@
 func (g *Gate) RateLimit() (perSecond float64, limited bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.rateLimit.perSecond, g.rateLimit.limited
+	return g.rateLimit.reported.PerSecond()
 }
 
-// serverLeaving records that the server has said in a response that it is leaving.
-func (g *Gate) serverLeaving(kind event.ResponseKind) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.leaving {
-		return
+// wireRateLimit is the server's rate limit for the entries. It is called with the lock held.
+func (g *Gate) wireRateLimit() wire.RateLimit {
+	perSecond, limited := g.rateLimit.reported.PerSecond()
+	switch {
+	case limited:
+		return wire.NewRateLimit(perSecond)
+	case g.rateLimit.reported.Known():
+		return wire.NoRateLimit
 	}
-	g.leaving = true
-	g.settings.Recorder.Record(&event.ServerLeaving{Service: g.row.Service, Server: g.name, Response: kind})
-}
-
-// ServerLeaving reports whether the server has said in a response that it is leaving.
-func (g *Gate) ServerLeaving() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.leaving
+	return wire.UnknownRateLimit
 }
--- a/node/settings.go
+++ b/node/settings.go
@@ -33,7 +33,7 @@
 		TableMayBeStale:     n.tableMayBeStale,
 		KeysUpToDate:        n.keysUpToDate,
 		Calls:               n.callTracker(),
-		RefuseWhenCold:      n.settings.Overload.AdmitWithCalls,
+		RefuseWhenRateBound: n.settings.Overload.AdmitWithCalls,
 		DetectCallerRetries: n.settings.Overload.DetectCallerRetries,
 	}
 }
--- a/wire/reason.go
+++ b/wire/reason.go
@@ -44,10 +44,13 @@
 	// ReasonCalls: there is no headroom for the calls that the request would make. The entry
 	// refuses such requests without sending them to a gate.
 	ReasonCalls Reason = 14
+	// ReasonRateLimit: the server has been sent as many requests as the limit allows that it
+	// reports.
+	ReasonRateLimit Reason = 15
 )
 
 // ReasonCount is the length of an array that is indexed by Reason.
-const ReasonCount = 15
+const ReasonCount = 16
 
 var reasonNames = map[Reason]string{
 	ReasonOverload: "overload",
@@ -64,12 +67,18 @@
 	ReasonShare:    "share",
 	ReasonLate:     "late",
 	ReasonCalls:    "calls",
+
+	ReasonRateLimit: "rate-limit",
 }
 
 // Full reports whether the server had no capacity for the request, so that another server,
 // or the same one a little later, may accept it.
 func (r Reason) Full() bool {
-	return r == ReasonOverload || r == ReasonShed || r == ReasonCold || r == ReasonShare || r == ReasonLate
+	switch r {
+	case ReasonOverload, ReasonShed, ReasonCold, ReasonShare, ReasonLate, ReasonRateLimit:
+		return true
+	}
+	return false
 }
 
 // String returns the reason's name in header fields and metrics.
--- a/wire/scheduling.go
+++ b/wire/scheduling.go
@@ -26,11 +26,42 @@
 	// LowerQuartileMillis is the lower quartile of the duration of such requests at a server
 	// of usual speed; 0 if that is not known.
 	LowerQuartileMillis int64
+	// RateLimit is the limit that the server has reported, as far as the entry knows; 0 if
+	// none. A gate that has not heard its server yet goes by it.
+	RateLimit RateLimit
+}
+
+// RateLimit is a limit on the rate of requests that a server reports: thousandths of a request per
+// second plus one. Other values are NoRateLimit and UnknownRateLimit.
+type RateLimit int64
+
+const (
+	// UnknownRateLimit: the sender does not know whether the server reports a limit.
+	UnknownRateLimit RateLimit = 0
+	// NoRateLimit: the server reports no limit.
+	NoRateLimit RateLimit = -1
+)
+
+// maxRateLimit is the highest limit in requests per second; higher ones are sent as this.
+const maxRateLimit = 1e6
+
+// NewRateLimit returns the RateLimit for a number of requests per second.
+func NewRateLimit(perSecond float64) RateLimit {
+	return RateLimit(min(max(perSecond, 0), maxRateLimit)*1000) + 1
+}
+
+// PerSecond returns the limit in requests per second; limited is false if there is none or it is
+// not known.
+func (l RateLimit) PerSecond() (perSecond float64, limited bool) {
+	if l <= 0 {
+		return 0, false
+	}
+	return min(float64(l-1)/1000, maxRateLimit), true
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (r *Requirements) DecodeMsgpack(d *msgpack.Decoder) error {
-	return decodeNumbers(d, 3, &r.AimMillis, &r.WorkMillis, &r.AgeMillis, &r.LowerQuartileMillis)
+	return decodeNumbers(d, 3, &r.AimMillis, &r.WorkMillis, &r.AgeMillis, &r.LowerQuartileMillis, (*int64)(&r.RateLimit))
 }
 
 // Headroom reports to entries, without a request for it, which requests the backend server
@@ -45,12 +76,21 @@
 	// ColdMillis is the time until the server is no longer cold; 0 if it is not cold.
 	ColdMillis int64
 	// TokenIntervalMillis is the time between two requests that the server is sent while it
-	// is cold; 0 if their rate is not limited.
+	// is cold or reports a limit; 0 if their rate is not bounded.
 	TokenIntervalMillis int64
-	// The time that a further request would wait until it is sent to the cold server: a
+	// The time that a further request would wait until it is sent to such a server: a
 	// call, and a client request by priority. A negative value means that requests can be
 	// sent at once, one for each TokenIntervalMillis below zero in addition to the first.
 	CallTokenWaitMillis, UrgentTokenWaitMillis, NormalTokenWaitMillis, BulkTokenWaitMillis int64
+	// RateLimit is the limit that the server reports. Like a cold server, it is then sent one
+	// request for each TokenIntervalMillis.
+	RateLimit RateLimit
+}
+
+// RateBounded reports whether the rate of requests to the server is bounded.
+func (h *Headroom) RateBounded() bool {
+	_, limited := h.RateLimit.PerSecond()
+	return limited || h.ColdMillis > 0
 }
 
 // HeadroomLevels is the number of token waits in Headroom: one for calls and one for each
@@ -66,7 +106,7 @@
 func (h Headroom) After(elapsed time.Duration) Headroom {
 	elapsedMillis := max(elapsed.Milliseconds(), 0)
 	h.ColdMillis = max(h.ColdMillis-elapsedMillis, 0)
-	if h.ColdMillis == 0 {
+	if !h.RateBounded() {
 		h.TokenIntervalMillis = 0
 	}
 	for _, wait := range h.TokenWaits() {
@@ -83,7 +123,7 @@
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (h *Headroom) DecodeMsgpack(d *msgpack.Decoder) error {
 	return decodeNumbers(d, 3, &h.AdmittedPriorities, &h.CallWaitMillis, &h.ColdMillis, &h.TokenIntervalMillis,
-		&h.CallTokenWaitMillis, &h.UrgentTokenWaitMillis, &h.NormalTokenWaitMillis, &h.BulkTokenWaitMillis)
+		&h.CallTokenWaitMillis, &h.UrgentTokenWaitMillis, &h.NormalTokenWaitMillis, &h.BulkTokenWaitMillis, (*int64)(&h.RateLimit))
 }
 
 // Kind implements Message.
--- a/wire/scheduling_test.go
+++ b/wire/scheduling_test.go
@@ -13,7 +13,7 @@
 func TestRequirementsAreDecodedWithTheirRequest(t *testing.T) {
 	encoder := NewEncoder()
 	sent := []*Request{
-		{ID: 1, Service: "s", Method: "GET", Requirements: &Requirements{AimMillis: 300, WorkMillis: 94, AgeMillis: 20, LowerQuartileMillis: 70}},
+		{ID: 1, Service: "s", Method: "GET", Requirements: &Requirements{AimMillis: 300, WorkMillis: 94, AgeMillis: 20, LowerQuartileMillis: 70, RateLimit: NewRateLimit(7.8)}},
 		{ID: 2, Service: "s", Method: "GET"},
 		{ID: 3, Service: "s", Method: "GET", Requirements: &Requirements{AimMillis: -7}},
 	}
@@ -46,13 +46,15 @@
 		numbers       []int64
 		ok            bool
 		lowerQuartile int64
+		rateLimit     RateLimit
 	}{
-		{"same build", []int64{1, 2, 3, 4}, true, 4},
-		{"newer build with one more number", []int64{1, 2, 3, 4, 5}, true, 4},
-		{"oldest build", []int64{1, 2, 3}, true, 0},
-		{"fewer than in any build", []int64{1, 2}, false, 0},
-		{"empty", []int64{}, false, 0},
-		{"above the limit", make([]int64, maxNumbers+1), false, 0},
+		{"same build", []int64{1, 2, 3, 4, 5}, true, 4, 5},
+		{"newer build with one more number", []int64{1, 2, 3, 4, 5, 6}, true, 4, 5},
+		{"build without rate limits", []int64{1, 2, 3, 4}, true, 4, 0},
+		{"oldest build", []int64{1, 2, 3}, true, 0, 0},
+		{"fewer than in any build", []int64{1, 2}, false, 0, 0},
+		{"empty", []int64{}, false, 0, 0},
+		{"above the limit", make([]int64, maxNumbers+1), false, 0, 0},
 	} {
 		payload, err := msgpack.Marshal(c.numbers)
 		if err != nil {
@@ -63,7 +65,7 @@
 		if (err == nil) != c.ok {
 			t.Errorf("%s: error %v", c.name, err)
 		}
-		if c.ok && requirements != (Requirements{AimMillis: 1, WorkMillis: 2, AgeMillis: 3, LowerQuartileMillis: c.lowerQuartile}) {
+		if c.ok && requirements != (Requirements{AimMillis: 1, WorkMillis: 2, AgeMillis: 3, LowerQuartileMillis: c.lowerQuartile, RateLimit: c.rateLimit}) {
 			t.Errorf("%s: %+v", c.name, requirements)
 		}
 	}
@@ -77,7 +79,8 @@
 	}{
 		{[]int64{3, 20, 700}, Headroom{AdmittedPriorities: 3, CallWaitMillis: 20, ColdMillis: 700}, true},
 		{[]int64{3, 20, 700, 55}, Headroom{AdmittedPriorities: 3, CallWaitMillis: 20, ColdMillis: 700, TokenIntervalMillis: 55}, true},
-		{[]int64{3, 20, 700, 55, -110, 1, 2, 3, 9}, Headroom{AdmittedPriorities: 3, CallWaitMillis: 20, ColdMillis: 700, TokenIntervalMillis: 55, CallTokenWaitMillis: -110, UrgentTokenWaitMillis: 1, NormalTokenWaitMillis: 2, BulkTokenWaitMillis: 3}, true},
+		{[]int64{3, 20, 700, 55, -110, 1, 2, 3}, Headroom{AdmittedPriorities: 3, CallWaitMillis: 20, ColdMillis: 700, TokenIntervalMillis: 55, CallTokenWaitMillis: -110, UrgentTokenWaitMillis: 1, NormalTokenWaitMillis: 2, BulkTokenWaitMillis: 3}, true},
+		{[]int64{3, 20, 700, 55, -110, 1, 2, 3, 7801, 9}, Headroom{RateLimit: NewRateLimit(7.8), AdmittedPriorities: 3, CallWaitMillis: 20, ColdMillis: 700, TokenIntervalMillis: 55, CallTokenWaitMillis: -110, UrgentTokenWaitMillis: 1, NormalTokenWaitMillis: 2, BulkTokenWaitMillis: 3}, true},
 		{[]int64{3, 20}, Headroom{}, false},
 	} {
 		payload, err := msgpack.Marshal(c.numbers)
@@ -108,6 +111,10 @@
 			t.Errorf("after %s: %+v, want %+v", c.elapsed, got, c.want)
 		}
 	}
+	limited := Headroom{RateLimit: NewRateLimit(8), TokenIntervalMillis: 125, UrgentTokenWaitMillis: 80}
+	if got := limited.After(50 * time.Millisecond); got.TokenIntervalMillis != 125 || got.UrgentTokenWaitMillis != 30 {
+		t.Errorf("a limited server after 50 ms: %+v", got)
+	}
 	unusedTokens := Headroom{ColdMillis: 1000, TokenIntervalMillis: 55, BulkTokenWaitMillis: -110}
 	if got := unusedTokens.After(100 * time.Millisecond); got.BulkTokenWaitMillis != -110 {
 		t.Errorf("a negative wait for a token changed: %+v", got)
@@ -179,3 +186,16 @@
 		}
 	}
 }
+
+func TestRateLimitIsEncoded(t *testing.T) {
+	for _, c := range []struct{ perSecond, want float64 }{{0, 0}, {0.001, 0.001}, {7.8, 7.8}, {maxRateLimit, maxRateLimit}, {1e12, maxRateLimit}, {-3, 0}} {
+		if got, limited := NewRateLimit(c.perSecond).PerSecond(); !limited || got != c.want {
+			t.Errorf("%g becomes %g, limited %v", c.perSecond, got, limited)
+		}
+	}
+	for _, l := range []RateLimit{UnknownRateLimit, NoRateLimit, -77} {
+		if got, limited := l.PerSecond(); limited {
+			t.Errorf("%d means a limit of %g", l, got)
+		}
+	}
+}
