gate, entry, announce: servers that say they are leaving get no requests

What callers saw: requests went on to servers that said in each response that they were leaving, and were lost with them where nobody had announced it.

Cause: as with rate limits, nobody read the field. A drain was known from announcements only.

Change: the gate drains its server and its node tells the others, like for an announced drain. An entry that is about to forward such a response remembers the server by the name of its incarnation, for good: it keeps to it when the gate's node restarts, when the store and other nodes know nothing, when later responses don't say it, and when its own pool of the service is made anew. Listed servers have no incarnations, so a probe of them that doesn't say it ends the drain.

--- a/announce/registry.go
+++ b/announce/registry.go
@@ -176,6 +176,16 @@
 	return true
 }
 
+// MarkLeaving records that the current server has said that it is leaving, if it has the given
+// incarnation name, and reports whether that changed it.
+func (r *Registry) MarkLeaving(name string) bool {
+	if name != r.current.ID || name == "" || r.current.State != member.Live {
+		return false
+	}
+	r.current.State = member.Leaving
+	return true
+}
+
 // Restore applies what other nodes have stored about this node's server since before the node
 // restarted, and reports whether it changed the server.
 func (r *Registry) Restore(s member.Server) bool {
--- a/announce/registry_test.go
+++ b/announce/registry_test.go
@@ -212,3 +212,23 @@
 		t.Errorf("current is %+v after the announcement of a rejected server", r.Current())
 	}
 }
+
+// A server that says in a response that it is leaving stays so, whatever it announces.
+func TestMarkLeaving(t *testing.T) {
+	var r Registry
+	announce := func(id string, seq uint64) {
+		if _, err := r.Announce(time.Now(), Announcement{ID: id, Service: "a", Slots: 3, Seq: seq}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	announce("i-1", 1)
+	if r.MarkLeaving("i-0") || r.MarkLeaving("") || !r.MarkLeaving("i-1") || r.MarkLeaving("i-1") {
+		t.Error("want one change, of the current server")
+	}
+	if announce("i-1", 2); r.Current().State != member.Leaving {
+		t.Errorf("state %v after another announcement", r.Current().State)
+	}
+	if announce("i-2", 1); r.Current().State != member.Live {
+		t.Errorf("state %v of the next server", r.Current().State)
+	}
+}
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -29,6 +29,8 @@
 	DistanceFactor float64
 	// Leaving servers get no new work.
 	Leaving bool
+	// Announced servers have names that belong to one incarnation only.
+	Announced bool
 	// Spare servers are picked only when no other server is healthy, so that an entry
 	// works with a bounded number of servers. A spare server that gets work is in use
 	// until the first Update after that work has ended.
@@ -153,6 +155,15 @@
 	s.Spare = false
 }
 
+// MarkLeaving makes a server get no new work, until the next Update at least.
+func (p *Pool) MarkLeaving(name string) {
+	for s := range p.all() {
+		if s.Name == name {
+			s.Leaving = true
+		}
+	}
+}
+
 // Sent records that a request is sent to the server.
 func (p *Pool) Sent(now time.Time, s *Server) {
 	if s.outstanding == 0 {
--- a/balance/ratelimit_test.go
+++ b/balance/ratelimit_test.go
@@ -95,3 +95,12 @@
 		}
 	}
 }
+
+// A server that is marked as leaving gets no request, even if there is no other.
+func TestMarkedServerGetsNothing(t *testing.T) {
+	p := newTestPool(1, Options{})
+	p.MarkLeaving(p.servers[0].Name)
+	if s := p.PickFor(start, newRand(), nil, payoutDemand); s != nil {
+		t.Errorf("%s is picked", s.Name)
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -144,6 +144,8 @@
 	// callersCheckedAt is when the callers' connections were last checked.
 	callersCheckedAt time.Time
 
+	leaving leavingServers
+
 	tenants tenantMeters
 
 	callerRetries callerRetryMemory
@@ -206,7 +208,7 @@
 				rng:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 			}
 		}
-		s.update(now, row, topology)
+		s.update(now, row, topology, &e.leaving)
 		services[name] = s
 	}
 	e.services = services
--- a/entry/serverstate.go
+++ b/entry/serverstate.go
@@ -18,17 +18,25 @@
 func (e *Entry) observeServerState(s *service, a *attempt, m *wire.Response) {
 	dialect := &e.settings.Dialect
 	var limits []string
+	leaving := false
 	for _, f := range m.Header {
-		if dialect.RateLimit != "" && strings.EqualFold(f.Name, dialect.RateLimit) {
+		switch {
+		case dialect.RateLimit != "" && strings.EqualFold(f.Name, dialect.RateLimit):
 			limits = append(limits, f.Value)
+		case dialect.Leaving != "" && strings.EqualFold(f.Name, dialect.Leaving):
+			leaving = leaving || header.IsLeaving(f.Value)
 		}
 	}
-	if len(limits) == 0 && a.rateLimit == wire.UnknownRateLimit {
+	if len(limits) == 0 && !leaving && a.rateLimit == wire.UnknownRateLimit {
 		return // A limit that became known after the request was sent is newer than the response.
 	}
 	perSecond, reported, valid := header.ParseRateLimit(limits...)
 	mayLift := valid && m.Status < fasthttp.StatusInternalServerError
 	s.mu.Lock()
 	s.pool.ObserveRateLimit(time.Now(), a.began, a.server, perSecond, reported, mayLift)
+	announced := a.server.Announced
 	s.mu.Unlock()
+	if leaving && announced {
+		e.serverLeaving(s, a)
+	}
 }
--- a/entry/service.go
+++ b/entry/service.go
@@ -42,7 +42,7 @@
 	serverChanges broadcast
 }
 
-func (s *service) update(now time.Time, row *table.Service, topology Topology) {
+func (s *service) update(now time.Time, row *table.Service, topology Topology, leaving *leavingServers) {
 	specs := make([]balance.Spec, 0, len(row.Servers))
 	if row.Discovery == table.Announced && topology.Announced != nil {
 		specs = append(specs, topology.Announced(s.name)...)
@@ -64,6 +64,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for i := range specs {
+		specs[i].Leaving = specs[i].Leaving || leaving.has(specs[i].Name)
+	}
 	s.policy = row.Policy
 	s.retryBudget.Share = row.RetryShare
 	s.retryLimits = topology.RetryLimits
--- a/event/event.go
+++ b/event/event.go
@@ -271,6 +271,7 @@
 	Ejected   = "ejected"
 	Suspected = "suspected"
 	Recovered = "regained"
+	Leaving   = "leaving"
 )
 
 // ServerHealth is a change of an entry's assessment of a server.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -146,6 +146,11 @@
 func (g *Gate) SetDrain(cause DrainCause, on bool, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.setDrain(cause, on, now)
+}
+
+// setDrain is SetDrain with the lock held.
+func (g *Gate) setDrain(cause DrainCause, on bool, now time.Time) {
 	before := g.drain
 	if on {
 		g.drain |= cause
--- a/gate/probe.go
+++ b/gate/probe.go
@@ -113,7 +113,7 @@
 		return
 	}
 	if !g.settings.Dialect.Strict() {
-		g.SetDrain(DrainServer, report.Draining, time.Now())
+		g.SetDrain(DrainServer, report.Draining || g.ServerLeaving(), time.Now())
 	}
 }
 
--- a/gate/ratelimit.go
+++ b/gate/ratelimit.go
@@ -48,8 +48,8 @@
 // to a request that was sent at sentAt.
 func (g *Gate) observeServerState(sentAt time.Time, kind event.ResponseKind, h *fasthttp.ResponseHeader) {
 	dialect := &g.settings.Dialect
-	if dialect.Leaving != "" && header.IsLeaving(h.Peek(dialect.Leaving)) {
-		g.serverLeaving(kind)
+	if dialect.Leaving != "" {
+		g.updateLeaving(kind, header.IsLeaving(h.Peek(dialect.Leaving)))
 	}
 	if dialect.RateLimit != "" && g.updateRateLimit(sentAt, kind, h.PeekAll(dialect.RateLimit)) && g.settings.OnUpdate != nil {
 		g.settings.OnUpdate()
--- a/node/settings.go
+++ b/node/settings.go
@@ -58,6 +58,7 @@
 		Recorder:          n.recorder,
 		Blame:             &n.blame,
 		OnWrongServer:     func(name string) { go n.serverDisplaced(name) },
+		OnLeaving:         func(name string) { go n.serverLeaving(name) },
 		ColdOvershoot:     n.settings.Cold.Overshoot,
 		ColdSlack:         n.settings.Cold.Slack,
 		PreviousGateUntil: n.retiredAt.lastOrStart(key, n.started),
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -114,6 +114,12 @@
 	n.updateRegistry("another server answered at its address", func(r *announce.Registry) bool { return r.MarkDisplaced(name) })
 }
 
+// serverLeaving is called when the server with the given incarnation name says in a response that
+// it is leaving.
+func (n *Node) serverLeaving(name string) {
+	n.updateRegistry("said in a response that it is leaving", func(r *announce.Registry) bool { return r.MarkLeaving(name) })
+}
+
 // updateRegistry changes the registry. If that changes the current server, it puts the
 // change in force and announces it to other nodes.
 func (n *Node) updateRegistry(why string, change func(r *announce.Registry) (changed bool)) {
@@ -168,12 +174,13 @@
 			continue
 		}
 		spec := balance.Spec{
-			Name:     r.Server.ID,
-			Node:     r.Address,
-			Weight:   1,
-			Slots:    n.usedSlots(r.Server.Slots),
-			Distance: n.distance(self, r),
-			Leaving:  r.State != member.Live || r.Server.State != member.Live || evacuated.Has(r.Zone),
+			Name:      r.Server.ID,
+			Announced: true,
+			Node:      r.Address,
+			Weight:    1,
+			Slots:     n.usedSlots(r.Server.Slots),
+			Distance:  n.distance(self, r),
+			Leaving:   r.State != member.Live || r.Server.State != member.Live || evacuated.Has(r.Zone),
 		}
 		if r.Zone != self.Zone {
 			spec.DistanceFactor = n.settings.Distance.Factor
