--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -128,6 +128,7 @@
 	readErr := e.readResponse()
 	if readErr == nil {
 		e.pool.responseReceived(e.conn, e.origin)
+		e.pool.observeKeepAlive(&e.Response.Header)
 	}
 	if readErr == nil || eris.Is(readErr, ErrMismatchedResponse) {
 		return readErr
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -41,8 +41,9 @@
 	Address string
 	// MaxConns bounds the number of open connections.
 	MaxConns int
-	// IdleTimeout is how long a connection is kept between requests. It must be shorter than
-	// the server's own timeout.
+	// IdleTimeout is how long a connection is kept between requests, or less if the server says
+	// in Keep-Alive that it closes connections earlier. It must be shorter than the timeout of
+	// a server that does not say so.
 	IdleTimeout time.Duration
 	DialTimeout time.Duration
 
@@ -53,6 +54,9 @@
 	unanswered []*conn
 	open       int
 	closed     bool
+	// keepAlive is how long the server keeps idle connections, as it last said; nil if it never
+	// did.
+	keepAlive *time.Duration
 
 	// Dials counts the connections that were opened, and Reused the requests sent on kept
 	// ones.
@@ -102,7 +106,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := len(p.idle)
-	if n == 0 || p.tooManyUnanswered(now) || now.Sub(p.idle[n-1].lastReceived) > p.IdleTimeout {
+	if n == 0 || p.tooManyUnanswered(now) || now.Sub(p.idle[n-1].lastReceived) > p.idleTimeout() {
 		return nil
 	}
 	c := p.idle[n-1]
@@ -117,7 +121,7 @@
 func (p *Pool) takeOldest(now time.Time) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle) == 0 || now.Sub(p.idle[0].lastReceived) > p.IdleTimeout {
+	if len(p.idle) == 0 || now.Sub(p.idle[0].lastReceived) > p.idleTimeout() {
 		return nil
 	}
 	c := p.idle[0]
@@ -213,7 +217,7 @@
 func (p *Pool) CloseExpired(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for len(p.idle) > 0 && now.Sub(p.idle[0].lastReceived) > p.IdleTimeout {
+	for len(p.idle) > 0 && now.Sub(p.idle[0].lastReceived) > p.idleTimeout() {
 		p.dropIdle()
 	}
 }
