internal/soak: servers that report rate limits and that they are leaving

The soak's servers report limits that change, of one server, several or a whole service, on health responses or not, and one says in its responses, and nowhere else, that it is leaving; nodes beside them stop. The oracle holds the users' rules as they are: 1.5 times the limit and 5 requests in any 4 s from 3 s after the first report, of hosts that forwarded it half a second before or earlier; no request that was sent later than the drain time after its host forwarded that the server is leaving, in touch or not.

The oracle's own test spoils a sound history in five ways more, and keeps seven that are allowed.

--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -119,6 +119,7 @@
 	Zones        []string
 	Evacuations  []Evacuation
 	ColdPeaks    []ColdPeak    `json:"Cold"`
+	RateLimits   []RateLimit   `json:",omitempty"`
 	Disturbances []Disturbance `json:"Spans"`
 	// Stalls are the moments at which the connections of all hosts stalled.
 	Stalls []Stall `json:"Silences"`
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -333,7 +333,11 @@
 		time.Sleep(announceInterval)
 	}
 	time.Sleep(drainTime)
-	server := h.currentServer()
+	h.endServer(h.currentServer())
+}
+
+// endServer ends a backend server that is leaving, and starts the next one.
+func (h *host) endServer(server *emulator.Server) {
 	_, _ = server.Leave(h.address(controlPort)) // The server is closed whether the node answers or not.
 	server.Close()
 	if err := h.newServer(); err != nil {
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -52,7 +52,7 @@
 	d := Disturbance{Host: host, From: from, To: time.Now(), Kind: step.Kind, Unplanned: !isPlanned}
 	switch step.Kind {
 	case Reload: // The host's node and its server keep running.
-	case ServerReplace, Evacuate, ServerCold, ServerHang, ServerExit, ServerCrash: // The node keeps running.
+	case ServerReplace, Evacuate, ServerCold, ServerHang, ServerExit, ServerCrash, ServerRateLimit, ServerLeaves: // The node keeps running.
 		s.addReducedCapacity(d)
 	default:
 		s.addDisturbance(d)
@@ -182,6 +182,10 @@
 		s.evacuate(ctx, h.zone, step.For)
 	case ServerReplace:
 		h.replaceServer(step.For)
+	case ServerRateLimit:
+		h.reportLimits(ctx, step)
+	case ServerLeaves:
+		h.leaveUnannounced(ctx, step.For)
 	case ServerExit:
 		h.closeServerAbruptly()
 	}
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -35,6 +35,7 @@
 	PromiseTenant           = "keys name their tenants and end with their version"
 	PromiseQuota            = "quotas over all nodes"
 	PromiseInTime           = "answered or refused in time"
+	PromiseRateLimit        = "servers get no more than the rate that they accept"
 )
 
 // Check returns every promise that a history breaks.
@@ -51,6 +52,8 @@
 	o.checkService()
 	o.checkBudget()
 	o.checkCold()
+	o.checkRateLimits()
+	o.checkLeaving()
 	o.checkCrashes()
 	o.checkEvacuations()
 	o.checkTenants()
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -109,6 +109,40 @@
 	}
 }
 
+// limitRate has the server report a rate limit in the first six seconds after the stall, in which
+// it gets requestsPerSecond, and hosts forward that.
+func limitRate(h *History, perSecond float64) {
+	period := emulator.RateLimitPeriod{PerSecond: perSecond, From: at(stallAt), To: at(stallAt + 6000)}
+	h.RateLimits = []RateLimit{{Server: "i-0", RateLimitPeriod: period}}
+	for i := range h.Calls {
+		if c := &h.Calls[i]; !c.Sent.Before(at(stallAt)) {
+			c.Reply.RateLimit = "some"
+		}
+	}
+}
+
+// leave has the server say in one response after the stall that it is leaving.
+func leave(h *History) {
+	for i := range h.Calls {
+		if c := &h.Calls[i]; !c.Sent.Before(at(stallAt)) {
+			c.Reply.Leaving = "1"
+			break
+		}
+	}
+	for i := range h.Calls {
+		h.Calls[i].Began = h.Calls[i].Sent
+	}
+}
+
+// moveArrivals moves the arrivals after a time to another server.
+func moveArrivals(h *History, from int, server string) {
+	for i := range h.Arrivals {
+		if !h.Arrivals[i].At.Before(at(from)) {
+			h.Arrivals[i].Server = server
+		}
+	}
+}
+
 // rejectCalls has n calls sent after a time rejected with a status.
 func rejectCalls(h *History, from, n, status int) {
 	for i := range h.Calls {
@@ -222,6 +256,23 @@
 				h.Arrivals = append(h.Arrivals, arrival(c, fmt.Sprint("i-", ms), ms))
 			}
 		}},
+		{"more requests than a server accepts", PromiseRateLimit, func(h *History) { limitRate(h, 8) }},
+		{"more requests than a server accepts, that accepted more before", PromiseRateLimit, func(h *History) {
+			limitRate(h, 400)
+			first := &h.RateLimits[0]
+			first.To = at(stallAt + 1000)
+			next := RateLimit{Server: "i-0", RateLimitPeriod: emulator.RateLimitPeriod{PerSecond: 2, From: first.To, To: at(stallAt + 6000)}}
+			h.RateLimits = append(h.RateLimits, next)
+		}},
+		{"more requests than a server accepts, with a fault that is no excuse", PromiseRateLimit, func(h *History) {
+			limitRate(h, 8)
+			h.Disturbances = append(h.Disturbances, Disturbance{Host: 0, From: at(stallAt + 2000), To: at(stallAt + 6000), Kind: StoreCut, Unplanned: true})
+		}},
+		{"a request to a server that said it is leaving", PromiseDrain, leave},
+		{"a request to a server that said it is leaving, from a host that was cut off", PromiseDrain, func(h *History) {
+			leave(h)
+			h.Disturbances = append(h.Disturbances, Disturbance{Host: 0, From: at(stallAt + 1000), To: at(stallAt + 6000), Kind: PeerCut, Unplanned: true})
+		}},
 		{"a request in an evacuated zone", PromiseEvacuate, func(h *History) {
 			h.Evacuations = []Evacuation{{Zone: "z", From: at(6000), To: at(11_000)}}
 		}},
@@ -295,6 +346,33 @@
 				}
 			}
 		}},
+		{"as many requests as a server accepts", func(h *History) { limitRate(h, 25) }},
+		{"more than a server accepts, from a host that forwarded no limit", func(h *History) {
+			limitRate(h, 8)
+			for i := range h.Calls {
+				h.Calls[i].Reply.RateLimit = ""
+			}
+		}},
+		{"more than a server accepts, from a host that restarted", func(h *History) {
+			limitRate(h, 8)
+			h.Disturbances = append(h.Disturbances, Disturbance{Host: 0, From: at(stallAt + 2000), To: at(stallAt + 5800), Kind: Kill, Unplanned: true})
+		}},
+		{"more than a server accepts, just after it said so", func(h *History) {
+			limitRate(h, 8)
+			h.RateLimits[0].From = at(stallAt + 3000)
+		}},
+		{"a request to a server that is leaving, soon after it said so", func(h *History) {
+			leave(h)
+			moveArrivals(h, stallAt+2000, "i-1")
+		}},
+		{"a request to the next incarnation of a server that said it is leaving", func(h *History) {
+			leave(h)
+			moveArrivals(h, stallAt+1000, "i-0#7")
+		}},
+		{"a request to a server that is leaving, from a host that was paused", func(h *History) {
+			leave(h)
+			h.Disturbances = append(h.Disturbances, Disturbance{Host: 0, From: at(stallAt + 1000), To: at(stallAt + 1500), Kind: Pause, Unplanned: true})
+		}},
 		{"an answer from the node without a stop", func(h *History) {
 			replaceAnswer(h, 10_000, 10_900, 0)
 			h.Disturbances = h.Disturbances[:1]
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -149,6 +149,12 @@
 		}
 		for _, server := range h.allServers() {
 			s.history.ColdPeaks = append(s.history.ColdPeaks, ColdPeak{Server: server.Key(), Peak: server.PeakRateWhileCold()})
+			for _, p := range server.RateLimitPeriods() {
+				if p.To.IsZero() {
+					p.To = time.Now()
+				}
+				s.history.RateLimits = append(s.history.RateLimits, RateLimit{Server: server.Key(), RateLimitPeriod: p})
+			}
 			for _, a := range server.Arrivals() {
 				s.history.Arrivals = append(s.history.Arrivals, Arrival{Arrival: a, Server: server.Key(), Host: h.number})
 			}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -81,6 +81,11 @@
 	// ServerCrash repeats a request that crashes every server that runs it; replacements are
 	// started.
 	ServerCrash Kind = "server-crash"
+	// ServerRateLimit makes backend servers report limits on the rate of their requests.
+	ServerRateLimit Kind = "server-limit"
+	// ServerLeaves makes a backend server say in its responses, and nowhere else, that it is
+	// leaving, and replaces it later.
+	ServerLeaves Kind = "server-leaving"
 	// ServerReplace drains a backend server and starts a replacement.
 	ServerReplace Kind = "release"
 	// ConfigChange writes a new configuration.
@@ -118,6 +123,10 @@
 	// Twice makes StallAllConnections stall all connections a second time after For. In a
 	// StoreRestore step it means that the backup is older than the first record of a node.
 	Twice bool `json:",omitempty"`
+	// Limits are the rate limits that a server reports in a ServerRateLimit step, one after the
+	// other, and OmitOnHealth leaves them out of health responses.
+	Limits       []float64 `json:",omitempty"`
+	OmitOnHealth bool      `json:",omitempty"`
 }
 
 // stalled returns what a step stalls: without Links, the connections to peers and to the
@@ -138,6 +147,9 @@
 	if s.Twice {
 		text += ", twice"
 	}
+	if s.Limits != nil {
+		text += fmt.Sprintf("limits %v", s.Limits)
+	}
 	return text
 }
 
@@ -189,6 +201,7 @@
 	}
 	steps = append(steps, drawServerExits(seed, hosts, length)...)
 	steps = append(steps, drawStoreRestores(seed, length)...)
+	steps = append(steps, drawServerReports(seed, hosts, length)...)
 	sort.Slice(steps, func(a, b int) bool { return steps[a].At < steps[b].At })
 	return steps
 }
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -307,6 +307,9 @@
 	h.ready.Store(misses < maxReadyMisses)
 }
 
+// machineHeldUp is the kind of the disturbances that watchMachine records.
+const machineHeldUp Kind = "machine-held-up"
+
 // maxWakeDelay is the delay of a wakeup above which the machine counts as stalled.
 const maxWakeDelay = 100 * time.Millisecond
 
@@ -318,7 +321,7 @@
 		time.Sleep(every)
 		now := time.Now()
 		if now.Sub(last) > every+maxWakeDelay {
-			s.addDisturbance(Disturbance{Host: AllHosts, From: last, To: now, Kind: "machine-held-up", Unplanned: true})
+			s.addDisturbance(Disturbance{Host: AllHosts, From: last, To: now, Kind: machineHeldUp, Unplanned: true})
 		}
 		last = now
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -68,6 +68,26 @@
 	playAndCheck(t, build(t), Regression{Seed: 20, Hosts: 6, Length: 6 * time.Second, Steps: overlappingSteps()})
 }
 
+// reportSteps are steps in which servers limit the rate of their requests, all of a service among
+// them, and one says that it is leaving, while nodes beside and away from them stop and fail.
+func reportSteps() []Step {
+	return []Step{
+		{At: 200 * time.Millisecond, For: 12 * time.Second, Kind: ServerRateLimit, Hosts: []int{0, 2, 4}, Limits: []float64{8, 2.5}},
+		{At: 500 * time.Millisecond, For: 9 * time.Second, Kind: ServerRateLimit, Hosts: []int{1}, Limits: []float64{0}, OmitOnHealth: true},
+		{At: time.Second, For: 9 * time.Second, Kind: ServerLeaves, Hosts: []int{3}},
+		{At: 3 * time.Second, For: 2 * time.Second, Kind: StoreDown},
+		{At: 4 * time.Second, For: 400 * time.Millisecond, Kind: Kill, Hosts: []int{1, 3}},
+		{At: 6 * time.Second, For: 200 * time.Millisecond, Kind: Stop, Hosts: []int{0}},
+		{At: 7 * time.Second, For: time.Second, Kind: Pause, Hosts: []int{2}},
+		{At: 8 * time.Second, For: time.Second, Kind: StallConnections, Hosts: []int{0, 1, 4}},
+	}
+}
+
+// Servers report limits on their rate and that they are leaving.
+func TestServersThatReportLimitsAndLeave(t *testing.T) {
+	playAndCheck(t, build(t), Regression{Seed: 31, Hosts: 6, Length: 12 * time.Second, Steps: reportSteps()})
+}
+
 // playRegression plays the regression with a seed and fails if there is none.
 func playRegression(t *testing.T, seed uint64) {
 	t.Helper()
