admit, balance, gate: retry times for reported limits are bounded, no hedges to limited servers

A server that limits the rate of its requests gets no optional ones. The kind of response in the log line is failure where the server failed a request, not only where it rejected it.

--- a/admit/wait.go
+++ b/admit/wait.go
@@ -4,12 +4,20 @@
 
 import "time"
 
+// maxReportedRetryAfter bounds the retry time for a rate that the server has reported, which may
+// change at any time.
+const maxReportedRetryAfter = 5 * time.Second
+
 // RetryAfter is when a refused request may be accepted: once everything queued
 // and half of what is in flight has been answered at the present rate, and the
 // server may get one more request by the bounds on its rate.
 func (q *Queue) RetryAfter(now time.Time) time.Duration {
 	ahead := q.queued + q.inFlight/2 + 1
-	return max(time.Duration(ahead)*q.answerInterval(), q.rates.wait(now, q.queued+1), time.Millisecond)
+	wait := q.rates.wait(now, q.queued+1)
+	if q.RateLimited() {
+		wait = min(wait, maxReportedRetryAfter)
+	}
+	return max(time.Duration(ahead)*q.answerInterval(), wait, time.Millisecond)
 }
 
 // RateWaits returns the time between two requests that the server may get, and how long one more
--- a/balance/defer.go
+++ b/balance/defer.go
@@ -33,6 +33,9 @@
 	// minWindowFactor times minWindowBase: other callers retry in the same period.
 	minWindowFactor = 4
 	minWindowBase   = 100 * time.Millisecond
+	// maxLimitWait bounds the wait for a token that callers are told if servers report limits,
+	// which may change at any time.
+	maxLimitWait = 5 * time.Second
 )
 
 // ShouldDefer reports whether a caller's request should not be sent now, since the rates of all
@@ -114,6 +117,7 @@
 	warm, warmAll := bound.left, bound.left+max(time.Duration(returnSpreadShare*float64(bound.left)), minReturnSpread)
 	slow := demand.Work * coldSlowness / 100
 	if bound.endless {
+		soonest = min(soonest, maxLimitWait)
 		warm, warmAll = soonest, soonest+max(time.Duration(returnSpreadShare*float64(soonest)), minReturnSpread)
 		slow = warmTime(demand)
 	}
--- a/balance/expected_time.go
+++ b/balance/expected_time.go
@@ -150,8 +150,12 @@
 const spareCapacityShare = 1
 
 // HasSpareCapacity reports whether a server has spare capacity for an optional request: a
-// hedge at a busy server delays the requests that must be sent.
+// hedge at a busy server delays the requests that must be sent, and one that limits the rate
+// of its requests is short of something.
 func (p *Pool) HasSpareCapacity(now time.Time, s *Server) bool {
+	if s.hasRateLimit() {
+		return false
+	}
 	service := p.serviceTime(now, s, p.shortestUsualTime())
 	if s.stallDelay(now, service) > 0 || s.unansweredFor(now, service) > 0 {
 		return false
--- a/balance/ratelimit_test.go
+++ b/balance/ratelimit_test.go
@@ -96,6 +96,25 @@
 	}
 }
 
+// Callers are told to return within seconds even if no server accepts any request: that may change.
+func TestRetryTimeIsBoundedIfNoServerAcceptsRequests(t *testing.T) {
+	p := newTestPool(2, Options{})
+	none := limitedWithoutTokens
+	none.TokenIntervalMillis = maxTokenMillis
+	for _, wait := range none.TokenWaits() {
+		*wait = maxTokenMillis
+	}
+	setAll(p, warmReport, none)
+	for draw := 0.0; draw < 1; draw += 0.1 {
+		if after, deferred := p.ShouldDefer(start, payoutDemand, 4*time.Second, draw); !deferred || after < time.Second || after > 2*maxLimitWait {
+			t.Errorf("deferred %v, retry after %v", deferred, after)
+		}
+	}
+	if p.HasSpareCapacity(start, p.servers[0]) {
+		t.Error("a server that limits its rate has spare capacity for hedges")
+	}
+}
+
 // A server that is marked as leaving gets no request, even if there is no other.
 func TestMarkedServerGetsNothing(t *testing.T) {
 	p := newTestPool(1, Options{})
--- a/event/event.go
+++ b/event/event.go
@@ -370,10 +370,10 @@
 
 // The kinds of responses.
 const (
-	// RunResponse is the response to a request that the server ran.
+	// RunResponse is the response to a request that the server ran without a server error.
 	RunResponse ResponseKind = "answer"
-	// RejectionResponse is the response to a request that the server did not run.
-	RejectionResponse ResponseKind = "rejection"
+	// FailureResponse is the response to a request that the server rejected or failed.
+	FailureResponse ResponseKind = "failure"
 	// ProbeResponse is the response to a probe.
 	ProbeResponse ResponseKind = "probe"
 )
--- a/gate/ratelimit.go
+++ b/gate/ratelimit.go
@@ -39,7 +39,7 @@
 	case class == wrongServer:
 		return
 	case class != forwardable, r.StatusCode() >= fasthttp.StatusInternalServerError:
-		kind = event.RejectionResponse
+		kind = event.FailureResponse
 	}
 	j.gate.observeServerState(j.startedAt, kind, &r.Header)
 }
@@ -78,7 +78,7 @@
 	probeHadLimit := kind == event.ProbeResponse && reported && !l.onProbes
 	l.onProbes = l.onProbes || probeHadLimit
 	_, wasLimited := l.reported.PerSecond()
-	// Servers may leave the limit out of rejections.
+	// Servers may leave the limit out of failures.
 	mayLift := kind == event.RunResponse || kind == event.ProbeResponse && l.onProbes
 	changed = l.reported.Observe(now, sentAt, perSecond, reported, mayLift)
 	if !changed && !probeHadLimit {
--- a/gate/ratelimit_test.go
+++ b/gate/ratelimit_test.go
@@ -59,7 +59,7 @@
 	if perSecond, limited := headroom.RateLimit.PerSecond(); !ok || !limited || perSecond != 8 || headroom.TokenIntervalMillis != 125 || updates != 1 {
 		t.Fatalf("headroom %+v, update %v, %d notifications", headroom, ok, updates)
 	}
-	for _, kind := range []event.ResponseKind{event.RejectionResponse, event.ProbeResponse} {
+	for _, kind := range []event.ResponseKind{event.FailureResponse, event.ProbeResponse} {
 		if g.respond(kind); !g.queue.RateLimited() {
 			t.Errorf("the limit was lifted by a response of kind %s", kind)
 		}
