gate: a server that may just have become cold is probed without waiting for the budget

Cause, from the gates' lines: server is cold, wanted_ms 32.7 and 30.8, sent 31 and 32, not_asked_unpaid 2 and 3, not_asked_waiting 0. The probe that was due at once waited for the bucket of probes, which gives one each 50 ms.

Change: such a probe may use the reserve of 2 a second that pays for second probes.

Measured: TestSlowerServerIsProbedWithoutBudget failed before (no probe, not known as cold), passes.

--- a/gate/check.go
+++ b/gate/check.go
@@ -23,11 +23,12 @@
 	checkPause = 500 * time.Millisecond
 	// checkBurst is how many checks may be made in a row without waiting for the rate limit.
 	checkBurst = 4
-	// reservePerSecond and reserveBurst are a separate budget for second probes on a new
-	// connection, made when a probe on a kept connection stays unanswered. When connections
-	// become unresponsive, the checks before requests use up the main budget. Without the
-	// reserve, an unanswered probe would then block for a second, during which no other probe
-	// can find an unresponsive connection.
+	// reservePerSecond and reserveBurst are a separate budget for probes that must not wait:
+	// second ones on a new connection, made when a probe on a kept connection stays unanswered,
+	// and those of a server that may just have become cold. When connections become
+	// unresponsive, the checks before requests use up the main budget. Without the reserve, an
+	// unanswered probe would then block for a second, during which no other probe can find an
+	// unresponsive connection.
 	reservePerSecond = 2
 	reserveBurst     = 2
 )
@@ -35,7 +36,7 @@
 // check is the state of the gate's speed checks, guarded by the gate's lock.
 type check struct {
 	limiter *rate.Limiter
-	// reserve pays for second probes when limiter has nothing left.
+	// reserve pays for probes that must not wait for the other budgets.
 	reserve *rate.Limiter
 	// inProgress is closed when the current check ends; nil if there is none.
 	inProgress chan struct{}
--- a/gate/cold_test.go
+++ b/gate/cold_test.go
@@ -155,3 +155,42 @@
 	defer g.mu.Unlock()
 	return time.Now().Before(g.cold.until)
 }
+
+// A server that has become slower may be cold and is probed at once although the probe budget is
+// spent, since until then it gets more requests than it can serve. The reserve bounds these probes.
+func TestSlowerServerIsProbedWithoutBudget(t *testing.T) {
+	var left atomic.Int64
+	left.Store(60_000)
+	g := coldGate(t, &left)
+	g.row.ProbeRate = 0
+	g.settings.ChecksPerSecond = 30
+	g.check = newCheck(30)
+	g.mu.Lock()
+	g.bucket.Rate, g.cold.assumedUntil = 0, time.Time{}
+	g.lastRequest = time.Now()
+	g.mu.Unlock()
+	for range 10 {
+		g.mu.Lock()
+		g.cold.requireProbe(time.Now())
+		probing := g.probing
+		g.mu.Unlock()
+		if !probing {
+			g.Probe(time.Now(), time.Second)
+		}
+		for until := time.Now().Add(10 * time.Second); g.isProbing() && time.Now().Before(until); {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	if !g.isCold() {
+		t.Error("the gate has not learned that its server is cold")
+	}
+	if n := g.Counters.Probes.Load(); n < 1 || n > reserveBurst+2 {
+		t.Errorf("%d probes, want 1 to %d", n, reserveBurst+2)
+	}
+}
+
+func (g *Gate) isProbing() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.probing
+}
--- a/gate/probe.go
+++ b/gate/probe.go
@@ -35,13 +35,20 @@
 		}
 		running, open, limit = &g.cold.probing, g.openNew, min(limit, coldProbeTimeout)
 	}
-	if !g.bucket.Take(now) {
+	if !g.bucket.Take(now) && !g.payFromReserve(now) {
 		g.cold.wait.overBudget++
 		return
 	}
 	g.startProbe(now, running, limit, open)
 }
 
+// payFromReserve reports whether the reserve pays for a probe: the server may just have become
+// cold, and until that is known it gets more requests than it can serve. It is called with the lock
+// held.
+func (g *Gate) payFromReserve(now time.Time) bool {
+	return g.cold.needsProbe && g.row.ColdPerSecond > 0 && g.check.reserve.AllowN(now, 1)
+}
+
 // startProbe sends a probe and sets running while it waits for the answer. It is called with
 // the lock held.
 func (g *Gate) startProbe(now time.Time, running *bool, limit time.Duration, open opener) {
