gate: a server that turns cold in a slow period is found out

Cause: a probe of the cold time was due when the server had become slower. This one was in a slow period, four times slower, when it turned cold, which is two times slower: its responses reported less slowness than before, each counted as its word, so that no probe was sent for 0.8 s and no line 'server is cold' was logged.

Change: while responses report a slow server, its cold time is probed each 50 ms, within the row's budget.

Measured: TestServerThatTurnsColdInASlowPeriodIsProbed failed before (not known within 10 s), passes.

--- a/gate/cold.go
+++ b/gate/cold.go
@@ -32,8 +32,11 @@
 	assumedUntil time.Time
 	// assumedAt is when that was last assumed.
 	assumedAt time.Time
-	// needsProbe is set when the server has become slower: a cold start may be the cause.
+	// needsProbe is set when the server has become slower, or has been slow since the last
+	// probe: a cold start may be the cause.
 	needsProbe bool
+	// probedAt is when the server last answered a probe.
+	probedAt time.Time
 	// probing is set while a second probe queries the cold time because another probe is late.
 	probing bool
 	// wait is what happened since needsProbe was set.
@@ -67,6 +70,15 @@
 	return e
 }
 
+// slowRecheckInterval is how often a slow server is probed although its responses report its
+// slowness: they do not tell a cold server from one that is slow for another reason.
+const slowRecheckInterval = 50 * time.Millisecond
+
+// mayHaveTurnedCold reports whether a slow server may have become cold since the last probe.
+func (c *coldState) mayHaveTurnedCold(now time.Time, slowness int) bool {
+	return slowness >= slowPercent && now.Sub(c.probedAt) >= slowRecheckInterval && now.After(c.end())
+}
+
 // coldProbeTimeout bounds a probe for the cold time; a server usually answers within 1 or 2
 // ms.
 const coldProbeTimeout = 100 * time.Millisecond
@@ -131,7 +143,7 @@
 	if left > 0 && !wasCold {
 		g.settings.Recorder.Record(g.cold.event(now, g.row.Service, g.name))
 	}
-	g.cold.needsProbe = false
+	g.cold.needsProbe, g.cold.probedAt = false, now
 	if !g.cold.assumedAt.After(sentAt) {
 		g.cold.assumedUntil = time.Time{}
 	}
--- a/gate/cold_test.go
+++ b/gate/cold_test.go
@@ -150,6 +150,33 @@
 	}
 }
 
+// A server that turns cold in a slow period does not become slower, but may even become faster. One
+// such server got 175 requests in a second instead of 50.
+func TestServerThatTurnsColdInASlowPeriodIsProbed(t *testing.T) {
+	var left atomic.Int64
+	g := coldGate(t, &left)
+	g.settings.ProbeAfter = time.Hour
+	g.settings.Dialect.Load = "Load"
+	g.bucket.Rate = 1000
+	respond := func(slowness string) {
+		var answer fasthttp.ResponseHeader
+		answer.Set("Load", "1,0,8,"+slowness)
+		g.updateSlownessAndProbe(&answer)
+	}
+	respond("400")
+	g.probeNow()
+	left.Store(60_000)
+	for until := time.Now().Add(10 * time.Second); !g.isCold(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("the gate does not know that the server is cold")
+		}
+		g.mu.Lock()
+		g.lastRequest = time.Now()
+		g.mu.Unlock()
+		respond("200")
+	}
+}
+
 func (g *Gate) isCold() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/gate/slowness.go
+++ b/gate/slowness.go
@@ -32,8 +32,8 @@
 }
 
 // updateSlownessAndProbe takes the server's slowness from the response to a request. If the
-// server has become slower, it is probed at once to find out whether it is cold: until
-// then, each request may be one too many.
+// server may have become cold, it is probed at once to find out: until then, each request may
+// be one too many.
 func (g *Gate) updateSlownessAndProbe(answer *fasthttp.ResponseHeader) {
 	if g.updateSlowness(answer) {
 		g.Probe(time.Now(), coldProbeTimeout)
@@ -41,8 +41,8 @@
 }
 
 // updateSlowness takes the server's slowness from a response, and reports whether the server
-// has become slower.
-func (g *Gate) updateSlowness(answer *fasthttp.ResponseHeader) (slower bool) {
+// has become slower or may have become cold while it was slow.
+func (g *Gate) updateSlowness(answer *fasthttp.ResponseHeader) (mayBeCold bool) {
 	if g.settings.Dialect.Load == "" {
 		return false
 	}
@@ -50,19 +50,21 @@
 	if !ok || load.Slowness == 0 {
 		return false
 	}
+	now := time.Now()
 	g.mu.Lock()
-	slower = float64(load.Slowness) > slownessChangeFactor*float64(g.slowness)
-	if slower {
-		g.cold.requireProbe(time.Now()) // A cold start may be the cause.
+	slower := float64(load.Slowness) > slownessChangeFactor*float64(g.slowness)
+	mayBeCold = slower || g.row.ColdPerSecond > 0 && g.cold.mayHaveTurnedCold(now, load.Slowness)
+	if mayBeCold {
+		g.cold.requireProbe(now)
 	}
 	g.slowness = load.Slowness
-	g.slownessAsOf = time.Now()
+	g.slownessAsOf = now
 	changed := g.slownessChanged(g.slownessAsOf)
 	g.mu.Unlock()
 	if changed && g.settings.OnUpdate != nil {
 		g.settings.OnUpdate()
 	}
-	return slower
+	return mayBeCold
 }
 
 // slownessChangeFactor is by how much the slowness must have changed to notify the entries.
