--- a/internal/soak/serverreport.go
+++ b/internal/soak/serverreport.go
@@ -30,7 +30,8 @@
 	at := func() time.Duration { return time.Duration(rng.Int64N(int64(length) / 2)) }
 	limit := Step{At: at(), For: limitLength, Kind: ServerRateLimit, Hosts: rng.Perm(hosts)[:1+rng.IntN(max(hosts/3, 1))], OmitOnHealth: rng.IntN(2) == 0}
 	if rng.IntN(3) == 0 { // All servers of a service.
-		limit.Hosts = slices.DeleteFunc(limitHosts(hosts), func(host int) bool { return host%len(services) != int(seed)%len(services) })
+		service := int(seed) % len(services)
+		limit.Hosts = slices.DeleteFunc(allHosts(hosts), func(host int) bool { return host%len(services) != service })
 	}
 	for range 1 + rng.IntN(4) {
 		limit.Limits = append(limit.Limits, drawnLimits[rng.IntN(len(drawnLimits))])
@@ -44,8 +45,8 @@
 	return steps
 }
 
-// limitHosts returns the numbers of all hosts.
-func limitHosts(hosts int) []int {
+// allHosts returns the numbers of all hosts.
+func allHosts(hosts int) []int {
 	all := make([]int, hosts)
 	for i := range all {
 		all[i] = i
@@ -131,20 +132,20 @@
 	return all
 }
 
-// first returns when a host first forwarded a report of a server between two times, as far as the
-// host must still know it at the second one; ok is false if it did not.
-func (o *oracle) first(f forwarded, server string, host int, from, to time.Time, excuses []Kind) (at time.Time, ok bool) {
+// firstForwarded returns when a host first forwarded a report of a server since a time, as far as
+// the host must still know it at another time; ok is false if it need not know it.
+func (o *oracle) firstForwarded(f forwarded, server string, host int, since, at time.Time, excuses []Kind) (first time.Time, ok bool) {
 	for _, d := range o.Disturbances {
-		if (d.Host == host || d.Host == AllHosts) && d.From.Before(to) && d.To.After(from) && slices.Contains(excuses, d.Kind) {
-			from = d.To
+		if (d.Host == host || d.Host == AllHosts) && d.From.Before(at) && d.To.After(since) && slices.Contains(excuses, d.Kind) {
+			since = d.To
 		}
 	}
 	for _, t := range f[server][host] {
-		if !t.Before(from) && !t.After(to) && (!ok || t.Before(at)) {
-			at, ok = t, true
+		if !t.Before(since) && !t.After(at) && (!ok || t.Before(first)) {
+			first, ok = t, true
 		}
 	}
-	return at, ok
+	return first, ok
 }
 
 // checkRateLimits checks that servers get no more requests than the limits that they report allow,
@@ -159,7 +160,7 @@
 			if a.Server != server || c == nil || a.At.Before(from.Add(o.bounds.Undisturbed)) || a.At.After(to) {
 				continue
 			}
-			if _, ok := o.first(told, server, c.Host, from, a.At.Add(-limitForwardedFor), excusesLimit); ok && o.knows(c.Host, a.At) {
+			if first, ok := o.firstForwarded(told, server, c.Host, from, a.At, excusesLimit); ok && a.At.Sub(first) >= limitForwardedFor {
 				times = append(times, a.At)
 			}
 		}
@@ -178,17 +179,6 @@
 	}
 }
 
-// knows reports whether no disturbance that excuses a host from knowing a limit is in progress or
-// has ended less than limitForwardedFor before a time.
-func (o *oracle) knows(host int, at time.Time) bool {
-	for _, d := range o.Disturbances {
-		if (d.Host == host || d.Host == AllHosts) && d.From.Before(at) && d.To.After(at.Add(-limitForwardedFor)) && slices.Contains(excusesLimit, d.Kind) {
-			return false
-		}
-	}
-	return true
-}
-
 // limitStretches returns the reported limits grouped by the time in which a server reported some
 // limit without interruption.
 func (o *oracle) limitStretches() (stretches [][]RateLimit) {
@@ -225,7 +215,7 @@
 		if c == nil || len(told[a.Server]) == 0 {
 			continue
 		}
-		if at, ok := o.first(told, a.Server, c.Host, time.Time{}, a.At, excusesLeaving); ok && c.Began.Sub(at) > o.bounds.Drain {
+		if at, ok := o.firstForwarded(told, a.Server, c.Host, time.Time{}, a.At, excusesLeaving); ok && c.Began.Sub(at) > o.bounds.Drain {
 			o.report(PromiseDrain, a.At, "request %s reached server %s, sent %v after its host %d had forwarded that the server is leaving",
 				c.ID, a.Server, c.Began.Sub(at).Round(time.Millisecond), c.Host)
 		}
