balance: a server's rate limit outlasts its absence from the pool

A node that restarts tells the others of itself before it knows its server again. Entries dropped the server for that moment, and with it the limit that they send to the new gate. TestRateLimitOutlastsItsServersAbsence failed before (limit 0 of 7501). Nothing changes for servers without limits.

--- a/balance/pool.go
+++ b/balance/pool.go
@@ -92,7 +92,9 @@
 	servers, spares []*Server
 	roundRobinIndex int
 	initialized     bool
-	slowPeriods     slowPeriodStats
+	// absentLimits are the rate limits of servers that are not in the pool at the moment.
+	absentLimits map[string]admit.ReportedLimit
+	slowPeriods  slowPeriodStats
 }
 
 // NewPool returns an empty pool.
@@ -112,10 +114,11 @@
 		known[s.Name] = s
 	}
 	p.servers, p.spares = nil, nil
+	p.keepLimits(known, specs)
 	for _, spec := range specs {
 		s := known[spec.Name]
 		if s == nil || s.Node != spec.Node {
-			s = &Server{}
+			s = &Server{rateLimit: p.takeLimit(spec.Name)}
 			if p.initialized {
 				s.rampStart = now
 			}
--- a/balance/ratelimit.go
+++ b/balance/ratelimit.go
@@ -3,8 +3,10 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
+	"github.com/ryehaven/ryehaven/admit"
 	"github.com/ryehaven/ryehaven/wire"
 )
 
@@ -39,3 +41,41 @@
 	_, limited := s.headroom.RateLimit.PerSecond()
 	return limited
 }
+
+// maxAbsentLimits bounds Pool.absentLimits.
+const maxAbsentLimits = 256
+
+// keepLimits keeps the limits of the known servers that are missing from the specs or have moved. A
+// node that restarts is without its server for a moment, and its new gate goes by what entries know.
+func (p *Pool) keepLimits(known map[string]*Server, specs []Spec) {
+	for name, s := range known {
+		if _, limited := s.rateLimit.PerSecond(); !limited {
+			continue
+		}
+		if slices.ContainsFunc(specs, func(spec Spec) bool { return spec.Name == name && spec.Node == s.Node }) {
+			continue
+		}
+		p.keepLimit(name, s.rateLimit)
+	}
+}
+
+// keepLimit keeps the limit of a server that is not in the pool any more.
+func (p *Pool) keepLimit(name string, limit admit.ReportedLimit) {
+	if p.absentLimits == nil {
+		p.absentLimits = map[string]admit.ReportedLimit{}
+	}
+	for other := range p.absentLimits {
+		if len(p.absentLimits) < maxAbsentLimits {
+			break
+		}
+		delete(p.absentLimits, other)
+	}
+	p.absentLimits[name] = limit
+}
+
+// takeLimit returns the limit that was kept of a server, or one without a limit.
+func (p *Pool) takeLimit(name string) admit.ReportedLimit {
+	limit := p.absentLimits[name]
+	delete(p.absentLimits, name)
+	return limit
+}
--- a/balance/ratelimit_test.go
+++ b/balance/ratelimit_test.go
@@ -3,6 +3,7 @@
 package balance
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -67,6 +68,40 @@
 	}
 }
 
+// A limit is kept while the server is missing from the pool for a moment, as when its node restarts,
+// and when its node has another address.
+func TestRateLimitOutlastsItsServersAbsence(t *testing.T) {
+	p := newTestPool(2, Options{})
+	limited, other := p.servers[0].Spec, p.servers[1].Spec
+	p.ObserveRateLimit(start.Add(2), start.Add(1), p.servers[0], 7.5, true, true)
+	p.Update(start.Add(time.Second), []Spec{other})
+	moved := limited
+	moved.Node = "elsewhere"
+	for _, spec := range []Spec{limited, moved} {
+		p.Update(start.Add(2*time.Second), []Spec{spec, other})
+		if got := p.servers[0].RateLimit(); got != wire.NewRateLimit(7.5) {
+			t.Errorf("at %s: limit %d", spec.Node, got)
+		}
+		if got := p.servers[1].RateLimit(); got != wire.UnknownRateLimit {
+			t.Errorf("limit %d of the other server", got)
+		}
+	}
+	p.ObserveRateLimit(start.Add(4*time.Second), start.Add(3*time.Second), p.servers[0], 0, false, true)
+	p.Update(start.Add(5*time.Second), []Spec{other})
+	p.Update(start.Add(6*time.Second), []Spec{limited, other})
+	if got := p.servers[0].RateLimit(); got != wire.UnknownRateLimit {
+		t.Errorf("limit %d after it was lifted", got)
+	}
+	for i := range 2 * maxAbsentLimits {
+		s := Spec{Name: fmt.Sprint("x", i), Node: "n", Slots: 1, Weight: 1}
+		p.Update(start, []Spec{s})
+		p.ObserveRateLimit(start.Add(2), start.Add(1), p.servers[0], 1, true, true)
+	}
+	if n := len(p.absentLimits); n > maxAbsentLimits {
+		t.Errorf("%d limits of absent servers are kept", n)
+	}
+}
+
 // If all servers report limits and have no tokens left, requests are refused at once. There is no
 // time at which the limits are known to end, so callers return when there are tokens.
 func TestDefersIfAllServersAreLimited(t *testing.T) {
