--- a/announce/registry.go
+++ b/announce/registry.go
@@ -176,7 +176,7 @@
 	return true
 }
 
-// MarkLeaving records that the current server has said that it is leaving, if it has the given
+// MarkLeaving records that the current server has reported that it is leaving, if it has the given
 // incarnation name, and reports whether that changed it.
 func (r *Registry) MarkLeaving(name string) bool {
 	if name != r.current.ID || name == "" || r.current.State != member.Live {
--- a/announce/registry_test.go
+++ b/announce/registry_test.go
@@ -213,7 +213,7 @@
 	}
 }
 
-// A server that says in a response that it is leaving stays so, whatever it announces.
+// A server that reports in a response that it is leaving stays so, whatever it announces.
 func TestMarkLeaving(t *testing.T) {
 	var r Registry
 	announce := func(id string, seq uint64) {
--- a/balance/expected_time.go
+++ b/balance/expected_time.go
@@ -151,7 +151,7 @@
 
 // HasSpareCapacity reports whether a server has spare capacity for an optional request: a
 // hedge at a busy server delays the requests that must be sent, and one that limits the rate
-// of its requests is short of something.
+// of its requests lacks capacity.
 func (p *Pool) HasSpareCapacity(now time.Time, s *Server) bool {
 	if s.hasRateLimit() {
 		return false
--- a/balance/ratelimit.go
+++ b/balance/ratelimit.go
@@ -18,7 +18,7 @@
 }
 
 // RateLimit returns the limit that a server reports, as far as the entry knows. The entry sends it
-// with each request, so that a gate that has just started keeps to it.
+// with each request, so that a gate that has just started enforces it.
 func (s *Server) RateLimit() wire.RateLimit {
 	if perSecond, limited := s.rateLimit.PerSecond(); limited {
 		return wire.NewRateLimit(perSecond)
@@ -36,7 +36,7 @@
 	s.rateLimit.Observe(now, now, perSecond, limited, true)
 }
 
-// hasRateLimit reports whether the server's gate says that it keeps to a limit of the server.
+// hasRateLimit reports whether the server's gate reports that it enforces a limit of the server.
 func (s *Server) hasRateLimit() bool {
 	_, limited := s.headroom.RateLimit.PerSecond()
 	return limited
@@ -46,7 +46,7 @@
 const maxAbsentLimits = 256
 
 // keepLimits keeps the limits of the known servers that are missing from the specs or have moved. A
-// node that restarts is without its server for a moment, and its new gate goes by what entries know.
+// node that restarts is without its server for a moment, and its new gate uses what entries know.
 func (p *Pool) keepLimits(known map[string]*Server, specs []Spec) {
 	for name, s := range known {
 		if _, limited := s.rateLimit.PerSecond(); !limited {
--- a/entry/leaving.go
+++ b/entry/leaving.go
@@ -24,14 +24,14 @@
 		s.serverChanges.wake()
 		s.mu.Unlock()
 	}
-	e.settings.Recorder.Record(&event.ServerHealth{Service: s.name, Server: a.name, Node: a.node, State: event.Leaving, Reason: "it said in a response that it is leaving"})
+	e.settings.Recorder.Record(&event.ServerHealth{Service: s.name, Server: a.name, Node: a.node, State: event.Leaving, Reason: "it reported in a response that it is leaving"})
 }
 
-// LeavingServers returns the number of servers that get no requests because they said in a
+// LeavingServers returns the number of servers that get no requests because they reported in a
 // response that they were leaving.
 func (e *Entry) LeavingServers() int64 { return e.leaving.count() }
 
-// leavingServers are the names of the servers that said in a response that they were leaving. The
+// leavingServers are the names of the servers that reported in a response that they were leaving. The
 // zero value is empty. It is safe for concurrent use.
 type leavingServers struct {
 	mu    sync.Mutex
--- a/entry/serverstate.go
+++ b/entry/serverstate.go
@@ -12,9 +12,9 @@
 	"github.com/ryehaven/ryehaven/wire"
 )
 
-// observeServerState takes what a server reports about itself from its response, before that is
-// forwarded to the caller: from then on this host is known to have heard it, whatever becomes of
-// the server's own node.
+// observeServerState takes what a server reports about itself from its response. It must be called
+// before the response is forwarded to the caller: from then on this host must act on the report,
+// whatever becomes of the server's own node.
 func (e *Entry) observeServerState(s *service, a *attempt, m *wire.Response) {
 	dialect := &e.settings.Dialect
 	var limits []string
--- a/entry/serverstate_test.go
+++ b/entry/serverstate_test.go
@@ -18,9 +18,9 @@
 	return New(Settings{Dialect: header.Dialect{RateLimit: "X-Limit", Leaving: "X-Leaving"}}, nil)
 }
 
-// A server that said in a response that it is leaving gets nothing any more from this entry,
+// A server that reported in a response that it is leaving gets nothing any more from this entry,
 // although members' records, a later response and a new pool of the service do not say so.
-func TestServerThatSaidItIsLeavingGetsNothing(t *testing.T) {
+func TestServerThatReportedLeavingGetsNoRequests(t *testing.T) {
 	e := reportingEntry()
 	now := time.Now()
 	servers := []balance.Spec{
--- a/event/event.go
+++ b/event/event.go
@@ -415,7 +415,7 @@
 	return nil
 }
 
-// ServerLeaving reports that a backend server has said in a response that it is leaving.
+// ServerLeaving reports that a backend server has reported in a response that it is leaving.
 type ServerLeaving struct {
 	standalone
 
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -69,7 +69,7 @@
 	slownessAsOf time.Time
 	cold         coldState
 	rateLimit    rateLimit
-	// leaving is set once the server has said in a response that it is leaving.
+	// leaving is set once the server has reported in a response that it is leaving.
 	leaving bool
 	// lastRequest is when the last request arrived, and lastTick when Tick was last called.
 	lastRequest time.Time
--- a/gate/leaving.go
+++ b/gate/leaving.go
@@ -33,7 +33,7 @@
 	}
 }
 
-// ServerLeaving reports whether the server has said in a response that it is leaving.
+// ServerLeaving reports whether the server has reported in a response that it is leaving.
 func (g *Gate) ServerLeaving() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/gate/ratelimit.go
+++ b/gate/ratelimit.go
@@ -24,8 +24,8 @@
 	// onProbes is set once the response to a probe had a limit. Until then, a probe without one
 	// says nothing, since servers may leave it out there.
 	onProbes bool
-	// heardAt is when a response of the server was last read.
-	heardAt time.Time
+	// respondedAt is when a response of the server was last read.
+	respondedAt time.Time
 	// invalid is set while the server sends limits that cannot be parsed.
 	invalid bool
 	// loggedAt is when a change of the limit was last logged.
@@ -64,7 +64,7 @@
 	defer g.mu.Unlock()
 	now := time.Now()
 	l := &g.rateLimit
-	l.heardAt = now
+	l.respondedAt = now
 	if !valid {
 		g.Counters.BadRateLimits.Add(1)
 		if !l.invalid {
@@ -108,7 +108,7 @@
 }
 
 // assumeRateLimit takes over the rate limit that the entry of a job knows, unless the gate has
-// heard its server. It is called with the lock held.
+// read a response of its server. It is called with the lock held.
 func (g *Gate) assumeRateLimit(now time.Time, j *job) {
 	requirements := j.stream.Request.Requirements
 	if requirements == nil {
@@ -122,14 +122,14 @@
 }
 
 // rateLimitProbeInterval is how often the server is probed for a change of its rate limit while
-// nothing else is heard from it.
+// it sends no other response.
 const rateLimitProbeInterval = 500 * time.Millisecond
 
 // needsRateLimitProbe reports whether a probe should find out whether the server still limits its
 // rate. It is called with the lock held.
 func (g *Gate) needsRateLimitProbe(now time.Time) bool {
 	_, limited := g.rateLimit.reported.PerSecond()
-	return limited && g.drain == 0 && now.Sub(g.rateLimit.heardAt) >= rateLimitProbeInterval
+	return limited && g.drain == 0 && now.Sub(g.rateLimit.respondedAt) >= rateLimitProbeInterval
 }
 
 // rateLimitLogInterval is the shortest time between two log lines about changes of a limit.
--- a/gate/ratelimit_test.go
+++ b/gate/ratelimit_test.go
@@ -74,8 +74,8 @@
 	}
 }
 
-// A gate that has just started goes by the limit that entries know, until it hears its server.
-func TestNewGateKeepsToTheLimitThatEntriesKnow(t *testing.T) {
+// A gate that has just started enforces the limit that entries know, until its server responds.
+func TestNewGateEnforcesTheLimitThatEntriesKnow(t *testing.T) {
 	g, _ := newReportingGate(t, table.Announced)
 	assume := func(perSecond float64) {
 		request := &wire.Request{Requirements: &wire.Requirements{RateLimit: wire.NewRateLimit(perSecond)}}
@@ -90,11 +90,11 @@
 	}
 	g.respond(event.RunResponse)
 	if assume(8); g.queue.RateLimited() {
-		t.Error("the gate goes by what an entry knows although its server reports no limit")
+		t.Error("the gate uses what an entry knows although its server reports no limit")
 	}
 }
 
-// While a limit is in force and nothing is heard from the server, it is probed, also without
+// While a limit is in force and the server sends no response, it is probed, also without
 // requests: otherwise nobody learns that the limit has ended.
 func TestLimitedServerIsProbedWithoutRequests(t *testing.T) {
 	g, _ := newReportingGate(t, table.Announced)
--- a/gate/settings.go
+++ b/gate/settings.go
@@ -39,7 +39,7 @@
 	// OnWrongServer is called when another server than the row's answers at its address; it
 	// must not block and may be nil.
 	OnWrongServer func(name string)
-	// OnLeaving is called when the server says in a response that it is leaving; it must not
+	// OnLeaving is called when the server reports in a response that it is leaving; it must not
 	// block for long and may be nil.
 	OnLeaving func(name string)
 	// ChecksPerSecond bounds the probes that check the server's speed before a request is
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -37,7 +37,7 @@
 		metric.Count("entry_unknown_keys", "requests", "requests rejected because they have no key or one that no tenant holds", &c.UnknownKeys),
 		metric.Count("entry_refused_cold", "requests", "requests not sent because the servers are cold and have no headroom", &c.RefusedCold),
 		metric.Count("entry_refused_rate_limit", "requests", "requests not sent because the servers report rate limits and have no headroom", &c.RefusedRateLimit),
-		{Name: "entry_leaving_servers", Unit: "servers", Meaning: "backend servers that get no requests from this entry because they said in a response that they were leaving", Value: n.entry.LeavingServers},
+		{Name: "entry_leaving_servers", Unit: "servers", Meaning: "backend servers that get no requests from this entry because they reported in a response that they were leaving", Value: n.entry.LeavingServers},
 		metric.Count("entry_over_quota", "requests", "requests refused because their tenant is above its quota", &c.OverQuota),
 		metric.Count("quota_asked", "questions", "queries to the owners of tenants' quotas", &n.quotas.Counters.Queries),
 		metric.Count("quota_unanswered", "questions", "such queries without a reply", &n.quotas.Counters.Unanswered),
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -114,10 +114,10 @@
 	n.updateRegistry("another server answered at its address", func(r *announce.Registry) bool { return r.MarkDisplaced(name) })
 }
 
-// serverLeaving is called when the server with the given incarnation name says in a response that
+// serverLeaving is called when the server with the given incarnation name reports in a response that
 // it is leaving.
 func (n *Node) serverLeaving(name string) {
-	n.updateRegistry("said in a response that it is leaving", func(r *announce.Registry) bool { return r.MarkLeaving(name) })
+	n.updateRegistry("reported in a response that it is leaving", func(r *announce.Registry) bool { return r.MarkLeaving(name) })
 }
 
 // updateRegistry changes the registry. If that changes the current server, it puts the
--- a/wire/scheduling.go
+++ b/wire/scheduling.go
@@ -27,7 +27,7 @@
 	// of usual speed; 0 if that is not known.
 	LowerQuartileMillis int64
 	// RateLimit is the limit that the server has reported, as far as the entry knows; 0 if
-	// none. A gate that has not heard its server yet goes by it.
+	// none. A gate that has read no response of its server yet enforces it.
 	RateLimit RateLimit
 }
 
