member: a leaving server stays so over two restarts of its node

Cause: a node that starts again is handed records of its earlier incarnations, and of these the newest counted alone. The node was told that its server was leaving, restarted, was sent an announcement that did not say so, spread that record and restarted once more. Its newest past record then says live, and the older one that says leaving was discarded, both by the node and by those that keep records for it. A record without a server replaced one with a server, too.

Change: past records are merged: the newer one that has a server, with the most advanced state that either reports for the same server. The model's check now also counts leavings that nodes remember in past records; that found a second case: a node that restored the server of an older record first ignored the newer record's. A restored server is now replaced by that of a later record until the server announces itself or answers a probe.

--- a/announce/registry.go
+++ b/announce/registry.go
@@ -50,6 +50,9 @@
 	// none, so that any announcement is newer.
 	seq       uint64
 	coldUntil time.Time
+	// restored is set while the current server is known only from other nodes' records (see
+	// Restore).
+	restored bool
 	// displaced is the name of the incarnation in whose place another server answered.
 	// Announcements of it up to the number displacedSeq were made before that.
 	displaced    string
@@ -99,6 +102,7 @@
 		r.current = member.Server{ID: name, Service: a.Service}
 	}
 	r.lastAnnounced = now
+	r.restored = false
 	r.seq = a.Seq
 	r.coldUntil = now.Add(a.ColdFor)
 	r.current.Slots = a.Slots
@@ -187,7 +191,8 @@
 }
 
 // Restore applies what other nodes have stored about this node's server since before the node
-// restarted, and reports whether it changed the server.
+// restarted, and reports whether it changed the server. Of several calls, each is about an
+// incarnation of the node no older than the one before.
 func (r *Registry) Restore(s member.Server) bool {
 	past, current := member.ServerIncarnationOf(s.ID), member.ServerIncarnationOf(r.current.ID)
 	switch {
@@ -199,8 +204,8 @@
 		return r.current.State != before
 	case r.hasEnded(past):
 		return false
-	case r.current.ID == "", past.ID == current.ID && past.StartMillis > current.StartMillis:
-		r.current, r.seq = s, 0
+	case r.current.ID == "", r.restored, past.ID == current.ID && past.StartMillis > current.StartMillis:
+		r.current, r.seq, r.restored = s, 0, true
 		return true
 	}
 	return false
@@ -215,7 +220,7 @@
 	}
 	r.displaced, r.displacedSeq = name, r.seq
 	r.current = member.Server{}
-	r.seq = 0
+	r.seq, r.restored = 0, false
 	return true
 }
 
--- a/announce/registry_test.go
+++ b/announce/registry_test.go
@@ -106,6 +106,28 @@
 	}
 }
 
+// The record of a later incarnation of the node replaces the server restored from an earlier
+// one, until a server announces itself.
+func TestRestoredServerIsReplacedByALaterOne(t *testing.T) {
+	first := member.Server{ID: "a", Service: "s", Slots: 12}
+	second := member.Server{ID: "b", Service: "s", Slots: 12}
+	var r Registry
+	r.Restore(first)
+	if !r.Restore(second) || r.Current() != second {
+		t.Errorf("current is %+v, want the server of the later record", r.Current())
+	}
+	mustAnnounce(t, &r, ready("b", 1))
+	if r.Restore(first) || r.Current().ID != "b" {
+		t.Errorf("current is %+v, want the announced server", r.Current())
+	}
+
+	var adopted Registry
+	adopted.Adopt(first, time.Time{})
+	if adopted.Restore(second) || adopted.Current() != first {
+		t.Errorf("current is %+v, want the server that answered a probe", adopted.Current())
+	}
+}
+
 func TestWrongServiceIsRefused(t *testing.T) {
 	r := Registry{Service: "other"}
 	if _, err := r.Announce(start, ready("a", 1)); !errors.Is(err, ErrWrongService) {
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -379,6 +379,36 @@
 	}
 }
 
+// A server's leaving is kept where a later incarnation of its node ended before it heard of it,
+// in whatever order the node and its peers receive the records.
+func TestLeavingIsKeptOverTwoRestarts(t *testing.T) {
+	server := Server{ID: "s", Service: "c", Slots: 4}
+	record := func(incarnation uint64, s Server) Record {
+		return Record{Host: "b", Incarnation: incarnation, Address: "b", Version: 1, Server: s}
+	}
+	leaving := server
+	leaving.State = Leaving
+	past := []Record{record(1, leaving), record(2, server), record(3, Server{})}
+
+	for _, order := range [][]int{{0, 1, 2}, {0, 2, 1}, {1, 0, 2}, {1, 2, 0}, {2, 0, 1}, {2, 1, 0}} {
+		self := NewView(record(4, Server{}))
+		for _, i := range order {
+			self.Merge(start, past[i:i+1])
+		}
+		if got := self.PastRecord().Server; got != leaving {
+			t.Errorf("after the records %v the restarted node knows its past server as %+v", order, got)
+		}
+	}
+
+	peer := NewView(Record{Host: "a", Address: "a"})
+	peer.Merge(start, past[:1])
+	peer.Merge(start, past[1:2])
+	peer.Merge(start, past[2:])
+	if got, needed := peer.PastRecordOf("b"); got.Server != leaving || !needed {
+		t.Errorf("a peer keeps the past server as %+v, needed: %v", got.Server, needed)
+	}
+}
+
 // An address belongs to the host that was found there last. The host that had it before is
 // gone, and an old record of it does not change that.
 func TestAnotherHostAtAnAddress(t *testing.T) {
--- a/member/view.go
+++ b/member/view.go
@@ -31,7 +31,7 @@
 	// ringPosition is the node's position on the ring of its zone.
 	ringPosition uint64
 	// pastRecord is the node's last record of an earlier incarnation that had a backend
-	// server. It is sent to the node when it has restarted.
+	// server (see mergePast). It is sent to the node when it has restarted.
 	pastRecord Record
 	// listedLeavingMillis is the time at which the host began to leave according to the
 	// platform's list, in Unix milliseconds; 0 if this node has not read that in the list.
@@ -139,8 +139,8 @@
 func (v *View) update(now time.Time, r Record) {
 	old, known := v.Record(r.Host)
 	e := v.set(r)
-	if known && old.Incarnation != r.Incarnation && old.Server.ID != "" {
-		e.pastRecord = old
+	if known && old.Incarnation != r.Incarnation {
+		e.pastRecord = mergePast(e.pastRecord, old)
 	}
 	delete(v.forgotten, r.Host)
 	e.failures = 0
@@ -172,7 +172,7 @@
 		v.replaced = true
 		return false
 	}
-	v.pastRecord = r
+	v.pastRecord = mergePast(v.pastRecord, r)
 	self.Incarnation = r.Incarnation + 1
 	v.set(self)
 	return true
@@ -181,11 +181,34 @@
 // mergePastRecord stores an older record with this node's own name, which other nodes have
 // kept from an earlier incarnation, and reports whether it did.
 func (v *View) mergePastRecord(r Record) bool {
-	if r.Incarnation >= v.Self().Incarnation || (v.pastRecord.Host != "" && !r.newer(v.pastRecord)) {
+	if r.Incarnation >= v.Self().Incarnation {
 		return false
 	}
-	v.pastRecord = r
-	return true
+	merged := mergePast(v.pastRecord, r)
+	changed := merged != v.pastRecord
+	v.pastRecord = merged
+	return changed
+}
+
+// mergePast returns what two records of a node's earlier incarnations tell about its backend
+// server: the newer one of those that have a server, with the most advanced state that either
+// reports for that server. An incarnation that ended early may not have heard that the server
+// was leaving.
+func mergePast(a, b Record) Record {
+	if b.Server.ID == "" {
+		return a
+	}
+	if a.Server.ID == "" {
+		return b
+	}
+	older, newer := a, b
+	if a.newer(b) {
+		older, newer = b, a
+	}
+	if older.Server.ID == newer.Server.ID {
+		newer.Server.State = max(older.Server.State, newer.Server.State)
+	}
+	return newer
 }
 
 // PastRecordOf returns the last record of a node's previous incarnation that had a backend
--- a/spread/model_test.go
+++ b/spread/model_test.go
@@ -205,7 +205,12 @@
 		}
 		remembered := map[string]bool{}
 		for _, n := range m.nodes {
-			for _, r := range n.view.All() {
+			records := n.view.All()
+			for _, other := range m.nodes {
+				past, _ := n.view.PastRecordOf(other.name)
+				records = append(records, past)
+			}
+			for _, r := range records {
 				if m.acknowledgedLeaves[r.Server.ID] && r.Server.State != member.Live {
 					remembered[r.Server.ID] = true
 				}
