calls: calls that follow others by coincidence are not taken for one run's

Callers saw requests admitted whose calls then failed: a node beside a busy server believed that few runs make many calls, where many make a few.

Cause: a call within 5 ms after the begin or end of another was taken to be of the same run. At 19 calls a second a sixth of all moments are that near, and a sixth of the first calls were counted as later ones; the error grows with rate.

Change: the share of time that near to a call is measured and the estimate corrected by it. The counting itself is as it was.

--- a/calls/graph.go
+++ b/calls/graph.go
@@ -49,6 +49,11 @@
 	// that are made together begin within it, and a call that is made after another one ended
 	// begins within it after that.
 	followWithin = 5 * time.Millisecond
+	// maxGapSeconds bounds the time without calls that counts in a callee's observedSeconds, so
+	// that idle hours do not change what is known of busy ones. Both times of the callee are
+	// halved whenever they cover halveAfterSeconds.
+	maxGapSeconds     = 1.0
+	halveAfterSeconds = 60.0
 	// callTimeWeight is the weight of one call in the moving average of their durations.
 	callTimeWeight = 0.1
 	// priorBusySeconds is the running time that each route is assumed to have had before its
@@ -105,6 +110,9 @@
 type callee struct {
 	began, ended time.Time
 	meanTime     time.Duration
+	// observedSeconds is the time in which the calls were observed, and nearSeconds how much
+	// of it was within followWithin after the begin or end of a call.
+	observedSeconds, nearSeconds float64
 }
 
 // RequestStarted records that the backend server of this node begins to run a request.
@@ -236,12 +244,40 @@
 // it begins when one has just ended.
 func (g *Graph) follows(now time.Time, call Route) (together, sequential bool) {
 	c := g.callee(call)
+	c.observe(now)
 	together = !c.began.IsZero() && now.Sub(c.began) < followWithin
 	sequential = !c.ended.IsZero() && now.Sub(c.ended) < followWithin
 	c.began = now
 	return together, sequential
 }
 
+// observe adds the time since the last call began or ended.
+func (c *callee) observe(now time.Time) {
+	last := c.began
+	if c.ended.After(last) {
+		last = c.ended
+	}
+	dt := now.Sub(last).Seconds()
+	if last.IsZero() || dt <= 0 {
+		return
+	}
+	c.observedSeconds += min(dt, maxGapSeconds)
+	c.nearSeconds += min(dt, followWithin.Seconds())
+	if c.observedSeconds >= halveAfterSeconds {
+		c.observedSeconds /= 2
+		c.nearSeconds /= 2
+	}
+}
+
+// coincidence is the probability that a call which no other one led to begins within
+// followWithin after the begin or end of another one.
+func (c *callee) coincidence() float64 {
+	if c == nil || c.observedSeconds == 0 {
+		return 0
+	}
+	return c.nearSeconds / c.observedSeconds
+}
+
 func (g *Graph) callee(call Route) *callee {
 	c := g.callees[call]
 	if c != nil {
@@ -275,6 +311,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c := g.callee(call)
+	c.observe(now)
 	c.ended = now
 	if took <= 0 {
 		return
--- a/calls/graph_test.go
+++ b/calls/graph_test.go
@@ -99,6 +99,21 @@
 	})
 }
 
+// The number of calls of a run is learned at a busy server, too, where calls of different runs
+// follow each other by coincidence.
+func TestCallsPerRunAtABusyServer(t *testing.T) {
+	for _, perSecond := range []float64{5, 20, 40, 80} {
+		for times := 1; times <= 3; times++ {
+			var g Graph
+			rng := rand.New(rand.NewPCG(7, uint64(times)))
+			simulate(&g, rng, 2*time.Minute, routeBehavior{route: 1, call: 9, took: 150 * time.Millisecond, perSecond: perSecond, share: 0.5, times: times})
+			if e, _ := expectedOf(&g, 1, 9); math.Abs(e.Times-float64(times)) > 0.25*float64(times) || math.Abs(e.Share-0.5) > 0.15 {
+				t.Errorf("%v runs a second: a share of %v makes %v calls, want 0.5 and %d", perSecond, e.Share, e.Times, times)
+			}
+		}
+	}
+}
+
 // Two routes call the same route, one of them seldom.
 func TestCallsOfTwoRoutesToTheSameRouteAreDistinguished(t *testing.T) {
 	var g Graph
--- a/calls/record.go
+++ b/calls/record.go
@@ -234,15 +234,18 @@
 	if perRun < minCallsPerRun {
 		return r
 	}
-	times := e.calls / max(e.calls-e.together-e.sequential, e.calls/maxTimes*unit)
+	callee := g.callees[call]
+	// Of the first calls of runs, some follow those of other runs by coincidence.
+	first := e.calls - e.together - e.sequential
+	times := e.calls * (1 - callee.coincidence()) / max(first, e.calls/maxTimes*unit)
 	times = max(times, perRun, 1)
 	r.Times = uint64(min(math.Round(times*unit), maxTimes))
 	r.Share = uint64(min(math.Round(perRun/times*unit), unit))
 	if e.together > e.sequential {
 		r.Together = 1
 	}
-	if c := g.callees[call]; c != nil {
-		r.Millis = roundDown(uint64(min(c.meanTime.Milliseconds(), maxMillis)))
+	if callee != nil {
+		r.Millis = roundDown(uint64(min(callee.meanTime.Milliseconds(), maxMillis)))
 	}
 	return r
 }
