calls: certain waste is refused at the same rate for all priorities

Callers saw a normal request admitted, every second one in the first half second, though the service that it calls had no capacity: it occupied a server and failed.

Cause: the admitted share fell at (waste - bound) / bound.

Change: the rate is scaled by the distance from the bound to certainty, so that it is 8 a second for all priorities where waste is certain and 0 at the bound. The bounds, and with them the order of priorities, are as they were.

--- a/calls/forecast_test.go
+++ b/calls/forecast_test.go
@@ -88,6 +88,24 @@
 	}
 }
 
+// Most requests that would certainly be run in vain are refused within half a second, whatever
+// their priority.
+func TestThrottleRefusesCertainWasteAtOnce(t *testing.T) {
+	for priority := range uint8(maxPriorityLevels) {
+		var s Throttle
+		now, admitted := start, 0
+		for range 100 {
+			now = now.Add(5 * time.Millisecond)
+			if s.Admit(now, 1, MaxWasteProbability(priority)) {
+				admitted++
+			}
+		}
+		if admitted > 50 {
+			t.Errorf("priority %d: %d of 100 are admitted", priority, admitted)
+		}
+	}
+}
+
 // The outcomes of a server's calls lose their weight within a second or two.
 func TestOutcomesDecay(t *testing.T) {
 	var o Outcomes
--- a/calls/throttle.go
+++ b/calls/throttle.go
@@ -24,7 +24,8 @@
 	// riseTime is the time in which the admitted share rises by a factor of e while no request
 	// would be run in vain.
 	riseTime = time.Second
-	// maxFallRate bounds how many times faster the share may fall than it rises.
+	// maxFallRate is how many times faster than it rises the share falls while every request
+	// would be run in vain.
 	maxFallRate = 8
 	// maxStep bounds the time to which one estimate applies.
 	maxStep = 250 * time.Millisecond
@@ -53,7 +54,17 @@
 		dt = min(max(now.Sub(t.updatedAt), 0), maxStep)
 	}
 	t.updatedAt = now
-	rate := max((maxWasteProbability-clampProbability(wasteProbability))/maxWasteProbability, -maxFallRate)
+	rate := changeRate(clampProbability(wasteProbability), maxWasteProbability)
 	value := t.Value() * math.Exp(rate*float64(dt)/float64(riseTime))
 	t.rejectedShare = 1 - min(max(value, MinAdmitted), 1)
 }
+
+// changeRate is the rate at which the share rises, or falls if it is negative, relative to the
+// fastest rise. It is 0 where the probability is at its bound.
+func changeRate(wasteProbability, maxWasteProbability float64) float64 {
+	margin := maxWasteProbability - wasteProbability
+	if margin >= 0 {
+		return margin / maxWasteProbability
+	}
+	return maxFallRate * margin / (1 - maxWasteProbability)
+}
