--- a/internal/soak/outcome.go
+++ b/internal/soak/outcome.go
@@ -4,6 +4,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -47,6 +49,8 @@
 	// DuringRepeatable covers the requests of During that may run more than once, and
 	// FirstRepeatable those of them that were sent within firstSecond.
 	DuringRepeatable, FirstRepeatable Share
+	// Unserved counts the requests of FirstRepeatable that were not served, by their result.
+	Unserved map[string]int
 	// Length is the time to the next stall or to the end of watchAfterStall.
 	Length time.Duration `json:"Whole"`
 	// DuringAlone and AfterAlone are set if there was no other disturbance in these periods
@@ -64,6 +68,9 @@
 	}
 	fmt.Fprintf(&b, " per second; %v of %d during (%v of the repeatable, %v of %d in the first second)%s, %v of %d after%s",
 		o.During, o.During.Sent, o.DuringRepeatable, o.FirstRepeatable, o.FirstRepeatable.Sent, disturbedSuffix(o.DuringAlone), o.After, o.After.Sent, disturbedSuffix(o.AfterAlone))
+	for _, result := range slices.Sorted(maps.Keys(o.Unserved)) {
+		fmt.Fprintf(&b, "; %d %q", o.Unserved[result], result)
+	}
 	return b.String()
 }
 
@@ -114,6 +121,7 @@
 		o.DuringRepeatable.count(c)
 		if since < firstSecond {
 			o.FirstRepeatable.count(c)
+			o.countUnserved(c)
 		}
 	}
 	o.DuringAlone = h.hasFullCapacity(stall.At.Add(-b.Undisturbed), minTime(windowEnd, end))
@@ -131,11 +139,39 @@
 // count adds a request to the share.
 func (s *Share) count(c *Call) {
 	s.Sent++
-	if c.Reply.Err == nil && c.Reply.Status == fasthttp.StatusOK && c.Done.Sub(c.Sent) <= deadlineMs*time.Millisecond {
+	if c.served() {
 		s.Served++
 	}
 }
 
+// served reports whether the request was answered within its deadline.
+func (c *Call) served() bool {
+	return c.Reply.Err == nil && c.Reply.Status == fasthttp.StatusOK && c.Done.Sub(c.Sent) <= deadlineMs*time.Millisecond
+}
+
+// countUnserved counts a request that was not served by its result.
+func (o *StallOutcome) countUnserved(c *Call) {
+	if c.served() {
+		return
+	}
+	if o.Unserved == nil {
+		o.Unserved = map[string]int{}
+	}
+	o.Unserved[c.result()]++
+}
+
+// result describes how a request ended, without what differs between requests.
+func (c *Call) result() string {
+	if c.Reply.Err != nil {
+		return "no answer"
+	}
+	detail, _, _ := strings.Cut(strings.TrimSpace(c.Reply.Body), ",")
+	if c.Reply.Status == fasthttp.StatusOK {
+		detail = "late"
+	}
+	return fmt.Sprintf("%d %s", c.Reply.Status, detail)
+}
+
 // shouldBeServed reports whether a request counts towards a share: a node received it, its
 // caller waited, every version allows it, and its tenant does not exceed its quota.
 func shouldBeServed(c *Call) bool {
