--- a/entry/handle.go
+++ b/entry/handle.go
@@ -44,6 +44,11 @@
 		closeAfterAnswer(ctx)
 		return
 	}
+	if bodyMissing(ctx) {
+		e.refuseBad(ctx, fasthttp.StatusInternalServerError, "the request's body is not available")
+		closeAfterAnswer(ctx)
+		return
+	}
 	r.body = newBody(ctx.RequestBodyStream(), limit)
 	defer r.endBody()
 	if r.body.readError() != nil {
@@ -65,6 +70,14 @@
 	e.reply(r, result)
 }
 
+// bodyMissing reports whether a request's head announces a body that can't be read. Such a
+// request must not be sent with an empty body.
+func bodyMissing(ctx *fasthttp.RequestCtx) bool {
+	const lengthChunked = -1
+	length := ctx.Request.Header.ContentLength()
+	return (length > 0 || length == lengthChunked) && ctx.RequestBodyStream() == nil
+}
+
 // maxBody returns the limit for a request's body, from the table in force or else from
 // the settings.
 func (e *Entry) maxBody() int64 {
--- a/entry/reject_test.go
+++ b/entry/reject_test.go
@@ -79,3 +79,25 @@
 		})
 	}
 }
+
+// A body that the head announces and that can't be read is never taken for an empty one: a
+// server would run a request that its caller has not sent.
+func TestRequestWithoutItsBodyIsRefused(t *testing.T) {
+	for name, length := range map[string]int{"length": 5, "chunks": -1} {
+		t.Run(name, func(t *testing.T) {
+			e, _ := newEntry(t, "127.0.0.1:1", "127.0.0.1:2")
+			var ctx fasthttp.RequestCtx
+			var r fasthttp.Request
+			r.SetRequestURI("/part/x")
+			r.Header.SetHost("s")
+			r.Header.SetMethod(fasthttp.MethodPost)
+			r.Header.SetContentLength(length)
+			ctx.Init(&r, nil, nil)
+			e.Handle(&ctx)
+			h := &ctx.Response.Header
+			if status := ctx.Response.StatusCode(); status != fasthttp.StatusInternalServerError || string(h.Peek(header.Outcome)) != header.NotRun {
+				t.Errorf("status %d, outcome %q", status, h.Peek(header.Outcome))
+			}
+		})
+	}
+}
--- a/node/callers.go
+++ b/node/callers.go
@@ -49,16 +49,18 @@
 		HeaderReceived: func(*fasthttp.RequestHeader) fasthttp.RequestConfig {
 			return fasthttp.RequestConfig{ReadTimeout: limits.MaxDeadline}
 		},
-		ErrorHandler:          handleCallerError,
-		StreamRequestBody:     true,
-		MaxRequestBodySize:    limits.BodyBytes,
-		ReadBufferSize:        limits.HeaderBytes,
-		ReadTimeout:           headerTimeout,
-		IdleTimeout:           n.longestIdle() + idleMargin,
-		Concurrency:           limits.Connections,
-		NoDefaultServerHeader: true,
-		NoDefaultContentType:  true,
-		Logger:                discardLogger{},
+		ErrorHandler:      handleCallerError,
+		StreamRequestBody: true,
+		// Forms are forwarded like any other body.
+		DisablePreParseMultipartForm: true,
+		MaxRequestBodySize:           limits.BodyBytes,
+		ReadBufferSize:               limits.HeaderBytes,
+		ReadTimeout:                  headerTimeout,
+		IdleTimeout:                  n.longestIdle() + idleMargin,
+		Concurrency:                  limits.Connections,
+		NoDefaultServerHeader:        true,
+		NoDefaultContentType:         true,
+		Logger:                       discardLogger{},
 	}
 }
 
