--- a/entry/callerretry_test.go
+++ b/entry/callerretry_test.go
@@ -29,7 +29,8 @@
 	}
 	ctx.Init(&r, nil, nil)
 	s := &service{name: "s", pool: balance.NewPool(balance.Options{}), policy: table.Policy{Deadline: time.Second}}
-	return e.newRequest(&ctx, destination{service: s, route: route}, identity{})
+	head, _ := readHead(&ctx)
+	return e.newRequest(&ctx, &head, destination{service: s, route: route}, identity{})
 }
 
 // entryWithCallerRetries returns an entry that has learned that first tries of a route
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -5,7 +5,6 @@
 import (
 	"math/rand/v2"
 	"net"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -242,8 +241,8 @@
 	route   *table.Route
 }
 
-// destination returns where the table in force sends a request; ready is false while
-// there is no table.
+// destination returns where the table in force sends a request for a host, in lower case and
+// without a port; ready is false while there is no table.
 func (e *Entry) destination(host, path string) (d destination, ready bool) {
 	e.mu.RLock()
 	defer e.mu.RUnlock()
@@ -255,8 +254,7 @@
 		d.service = e.services[serviceName(host)]
 		return d, true
 	}
-	name, _, _ := strings.Cut(host, ":")
-	route := e.table.Match(strings.ToLower(name), path)
+	route := e.table.Match(host, path)
 	if route == nil {
 		return d, true
 	}
--- a/entry/handle.go
+++ b/entry/handle.go
@@ -3,7 +3,6 @@
 package entry
 
 import (
-	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -15,8 +14,12 @@
 // Handle answers one caller's request. It is a fasthttp.RequestHandler.
 func (e *Entry) Handle(ctx *fasthttp.RequestCtx) {
 	e.Counters.Requests.Add(1)
-	path, _, _ := strings.Cut(string(ctx.Request.RequestURI()), "?")
-	d, ready := e.destination(string(ctx.Host()), path)
+	head, headFault := readHead(ctx)
+	if headFault != nil {
+		e.refuseBad(ctx, headFault.status, headFault.detail)
+		return
+	}
+	d, ready := e.destination(head.hostName(), head.target.Path())
 	if !ready {
 		e.refuseWithoutTable(ctx)
 		return
@@ -25,11 +28,15 @@
 		e.refuseUnknown(ctx)
 		return
 	}
+	if head.isAmbiguous(d) {
+		e.refuseBad(ctx, faultAmbiguous.status, faultAmbiguous.detail)
+		return
+	}
 	who, ok := e.authenticate(ctx, d)
 	if !ok {
 		return
 	}
-	r, fault := e.newRequest(ctx, d, who)
+	r, fault := e.newRequest(ctx, &head, d, who)
 	if fault != "" {
 		e.refuseBad(ctx, fasthttp.StatusBadRequest, fault)
 		return
--- /dev/null
+++ b/entry/received.go
@@ -0,0 +1,74 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/ryehaven/ryehaven/uri"
+)
+
+// received is the head of a caller's request as it was received. Nothing of it may come from
+// the HTTP library's parsed URI, which is normalized: a server gets what the caller has sent.
+type received struct {
+	method string
+	target uri.Target
+	// host is the authority of the target, or else the value of the Host field.
+	host string
+}
+
+// headFault is why a request is refused for its head.
+type headFault struct {
+	status int
+	detail string
+}
+
+var (
+	faultConnect   = &headFault{fasthttp.StatusNotImplemented, "the method CONNECT is not supported"}
+	faultUserinfo  = badHead("the request's host must contain no userinfo")
+	faultAmbiguous = badHead("the request's path belongs to another route once its escapes are decoded or its dot segments removed")
+)
+
+func badHead(detail string) *headFault { return &headFault{fasthttp.StatusBadRequest, detail} }
+
+// readHead reads the head of a request. The fault is nil if a server may get the request.
+func readHead(ctx *fasthttp.RequestCtx) (received, *headFault) {
+	h := &ctx.Request.Header
+	r := received{method: string(h.Method()), host: string(h.Host())}
+	if h.IsConnect() {
+		return r, faultConnect
+	}
+	var err error
+	if r.target, err = uri.Parse(string(h.RequestURI())); err != nil {
+		return r, badHead(err.Error())
+	}
+	if r.target.Authority != "" {
+		r.host = r.target.Authority
+	}
+	if strings.Contains(r.host, "@") {
+		return r, faultUserinfo
+	}
+	return r, nil
+}
+
+// isAmbiguous reports whether a backend server may take the path for one of another route than
+// that by which the node has judged the request.
+func (r *received) isAmbiguous(d destination) bool {
+	if d.route == nil {
+		return false
+	}
+	for _, reading := range uri.Readings(r.target.Path()) {
+		if d.table.Match(r.hostName(), reading) != d.route {
+			return true
+		}
+	}
+	return false
+}
+
+// hostName returns the host in lower case and without the port.
+func (r *received) hostName() string {
+	name, _, _ := strings.Cut(r.host, ":")
+	return strings.ToLower(name)
+}
--- a/entry/record.go
+++ b/entry/record.go
@@ -82,9 +82,10 @@
 // an operator to distinguish a wrong request from one that is unknown only to an older
 // table.
 func (e *Entry) recordRejected(ctx *fasthttp.RequestCtx, now time.Time, f failure) {
+	head, _ := readHead(ctx) // What could be read of it.
 	e.writeRecord(now, &event.Request{
 		ID:         string(ctx.Request.Header.Peek(e.settings.Dialect.RequestID)),
-		Route:      string(ctx.Host()) + prefixOf(string(ctx.Path())),
+		Route:      head.hostName() + prefixOf(head.target.Path()),
 		Outcome:    event.NotRun,
 		Status:     f.status,
 		Detail:     f.detail,
--- a/entry/request.go
+++ b/entry/request.go
@@ -138,7 +138,7 @@
 
 // newRequest reads what the caller wants. The string describes what is wrong with the
 // request, or is blank.
-func (e *Entry) newRequest(ctx *fasthttp.RequestCtx, d destination, who identity) (*request, string) {
+func (e *Entry) newRequest(ctx *fasthttp.RequestCtx, head *received, d destination, who identity) (*request, string) {
 	s, route := d.service, d.route
 	s.mu.Lock()
 	policy := s.policy
@@ -182,8 +182,8 @@
 		deadline: began.Add(timeLimit),
 		message: wire.Request{
 			Service:    s.name,
-			Method:     string(h.Method()),
-			URI:        string(ctx.Request.RequestURI()),
+			Method:     head.method,
+			URI:        head.target.Origin,
 			Header:     dialect.FromRequest(h),
 			Repeatable: repeatable,
 			Priority:   uint8(priority),
@@ -217,11 +217,13 @@
 // MayRepeat reports whether a request is for a route whose requests may run more than
 // once.
 func (e *Entry) MayRepeat(ctx *fasthttp.RequestCtx) bool {
-	path, _, _ := strings.Cut(string(ctx.Request.RequestURI()), "?")
+	head, fault := readHead(ctx)
+	if fault != nil {
+		return false
+	}
 	e.mu.RLock()
 	defer e.mu.RUnlock()
-	name, _, _ := strings.Cut(string(ctx.Host()), ":")
-	route := e.table.Match(strings.ToLower(name), path)
+	route := e.table.Match(head.hostName(), head.target.Path())
 	return route != nil && route.Repeatable
 }
 
