--- a/entry/key.go
+++ b/entry/key.go
@@ -33,9 +33,7 @@
 
 // authenticate finds the tenant that sent a request by its key. The identity is anonymous
 // if there is no valid key and the route needs none. If ok is false, the request was
-// already answered. If the table has keys, the Authorization fields are removed in any
-// case: a server gets the tenant's name and never a key, not even a key that is no longer
-// valid.
+// already answered.
 func (e *Entry) authenticate(ctx *fasthttp.RequestCtx, d destination) (who identity, ok bool) {
 	if !d.table.RequiresKeys() {
 		return who, true
@@ -46,7 +44,6 @@
 		who.key = tenant.FingerprintOf(key)
 		who.tenant = d.table.TenantByKey(who.key)
 	}
-	h.Del(fasthttp.HeaderAuthorization)
 	public := d.route != nil && d.route.Public
 	upToDate := e.settings.KeysUpToDate == nil || e.settings.KeysUpToDate(time.Now())
 	if !upToDate {
--- a/entry/received.go
+++ b/entry/received.go
@@ -7,16 +7,20 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/ryehaven/ryehaven/header"
 	"github.com/ryehaven/ryehaven/uri"
+	"github.com/ryehaven/ryehaven/wire"
 )
 
 // received is the head of a caller's request as it was received. Nothing of it may come from
-// the HTTP library's parsed URI, which is normalized: a server gets what the caller has sent.
+// the HTTP library's parsed URI or fields, some of which are rewritten: a server gets what the
+// caller has sent.
 type received struct {
 	method string
 	target uri.Target
 	// host is the authority of the target, or else the value of the Host field.
-	host string
+	host   string
+	fields []wire.Field
 }
 
 // headFault is why a request is refused for its head.
@@ -36,7 +40,7 @@
 // readHead reads the head of a request. The fault is nil if a server may get the request.
 func readHead(ctx *fasthttp.RequestCtx) (received, *headFault) {
 	h := &ctx.Request.Header
-	r := received{method: string(h.Method()), host: string(h.Host())}
+	r := received{method: string(h.Method()), host: strings.TrimSpace(string(h.Host()))}
 	if h.IsConnect() {
 		return r, faultConnect
 	}
@@ -50,6 +54,9 @@
 	if strings.Contains(r.host, "@") {
 		return r, faultUserinfo
 	}
+	if r.fields, err = header.ParseFields(h.RawHeaders()); err != nil {
+		return r, badHead(err.Error())
+	}
 	return r, nil
 }
 
@@ -72,3 +79,20 @@
 	name, _, _ := strings.Cut(r.host, ":")
 	return strings.ToLower(name)
 }
+
+// forwardedFields returns the fields that a server gets, apart from those that nodes set. The
+// credentials are left out if the table has keys: a server gets the tenant's name and never a
+// key, not even a key that is no longer valid.
+func (r *received) forwardedFields(dialect *header.Dialect, hasKeys bool) []wire.Field {
+	fields := make([]wire.Field, 0, len(r.fields)+1)
+	if r.host != "" {
+		fields = append(fields, wire.Field{Name: fasthttp.HeaderHost, Value: r.host})
+	}
+	for _, f := range dialect.FromRequest(r.fields) {
+		if strings.EqualFold(f.Name, fasthttp.HeaderHost) || hasKeys && strings.EqualFold(f.Name, fasthttp.HeaderAuthorization) {
+			continue
+		}
+		fields = append(fields, f)
+	}
+	return fields
+}
--- a/entry/request.go
+++ b/entry/request.go
@@ -184,7 +184,7 @@
 			Service:    s.name,
 			Method:     head.method,
 			URI:        head.target.Origin,
-			Header:     dialect.FromRequest(h),
+			Header:     head.forwardedFields(dialect, d.table.RequiresKeys()),
 			Repeatable: repeatable,
 			Priority:   uint8(priority),
 			Caller:     e.settings.LocalService,
--- a/gate/job.go
+++ b/gate/job.go
@@ -171,14 +171,14 @@
 func (j *job) fillRequest(r *fasthttp.Request) {
 	m := j.stream.Request
 	r.Header.DisableNormalizing()
+	r.Header.DisableSpecialHeader() // Otherwise the library rewrites cookies and drops repeated fields.
 	r.Header.SetMethod(m.Method)
-	r.Header.SetNoDefaultContentType(true)
 	r.SetRequestURI(m.URI)
 	for _, f := range m.Header {
 		r.Header.Add(f.Name, f.Value)
 	}
 	if len(r.Header.Host()) == 0 {
-		r.Header.SetHost(m.Service)
+		r.Header.Set(fasthttp.HeaderHost, m.Service)
 	}
 	dialect := &j.gate.settings.Dialect
 	left := max(time.Until(j.stream.Deadline).Milliseconds(), 1)
--- a/header/dialect_test.go
+++ b/header/dialect_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/ryehaven/ryehaven/wire"
 )
 
 func TestParseLoad(t *testing.T) {
@@ -35,12 +37,12 @@
 func TestForgedFieldsAreNotForwarded(t *testing.T) {
 	d := Dialect{Deadline: "X-D", RequestID: "X-Id", Caller: "X-Caller", Tenant: "X-Tenant", ExpectServer: "X-Expect", NotRun: "X-Not", Load: "X-Load"}
 	d.Prepare()
-	var h fasthttp.RequestHeader
+	var received []wire.Field
 	for _, name := range []string{"X-D", "X-Id", "X-Caller", "X-Tenant", "x-tenant", "X_Tenant", "X-Expect", "X-Not", "X-Load", "X-Other", "Connection"} {
-		h.Add(name, "v")
+		received = append(received, wire.Field{Name: name, Value: "v"})
 	}
 	forwarded := map[string]bool{}
-	for _, f := range d.FromRequest(&h) {
+	for _, f := range d.FromRequest(received) {
 		forwarded[f.Name] = true
 	}
 	if len(forwarded) != 1 || !forwarded["X-Other"] {
--- a/header/header.go
+++ b/header/header.go
@@ -73,40 +73,45 @@
 	"expect":              true,
 }
 
-// fields returns the fields of a message that are forwarded. connection is the value of the
-// message's Connection field; the fields listed in it are not forwarded, nor are own.
-func fields(all func(func(name, value []byte) bool), connection string, own []string) []wire.Field {
-	forwarded := make([]wire.Field, 0, 8)
-	for name, value := range all {
+// forwarded returns the fields of a message that are forwarded: not those that end at each hop,
+// nor those that the message's Connection fields list, nor own.
+func forwarded(received []wire.Field, own []string) []wire.Field {
+	connection := connectionOptions(received)
+	kept := make([]wire.Field, 0, len(received))
+	for _, f := range received {
 		// Some servers treat an underscore as a hyphen, so that it must not hide a field.
-		lower := strings.ReplaceAll(strings.ToLower(string(name)), "_", "-")
-		if hopByHop[lower] || strings.HasPrefix(lower, prefix) || listed(connection, lower) || slices.Contains(own, lower) {
+		lower := strings.ReplaceAll(strings.ToLower(f.Name), "_", "-")
+		if hopByHop[lower] || strings.HasPrefix(lower, prefix) || slices.Contains(connection, lower) || slices.Contains(own, lower) {
 			continue
 		}
-		forwarded = append(forwarded, wire.Field{Name: string(name), Value: string(value)})
+		kept = append(kept, f)
 	}
-	return forwarded
+	return kept
 }
 
-// listed reports whether the value of a Connection field lists a field.
-func listed(connection, lower string) bool {
-	if connection == "" {
-		return false
-	}
-	for option := range strings.SplitSeq(connection, ",") {
-		if strings.EqualFold(strings.TrimSpace(option), lower) {
-			return true
+// connectionOptions returns the options of a message's Connection fields in lower case.
+func connectionOptions(received []wire.Field) (options []string) {
+	for _, f := range received {
+		if !strings.EqualFold(f.Name, fasthttp.HeaderConnection) {
+			continue
+		}
+		for option := range strings.SplitSeq(f.Value, ",") {
+			options = append(options, strings.ToLower(strings.TrimSpace(option)))
 		}
 	}
-	return false
+	return options
 }
 
 // FromRequest returns the fields of a caller's request that are forwarded.
-func (d *Dialect) FromRequest(h *fasthttp.RequestHeader) []wire.Field {
-	return fields(h.All(), string(h.Peek("Connection")), d.requestFields())
+func (d *Dialect) FromRequest(received []wire.Field) []wire.Field {
+	return forwarded(received, d.requestFields())
 }
 
 // FromResponse returns the fields of a server's response that are forwarded.
 func (d *Dialect) FromResponse(h *fasthttp.ResponseHeader) []wire.Field {
-	return fields(h.All(), string(h.Peek("Connection")), d.responseFields())
+	received := make([]wire.Field, 0, 8)
+	for name, value := range h.All() {
+		received = append(received, wire.Field{Name: string(name), Value: string(value)})
+	}
+	return forwarded(received, d.responseFields())
 }
