--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -124,6 +124,7 @@
 	}
 	e.Response.StreamBody = true
 	e.Response.SkipBody = r.Header.IsHead()
+	e.Response.Header.SetNoDefaultContentType(true)
 	e.startWrite(r)
 	readErr := e.readResponse()
 	if readErr == nil {
--- a/entry/key.go
+++ b/entry/key.go
@@ -71,8 +71,8 @@
 		return
 	}
 	e.Counters.UnknownKeys.Add(1)
-	ctx.Response.Header.Set(fasthttp.HeaderWWWAuthenticate, authChallenge)
 	e.refuseBad(ctx, fasthttp.StatusUnauthorized, detail)
+	ctx.Response.Header.Set(fasthttp.HeaderWWWAuthenticate, authChallenge)
 }
 
 // keyStillValid reports whether the key of a request is still in force. A request whose
--- a/entry/reply.go
+++ b/entry/reply.go
@@ -5,6 +5,7 @@
 import (
 	"math"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -71,6 +72,7 @@
 	idle := e.settings.BodyIdleTimeout
 	m := a.response
 	response := &r.ctx.Response
+	header.SetDate(&response.Header, fieldValue(m.Header, fasthttp.HeaderDate))
 	response.SetStatusCode(m.Status)
 	response.Header.SetNoDefaultContentType(true)
 	for _, f := range m.Header {
@@ -94,6 +96,16 @@
 	}
 }
 
+// fieldValue returns the value of the first field with a name, or "".
+func fieldValue(fields wire.Fields, name string) string {
+	for _, f := range fields {
+		if strings.EqualFold(f.Name, name) {
+			return f.Value
+		}
+	}
+	return ""
+}
+
 // failureOf returns the failure for a request that got no answer.
 func failureOf(res result) failure {
 	if res.blamedFor > 0 && !res.mayHaveRun {
@@ -167,8 +179,10 @@
 
 // write fills in the answer; exact gives Retry-After in fractions of a second.
 func (f failure) write(ctx *fasthttp.RequestCtx, exact bool) {
-	ctx.Response.SetStatusCode(f.status)
 	h := &ctx.Response.Header
+	header.SetDate(h, "")
+	ctx.Response.SetStatusCode(f.status)
+	h.SetServer(header.ServerSoftware)
 	h.SetContentType("text/plain; charset=utf-8")
 	h.Set(header.Outcome, f.outcome)
 	h.Set(header.ProxyStatus, proxyName+"; error="+f.proxyError+"; details="+strconv.Quote(f.detail))
--- a/header/header.go
+++ b/header/header.go
@@ -7,6 +7,7 @@
 package header
 
 import (
+	"bufio"
 	"slices"
 	"strings"
 
@@ -45,6 +46,9 @@
 	ProxyStatus = "Proxy-Status"
 )
 
+// ServerSoftware is the value of the Server field in responses that the node generates itself.
+const ServerSoftware = "ryehaven"
+
 // Values of the fields above.
 const (
 	Yes     = "yes"
@@ -115,3 +119,16 @@
 	}
 	return forwarded(received, d.responseFields())
 }
+
+// SetDate resets the head of a response and sets its Date, or leaves it to the HTTP library if
+// date is blank or invalid.
+func SetDate(h *fasthttp.ResponseHeader, date string) {
+	if date != "" {
+		// The library's setters ignore Date, but its parser does not.
+		head := "HTTP/1.1 200\r\nContent-Length: 0\r\nDate: " + date + "\r\n\r\n"
+		if h.Read(bufio.NewReaderSize(strings.NewReader(head), len(head))) == nil {
+			return
+		}
+	}
+	h.Reset() // The library sets the Date of a head that was reset.
+}
--- a/node/callers.go
+++ b/node/callers.go
@@ -33,8 +33,8 @@
 func (n *Node) callerServer() *fasthttp.Server {
 	limits := n.settings.Limits
 	return &fasthttp.Server{
-		Name: "ryehaven",
 		Handler: func(ctx *fasthttp.RequestCtx) {
+			ctx.Conn().(*callerConn).keepAnswerDefaults(ctx)
 			n.requestArrived()
 			n.handleInOrder(ctx)
 			ctx.Response.Header.Set("Keep-Alive", "timeout="+strconv.Itoa(int(n.idleLimit().Seconds())))
@@ -58,9 +58,11 @@
 		ReadTimeout:                  headerTimeout,
 		IdleTimeout:                  n.longestIdle() + idleMargin,
 		Concurrency:                  limits.Connections,
-		NoDefaultServerHeader:        true,
-		NoDefaultContentType:         true,
-		Logger:                       discardLogger{},
+		// What a server's answer lacks is not added to it, and its Date is not replaced.
+		NoDefaultServerHeader: true,
+		NoDefaultContentType:  true,
+		NoDefaultDate:         true,
+		Logger:                discardLogger{},
 	}
 }
 
@@ -105,6 +107,7 @@
 	}
 	ctx.Error(detail+"\n", status)
 	ctx.Response.Header.Set(header.Outcome, header.NotRun)
+	ctx.Response.Header.SetServer(header.ServerSoftware)
 	ctx.SetConnectionClose()
 	if c, ok := ctx.Conn().(*callerConn); ok {
 		c.Linger()
@@ -142,11 +145,23 @@
 	pipeline *pipeline.Conn
 	node     *Node
 	close    sync.Once
+	// answerDefaults is the head of an answer before anything is set in it.
+	answerDefaults     fasthttp.ResponseHeader
+	keptAnswerDefaults bool
 	// lingers is set if the caller may still be sending when the node closes the
 	// connection.
 	lingers atomic.Bool
 }
 
+// keepAnswerDefaults keeps the defaults of the connection's first answer for the requests that
+// are started ahead of their order, whose answers the HTTP library has not prepared.
+func (c *callerConn) keepAnswerDefaults(ctx *fasthttp.RequestCtx) {
+	if !c.keptAnswerDefaults {
+		ctx.Response.Header.CopyTo(&c.answerDefaults)
+		c.keptAnswerDefaults = true
+	}
+}
+
 // Limits for draining a connection whose caller is still sending.
 const (
 	// lingerTimeout is several round trips to a distant caller, so that the caller can
--- a/node/pipeline.go
+++ b/node/pipeline.go
@@ -29,6 +29,7 @@
 	if n.stopping.Load() || !n.entry.MayRepeat(ctx) {
 		return nil
 	}
+	ctx.Conn().(*callerConn).answerDefaults.CopyTo(&ctx.Response.Header)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
