--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -14,6 +14,10 @@
 	Host int
 	// Method, URI and Body are the request as sent.
 	Method, URI, Body string
+	// Fields are its additional header fields in the form "Name: value". Chunked is set if the
+	// body was sent in chunks.
+	Fields  []string
+	Chunked bool
 	// Repeatable is set if the route allows the request to run more than once.
 	Repeatable bool
 	// SinceVersion is the configuration version that introduced the route, for requests
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -280,6 +280,7 @@
 	server.Start = time.Now().UnixMilli()
 	server.SetServiceTime(h.site.serviceTime)
 	server.CrashOn(crashMarker, h.toServer.Down)
+	server.SetAnswerFields(answerFields...)
 	if h.server != nil {
 		h.retired = append(h.retired, h.server)
 	}
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -27,6 +27,10 @@
 	key           string
 	keyVersion    int
 	mayBeRejected bool
+	// fields are additional header fields in the form "Name: value". chunked is set if the body
+	// is sent in chunks.
+	fields  []string
+	chunked bool
 }
 
 // deadlineMs is the time that callers usually wait for an answer.
@@ -49,9 +53,11 @@
 // caller is one caller on a host. It keeps its connection until an answer closes it or the
 // connection ends.
 type caller struct {
-	site   *site
-	host   *host
-	rng    *rand.Rand
+	site *site
+	host *host
+	rng  *rand.Rand
+	// shapes draws the shapes of requests, so that the other draws of a seed stay the same.
+	shapes *rand.Rand
 	conn   *timedConn
 	reader *bufio.Reader
 }
@@ -61,7 +67,7 @@
 	var wait sync.WaitGroup
 	for _, h := range s.hosts {
 		for n := range s.options.Callers {
-			c := &caller{site: s, host: h, rng: rand.New(rand.NewPCG(s.options.Seed, uint64(1000*h.number+n)))}
+			c := &caller{site: s, host: h, rng: rand.New(rand.NewPCG(s.options.Seed, uint64(1000*h.number+n))), shapes: shapesOf(s.options.Seed, h.number, n)}
 			wait.Go(func() { c.run(ctx) })
 		}
 		wait.Go(func() { s.runProbes(ctx, h) })
@@ -113,8 +119,16 @@
 	}
 }
 
+// shapesOf returns the generator that draws the shapes of a caller's requests.
+func shapesOf(seed uint64, host, caller int) *rand.Rand {
+	return rand.New(rand.NewPCG(seed, uint64(1_000_000+1000*host+caller)))
+}
+
 // next draws a request.
-func (c *caller) next() request {
+func (c *caller) next() request { return c.nextKind().shape(c.shapes) }
+
+// nextKind draws the route of a request.
+func (c *caller) nextKind() request {
 	switch c.rng.IntN(5) {
 	case 0:
 		return request{uri: fmt.Sprint("/write/", c.rng.IntN(100)), body: "an order that runs once"}
@@ -174,6 +188,8 @@
 		Key:           r.key,
 		KeyVersion:    r.keyVersion,
 		MayBeRejected: r.mayBeRejected,
+		Fields:        r.fields,
+		Chunked:       r.chunked,
 		DeadlineMs:    deadlineMs,
 	}
 	if r.body != "" {
@@ -195,7 +211,10 @@
 
 // emulatorCall returns the call in the emulator's form.
 func (s *site) emulatorCall(call *Call) emulator.Call {
-	return emulator.Call{Method: call.Method, Path: call.URI, ID: call.ID, Body: call.Body, DeadlineMs: call.DeadlineMs, Fields: s.credentials(call.Key)}
+	return emulator.Call{
+		Method: call.Method, Path: call.URI, ID: call.ID, Body: call.Body, Chunked: call.Chunked, DeadlineMs: call.DeadlineMs,
+		Fields: append(s.credentials(call.Key), call.Fields...),
+	}
 }
 
 // send sends a request on a new connection.
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -144,6 +144,9 @@
 	switch {
 	case r.Status == fasthttp.StatusOK && (r.Body != emulator.BodyOf(c.ID, c.URI) || r.Seal == ""):
 		o.report(PromiseCorrectAnswer, c.Done, "request %s got 200 with body %q and seal %q", c.ID, r.Body, r.Seal)
+	case r.Status == fasthttp.StatusOK && differingField(answerFields, r.Fields) != "":
+		name := differingField(answerFields, r.Fields)
+		o.report(PromiseCorrectAnswer, c.Done, "request %s got 200 with the field %s as %q", c.ID, name, r.Fields[name])
 	case r.Status == fasthttp.StatusOK && runs == 0:
 		o.report(PromiseCorrectAnswer, c.Done, "request %s got 200 and never ran", c.ID)
 	case promisesNotRun(r.Status) && !c.Repeatable && runs > 0:
@@ -246,6 +249,9 @@
 		case a.Method != c.Method || a.URI != c.URI || (a.Ran && a.Body != c.Body):
 			o.report(PromiseOnlySentRequests, a.At, "server %s received request %s as %s %s with %d bytes, sent as %s %s with %d",
 				a.Server, a.RequestID, a.Method, a.URI, len(a.Body), c.Method, c.URI, len(c.Body))
+		case differingField(c.Fields, a.Fields) != "":
+			name := differingField(c.Fields, a.Fields)
+			o.report(PromiseOnlySentRequests, a.At, "server %s received request %s with the field %s as %q, sent %q", a.Server, a.RequestID, name, a.Fields[name], c.Fields)
 		case a.Caller != o.Services[c.Host]:
 			o.report(PromiseOnlySentRequests, a.At, "request %s of host %d names caller %q, want %q", a.RequestID, c.Host, a.Caller, o.Services[c.Host])
 		}
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -21,14 +22,25 @@
 func answered(id string, ms int) Call {
 	return Call{
 		ID: id, Method: "GET", URI: "/read/1", Repeatable: true, Sent: at(ms), Done: at(ms + 5),
-		Reply: emulator.Reply{Status: 200, Body: emulator.BodyOf(id, "/read/1"), Seal: "seal-i-0"},
+		Fields: []string{"X-A: 1", "x-a: 2", "X-B:"},
+		Reply:  emulator.Reply{Status: 200, Body: emulator.BodyOf(id, "/read/1"), Seal: "seal-i-0", Fields: headerOf(answerFields)},
 	}
 }
 
+// headerOf returns fields in the form in which they are received.
+func headerOf(fields []string) http.Header {
+	h := http.Header{}
+	for _, line := range fields {
+		name, value, _ := strings.Cut(line, ":")
+		h.Add(name, strings.TrimSpace(value))
+	}
+	return h
+}
+
 // arrival returns the arrival of a call at a server that runs it.
 func arrival(c Call, server string, ms int) Arrival {
 	return Arrival{Server: server, Arrival: emulator.Arrival{
-		RequestID: c.ID, Caller: "alpha", Method: c.Method, URI: c.URI, Body: c.Body, At: at(ms), Ran: true,
+		RequestID: c.ID, Caller: "alpha", Method: c.Method, URI: c.URI, Body: c.Body, Fields: headerOf(c.Fields), At: at(ms), Ran: true,
 	}}
 }
 
@@ -179,6 +191,9 @@
 			h.Arrivals = append(h.Arrivals, arrival(answered("77", 10_000), "i-0", 10_001))
 		}},
 		{"a changed path", PromiseOnlySentRequests, func(h *History) { h.Arrivals[0].URI = "/read/2" }},
+		{"a changed field", PromiseOnlySentRequests, func(h *History) { h.Arrivals[0].Fields["X-A"] = []string{"1"} }},
+		{"a lost empty field", PromiseOnlySentRequests, func(h *History) { delete(h.Arrivals[0].Fields, "X-B") }},
+		{"a changed field of an answer", PromiseCorrectAnswer, func(h *History) { h.Calls[0].Reply.Fields["Set-Cookie"] = []string{"c"} }},
 		{"a changed body", PromiseOnlySentRequests, func(h *History) { h.Arrivals[0].Body = "more" }},
 		{"a forged caller", PromiseOnlySentRequests, func(h *History) { h.Arrivals[0].Caller = "beta" }},
 		{"a request after a drain", PromiseDrain, func(h *History) { h.Acks = []Ack{{Server: "i-0", At: at(7000)}} }},
--- a/internal/soak/pipeline.go
+++ b/internal/soak/pipeline.go
@@ -29,7 +29,7 @@
 // runPipelining sends requests to a host without waiting for answers, on a connection that
 // is kept until an answer closes it.
 func (s *site) runPipelining(ctx context.Context, h *host) {
-	c := &caller{site: s, host: h, rng: rand.New(rand.NewPCG(s.options.Seed, uint64(h.number)+7000))}
+	c := &caller{site: s, host: h, rng: rand.New(rand.NewPCG(s.options.Seed, uint64(h.number)+7000)), shapes: shapesOf(s.options.Seed, h.number, 999)}
 	defer c.closeConn()
 	for ctx.Err() == nil {
 		pause(ctx, time.Duration(c.rng.Int64N(int64(maxThinkTime))))
