--- a/client/client.go
+++ b/client/client.go
@@ -100,6 +100,7 @@
 			MaxConns:                  4096,
 			MaxIdleConnDuration:       maxIdleTime,
 			MaxIdemponentCallAttempts: 1,
+			DisablePathNormalizing:    true,
 			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 			Dial: func(address string) (net.Conn, error) {
 				return net.DialTimeout("tcp", address, time.Second)
@@ -146,6 +147,7 @@
 	defer fasthttp.ReleaseRequest(request)
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
+	response.Header.SetNoDefaultContentType(true)
 	timeLeft := time.Until(deadline)
 	r.writeTo(request, host.Addr, timeLeft)
 	// Leaves time for the node's own reply at the deadline to arrive.
@@ -173,7 +175,8 @@
 func (r *Request) writeTo(request *fasthttp.Request, node string, left time.Duration) {
 	request.SetRequestURI("http://" + node + r.Path)
 	request.UseHostHeader = true
-	request.Header.SetHost(r.Service)
+	request.Header.DisableSpecialHeader() // Otherwise the library rewrites cookies and adds fields.
+	request.Header.Set(fasthttp.HeaderHost, r.Service)
 	request.Header.SetMethod(r.Method)
 	for name, value := range r.Header {
 		request.Header.Set(name, value)
