--- a/entry/handle.go
+++ b/entry/handle.go
@@ -14,9 +14,9 @@
 // Handle answers one caller's request. It is a fasthttp.RequestHandler.
 func (e *Entry) Handle(ctx *fasthttp.RequestCtx) {
 	e.Counters.Requests.Add(1)
-	head, headFault := readHead(ctx)
-	if headFault != nil {
-		e.refuseBad(ctx, headFault.status, headFault.detail)
+	head, bad := readHead(ctx)
+	if bad != nil {
+		e.refuseBad(ctx, bad.status, bad.detail)
 		return
 	}
 	d, ready := e.destination(head.hostName(), head.target.Path())
@@ -29,7 +29,7 @@
 		return
 	}
 	if head.isAmbiguous(d) {
-		e.refuseBad(ctx, faultAmbiguous.status, faultAmbiguous.detail)
+		e.refuseBad(ctx, ambiguousPath.status, ambiguousPath.detail)
 		return
 	}
 	who, ok := e.authenticate(ctx, d)
--- a/entry/received.go
+++ b/entry/received.go
@@ -23,39 +23,37 @@
 	fields []wire.Field
 }
 
-// headFault is why a request is refused for its head.
-type headFault struct {
+// badHead says why a request is refused for its head.
+type badHead struct {
 	status int
 	detail string
 }
 
 var (
-	faultConnect   = &headFault{fasthttp.StatusNotImplemented, "the method CONNECT is not supported"}
-	faultUserinfo  = badHead("the request's host must contain no userinfo")
-	faultAmbiguous = badHead("the request's path belongs to another route once its escapes are decoded or its dot segments removed")
+	connectMethod = &badHead{fasthttp.StatusNotImplemented, "the method CONNECT is not supported"}
+	userinfoHost  = &badHead{fasthttp.StatusBadRequest, "the request's host must contain no userinfo"}
+	ambiguousPath = &badHead{fasthttp.StatusBadRequest, "the request's path belongs to another route once its escapes are decoded or its dot segments removed"}
 )
 
-func badHead(detail string) *headFault { return &headFault{fasthttp.StatusBadRequest, detail} }
-
-// readHead reads the head of a request. The fault is nil if a server may get the request.
-func readHead(ctx *fasthttp.RequestCtx) (received, *headFault) {
+// readHead reads the head of a request. It returns a badHead if no server may get the request.
+func readHead(ctx *fasthttp.RequestCtx) (received, *badHead) {
 	h := &ctx.Request.Header
 	r := received{method: string(h.Method()), host: strings.TrimSpace(string(h.Host()))}
 	if h.IsConnect() {
-		return r, faultConnect
+		return r, connectMethod
 	}
 	var err error
 	if r.target, err = uri.Parse(string(h.RequestURI())); err != nil {
-		return r, badHead(err.Error())
+		return r, &badHead{fasthttp.StatusBadRequest, err.Error()}
 	}
 	if r.target.Authority != "" {
 		r.host = r.target.Authority
 	}
 	if strings.Contains(r.host, "@") {
-		return r, faultUserinfo
+		return r, userinfoHost
 	}
 	if r.fields, err = header.ParseFields(h.RawHeaders()); err != nil {
-		return r, badHead(err.Error())
+		return r, &badHead{fasthttp.StatusBadRequest, err.Error()}
 	}
 	return r, nil
 }
--- a/entry/reply.go
+++ b/entry/reply.go
@@ -72,7 +72,7 @@
 	idle := e.settings.BodyIdleTimeout
 	m := a.response
 	response := &r.ctx.Response
-	header.SetDate(&response.Header, fieldValue(m.Header, fasthttp.HeaderDate))
+	header.ResetResponse(&response.Header, fieldValue(m.Header, fasthttp.HeaderDate))
 	response.SetStatusCode(m.Status)
 	response.Header.SetNoDefaultContentType(true)
 	for _, f := range m.Header {
@@ -180,7 +180,7 @@
 // write fills in the answer; exact gives Retry-After in fractions of a second.
 func (f failure) write(ctx *fasthttp.RequestCtx, exact bool) {
 	h := &ctx.Response.Header
-	header.SetDate(h, "")
+	header.ResetResponse(h, "")
 	ctx.Response.SetStatusCode(f.status)
 	h.SetServer(header.ServerSoftware)
 	h.SetContentType("text/plain; charset=utf-8")
--- a/entry/request.go
+++ b/entry/request.go
@@ -217,8 +217,8 @@
 // MayRepeat reports whether a request is for a route whose requests may run more than
 // once.
 func (e *Entry) MayRepeat(ctx *fasthttp.RequestCtx) bool {
-	head, fault := readHead(ctx)
-	if fault != nil {
+	head, bad := readHead(ctx)
+	if bad != nil {
 		return false
 	}
 	e.mu.RLock()
--- a/header/header.go
+++ b/header/header.go
@@ -120,9 +120,9 @@
 	return forwarded(received, d.responseFields())
 }
 
-// SetDate resets the head of a response and sets its Date, or leaves it to the HTTP library if
+// ResetResponse resets the head of a response and sets its Date, or leaves it to the HTTP library if
 // date is blank or invalid.
-func SetDate(h *fasthttp.ResponseHeader, date string) {
+func ResetResponse(h *fasthttp.ResponseHeader, date string) {
 	if date != "" {
 		// The library's setters ignore Date, but its parser does not.
 		head := "HTTP/1.1 200\r\nContent-Length: 0\r\nDate: " + date + "\r\n\r\n"
--- a/node/forwarding_test.go
+++ b/node/forwarding_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"testing"
 
+	"github.com/ryehaven/ryehaven/header"
 	"github.com/ryehaven/ryehaven/standin"
 )
 
@@ -124,3 +125,27 @@
 		})
 	}
 }
+
+// The node's own answers name it, and have a type and a Date.
+func TestOwnAnswersAreComplete(t *testing.T) {
+	s := startSite(t, 1, nil, standin.Behaviour{Slots: 4})
+	for name, request := range map[string]string{
+		"unknown service": "GET / HTTP/1.1\r\nHost: none\r\n\r\n",
+		"unreadable head": "GET / HTTP/1.1\r\nHost: archive\r\nHost: archive\r\n\r\n",
+	} {
+		conn, err := net.Dial("tcp", s.Servers[0].Node.CallerAddress())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		io.WriteString(conn, request)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		h := response.Header
+		if h.Get("Server") != header.ServerSoftware || h.Get("Content-Type") != "text/plain; charset=utf-8" || len(h["Date"]) != 1 || h.Get(header.Outcome) != header.NotRun {
+			t.Errorf("%s: status %d with %v", name, response.StatusCode, h)
+		}
+	}
+}
