--- a/node/callers.go
+++ b/node/callers.go
@@ -42,6 +42,9 @@
 			if n.stopping.Load() && !c.pipeline.HasStarted() {
 				ctx.SetConnectionClose()
 			}
+			if !ctx.Response.ConnectionClose() {
+				c.pipeline.RequestAnswered()
+			}
 			if ctx.IsGet() || ctx.IsHead() {
 				c.pipeline.ReadAheadIfPipelined()
 			}
--- a/pipeline/ahead.go
+++ b/pipeline/ahead.go
@@ -39,15 +39,22 @@
 	passThrough bool
 	err         error
 	queue       []*startedRequest
+	// heads is the number of heads that were parsed, lastBody the number of the last one of a
+	// request with a body, and answered the number of requests that have been answered.
+	heads, lastBody, answered int
+	// waiting holds the requests that are started once a request with a body has been answered.
+	waiting []*startedRequest
 	// deadline is the read deadline; zero means none.
 	deadline time.Time
 }
 
-// startedRequest is a request that runs ahead of its order.
+// startedRequest is a request that runs ahead of its order, or is about to.
 type startedRequest struct {
 	head head
 	ctx  *fasthttp.RequestCtx
-	done <-chan struct{}
+	// after is the number of the request that must be answered first.
+	after int
+	done  <-chan struct{}
 }
 
 // head is the complete head of a request, byte for byte.
@@ -114,22 +121,42 @@
 		return
 	}
 	a.bodyLeft = h.ContentLength()
+	a.heads++
 	switch {
 	case h.ConnectionUpgrade(), ctx.Request.MayContinue(), len(h.Peek(fasthttp.HeaderTransferEncoding)) > 0:
 		a.passThrough = true
 	case a.bodyLeft > 0:
-		// A request with a body is handled in order.
-	case len(a.queue) < maxStarted:
+		// A request with a body is handled in order. If it is answered before its body has been
+		// read, the connection closes and the requests behind it get no answer.
+		a.lastBody = a.heads
+	case len(a.queue)+len(a.waiting) < maxStarted:
 		a.bodyLeft = 0
-		one := &startedRequest{head: headOf(h), ctx: ctx}
-		if one.done = a.conn.start(ctx); one.done != nil {
-			a.queue = append(a.queue, one)
-		}
+		a.waiting = append(a.waiting, &startedRequest{head: headOf(h), ctx: ctx, after: a.lastBody})
+		a.startWaiting()
 	default:
 		a.bodyLeft = 0
 	}
 }
 
+// startWaiting starts the requests that no longer wait for a request with a body. It is called
+// with the lock held.
+func (a *readAhead) startWaiting() {
+	for len(a.waiting) > 0 && a.waiting[0].after <= a.answered {
+		one := a.waiting[0]
+		a.waiting = a.waiting[1:]
+		if one.done = a.conn.start(one.ctx); one.done != nil {
+			a.queue = append(a.queue, one)
+		}
+	}
+}
+
+func (a *readAhead) requestAnswered() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.answered++
+	a.startWaiting()
+}
+
 // read returns the bytes that can be passed on, and waits for them until the deadline.
 func (a *readAhead) read(p []byte) (int, error) {
 	a.mu.Lock()
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -90,6 +90,14 @@
 	go a.run()
 }
 
+// RequestAnswered must be called when a request has been handled and its answer does not close
+// the connection.
+func (c *Conn) RequestAnswered() {
+	if a := c.readAhead.Load(); a != nil {
+		a.requestAnswered()
+	}
+}
+
 // Take returns the answer of a request that was started ahead, once there is one. ok is
 // false if the request was not started.
 func (c *Conn) Take(request *fasthttp.Request) (answer *fasthttp.Response, ok bool) {
--- a/pipeline/doc.go
+++ b/pipeline/doc.go
@@ -6,7 +6,9 @@
 // the requests.
 //
 // A [Conn] reads ahead once its caller has sent a request before it got the answer to the
-// previous one, and starts those requests that may run more than once. The HTTP library
+// previous one, and starts those requests that may run more than once. Those behind a request
+// with a body are started once that has been answered, since its answer may close the
+// connection. The HTTP library
 // still reads each request in order; [Conn.Take] finds a started request by comparing the
 // complete request head, so that an answer never goes to another request, whatever a
 // caller sends.
