--- a/node/forwarding_test.go
+++ b/node/forwarding_test.go
@@ -16,8 +16,11 @@
 	"github.com/ryehaven/ryehaven/standin"
 )
 
+// untilClose marks an answer after which the server closes the connection.
+const untilClose = "until close"
+
 // startScriptedServer starts a backend server that answers a request for /N with the Nth of
-// some texts and then closes the connection. It returns the server's address.
+// some texts. It returns the server's address.
 func startScriptedServer(t *testing.T, answers []string) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -33,13 +36,20 @@
 			}
 			go func() {
 				defer c.Close()
-				r, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				var n int
-				if _, err := fmt.Sscanf(r.URL.Path, "/%d", &n); err == nil {
+				reader := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(reader)
+					var n int
+					if err == nil {
+						_, err = fmt.Sscanf(r.URL.Path, "/%d", &n)
+					}
+					if err != nil {
+						return
+					}
 					io.WriteString(c, answers[n])
+					if strings.HasSuffix(answers[n], untilClose) {
+						return
+					}
 				}
 			}()
 		}
@@ -70,7 +80,7 @@
 			fields: map[string][]string{"X-A": nil, "X-B": nil, "X-C": {"3"}, "Upgrade": nil}},
 		{name: "chunks with trailers", head: "200 OK\r\nTrailer: X-T", framed: "Transfer-Encoding: chunked\r\n\r\n1;x=y\r\na\r\n2\r\nbc\r\n0\r\nX-T: 1\r\n\r\n", status: 200, body: "abc",
 			fields: map[string][]string{"X-T": nil, "Trailer": nil}},
-		{name: "body until the connection closes", head: "200 OK", framed: "\r\nabc", status: 200, body: "abc"},
+		{name: "body until the connection closes", head: "200 OK", framed: "\r\n" + untilClose, status: 200, body: untilClose},
 		{name: "encoded body", head: "200 OK\r\nContent-Encoding: gzip\r\nContent-Type: multipart/form-data; boundary=x", framed: "Content-Length: 3\r\n\r\nabc", status: 200, body: "abc",
 			fields: map[string][]string{"Content-Encoding": {"gzip"}, "Content-Type": {"multipart/form-data; boundary=x"}}},
 		{name: "interim answers", head: "100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK", framed: "Content-Length: 1\r\n\r\na", status: 200, body: "a",
