--- a/review/rig2/record.go
+++ b/review/rig2/record.go
@@ -50,6 +50,3 @@
 	defer r.mu.Unlock()
 	return append([]arrival(nil), r.arrivals...)
 }
-
-// seconds is a time in the record's own clock.
-func (r *record) seconds(at time.Time) float64 { return at.Sub(r.began).Seconds() }
