--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -7,4 +7,4 @@
 	echo "build first: the build line of deploy/system.toml, then review/build-2.sh" >&2
 	exit 2
 }
-exec target/review2/rig2 stop review/8
+exec target/review2/rig2 late review/8
--- a/review/rig2/leave.go
+++ b/review/rig2/leave.go
@@ -1,5 +1,7 @@
 // SPDX-License-Identifier: MIT
 
+//go:build review
+
 package main
 
 import (
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -1,5 +1,7 @@
 // SPDX-License-Identifier: MIT
 
+//go:build review
+
 // Command rig2 plays one case of the second review: it starts nodes as separate processes, with
 // stand-ins for the store, the targets and the clients, and judges what these have seen.
 //
@@ -41,7 +43,7 @@
 	"crash":  crashAfterPowerLoss,
 	"leave":  leaveAfterPowerLoss,
 	"late":   lateHeartbeatAfterPowerLoss,
-	"stop":   leaveDuringPlannedStop,
+	"cut":    changeDuringCut,
 }
 
 // limit is the longest that a case may take.
--- a/review/rig2/site.go
+++ b/review/rig2/site.go
@@ -1,8 +1,11 @@
 // SPDX-License-Identifier: MIT
 
+//go:build review
+
 package main
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net"
@@ -32,6 +35,8 @@
 	app                 string
 	// The node's addresses.
 	outbound, ready, control, peer, admin, metrics string
+	// advertise is the address at which other nodes reach this one; the peer port if it is empty.
+	advertise string
 
 	site     *site
 	settings string
@@ -117,6 +122,7 @@
 [listen]
 caller = %q
 peer = %q
+advertise = %q
 admin = %q
 metrics = %q
 
@@ -157,7 +163,7 @@
 [distance]
 factor = 2.5
 late_per_mb = 40
-`, m.name, m.zone, m.outbound, m.peer, m.admin, m.metrics, m.app, m.service, m.control, m.ready, m.site.store.Address()), 0o600)
+`, m.name, m.zone, m.outbound, m.peer, cmp.Or(m.advertise, m.peer), m.admin, m.metrics, m.app, m.service, m.control, m.ready, m.site.store.Address()), 0o600)
 }
 
 // start starts the node's process with the command of the deploy file.
