--- a/review/rig2/cut.go
+++ b/review/rig2/cut.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -19,16 +20,24 @@
 	"github.com/ryehaven/ryehaven/platform/emulator"
 )
 
+// zoneSize is the number of machines of the zone in which some are cut off, watchers the number of
+// those that watch the store, and otherMachines the number of machines of the other zone.
+const (
+	zoneSize      = 4
+	watchers      = 2
+	otherMachines = 2
+)
+
 // Times of the case with a cut, counted from its beginning.
 const (
-	changeAfter = time.Second
-	cutFor      = 8 * time.Second
+	changeAfter = 3 * time.Second
+	cutFor      = 12 * time.Second
 	// configApplyTime is configApplyMs.
 	configApplyTime = 2 * time.Second
 )
 
-// peerProxy stands before the peer port of a machine. It holds back everything between the machines
-// of a group and the others while they are cut off from each other.
+// peerProxy stands before the peer port of a machine. While a group of machines is cut off, it resets
+// what passes between the group and the others and refuses new connections.
 type peerProxy struct {
 	owner *machine
 	links *links
@@ -39,9 +48,25 @@
 	mu       sync.Mutex
 	machines []*machine
 	group    map[string]bool
-	changed  chan struct{}
+	open     map[*passage]bool
+}
+
+// passage is an open connection from one machine to another.
+type passage struct {
+	from, to    string
+	dialed, far net.Conn
 }
 
+func (p *passage) reset() {
+	for _, c := range []net.Conn{p.dialed, p.far} {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		c.Close()
+	}
+}
+
+// cut cuts a group off from the other machines; without a group the cut heals.
 func (l *links) cut(group ...*machine) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -49,21 +74,28 @@
 	for _, m := range group {
 		l.group[m.name] = true
 	}
-	close(l.changed)
-	l.changed = make(chan struct{})
+	for p := range l.open {
+		if l.group[p.from] != l.group[p.to] {
+			p.reset()
+		}
+	}
 }
 
-// waitOpen waits until two machines are not cut off from each other.
-func (l *links) waitOpen(a, b string) {
-	for {
-		l.mu.Lock()
-		separated, changed := l.group[a] != l.group[b], l.changed
-		l.mu.Unlock()
-		if !separated {
-			return
-		}
-		<-changed
+// add registers a passage and reports whether the machines are not cut off from each other.
+func (l *links) add(p *passage) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.group[p.from] != l.group[p.to] {
+		return false
 	}
+	l.open[p] = true
+	return true
+}
+
+func (l *links) remove(p *passage) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, p)
 }
 
 func (p *peerProxy) serve(l net.Listener) {
@@ -84,69 +116,68 @@
 	if err != nil {
 		return
 	}
-	from := ""
+	far, err := net.Dial("tcp", p.owner.peer)
+	if err != nil {
+		return
+	}
+	defer far.Close()
+	way := &passage{to: p.owner.name, dialed: c, far: far}
 	for _, m := range p.links.machines {
 		if bytes.Contains(first[:n], []byte(m.name)) {
-			from = m.name
+			way.from = m.name
 		}
 	}
-	p.links.waitOpen(from, p.owner.name)
-	to, err := net.Dial("tcp", p.owner.peer)
-	if err != nil {
+	if !p.links.add(way) {
+		way.reset()
 		return
 	}
-	defer to.Close()
-	if _, err := to.Write(first[:n]); err != nil {
+	defer p.links.remove(way)
+	if _, err := far.Write(first[:n]); err != nil {
 		return
 	}
 	done := make(chan struct{}, 2)
 	pass := func(out, in net.Conn) {
-		defer func() { done <- struct{}{} }()
-		buf := make([]byte, 32<<10)
-		for {
-			n, err := in.Read(buf)
-			p.links.waitOpen(from, p.owner.name)
-			if n > 0 {
-				if _, err := out.Write(buf[:n]); err != nil {
-					return
-				}
-			}
-			if err != nil {
-				if err != io.EOF {
-					return
-				}
-				if half, ok := out.(*net.TCPConn); ok {
-					_ = half.CloseWrite()
-				}
-				return
-			}
+		_, _ = io.Copy(out, in)
+		if half, ok := out.(*net.TCPConn); ok {
+			_ = half.CloseWrite()
 		}
+		done <- struct{}{}
 	}
-	go pass(to, c)
-	go pass(c, to)
+	go pass(far, c)
+	go pass(c, far)
 	<-done
 	<-done
 }
 
-// changeDuringCut cuts two machines of a zone off from all others; they reach each other and the
-// store. Meanwhile the configuration changes. Later than configApplyMs after the change was
+// changeDuringCut cuts those machines of a zone off from all others that don't watch the store; they
+// reach each other and the store. Meanwhile the configuration changes. Later than configApplyMs after the change was
 // acknowledged, no request there may be handled as only the older version allows.
 func changeDuringCut(e *environment) (verdict, error) {
 	s := e.site
-	names := []string{"sidecar-za-1", "sidecar-za-2", "sidecar-za-3", "sidecar-za-4"}
+	var names []string
+	for i := range zoneSize {
+		names = append(names, fmt.Sprintf("sidecar-za-%d", i+1))
+	}
 	sort.Slice(names, func(i, j int) bool { // The first two watch the store for their zone.
 		return xxhash.Sum64String("watch\x00"+names[i]) > xxhash.Sum64String("watch\x00"+names[j])
 	})
-	services := map[string]string{names[0]: "arzator", names[1]: "program", names[2]: "arzator", names[3]: "program", "sidecar-zb-5": "arzator", "sidecar-zb-6": "program"}
+	services := map[string]string{}
+	for i, name := range names {
+		services[name] = []string{"arzator", "program"}[i%2]
+	}
 	var targets []*target
 	defer func() {
 		for _, t := range targets {
 			t.end()
 		}
 	}()
-	network := &links{changed: make(chan struct{})}
-	for i, zone := range []string{"za", "za", "za", "za", "zb", "zb"} {
+	network := &links{open: map[*passage]bool{}}
+	for i := range zoneSize + otherMachines {
+		zone := []string{"za", "zb"}[i/zoneSize]
 		name := fmt.Sprintf("sidecar-%s-%d", zone, i+1)
+		if services[name] == "" {
+			services[name] = []string{"arzator", "program"}[i%2]
+		}
 		t, err := e.addTarget(fmt.Sprintf("i-%d", i+1), zone, services[name], 50*time.Millisecond)
 		if err != nil {
 			return verdict{}, err
@@ -164,7 +195,7 @@
 	network.machines = s.machines
 	var group []*machine
 	for _, m := range s.machines {
-		if m.name == names[2] || m.name == names[3] {
+		if slices.Contains(names[watchers:], m.name) {
 			group = append(group, m)
 		}
 	}
@@ -194,7 +225,9 @@
 	}
 	began := time.Now()
 	if e.trouble {
-		e.record.event("%s and %s are cut off from the other machines", group[0].name, group[1].name)
+		for _, m := range group {
+			e.record.event("%s is cut off from the machines outside the group", m.name)
+		}
 		network.cut(group...)
 	}
 	time.Sleep(time.Until(began.Add(changeAfter)))
@@ -204,7 +237,7 @@
 	time.Sleep(configApplyTime + 200*time.Millisecond)
 	byOlder, unknown, sent := 0, 0, 0
 	for i := 0; time.Since(began) < cutFor-1500*time.Millisecond; i++ {
-		m := group[i%2]
+		m := group[i%len(group)]
 		order := send(e.record, m, "POST", fmt.Sprintf("/order/late%d", i), "order", 1200*time.Millisecond)
 		added := send(e.record, m, "POST", fmt.Sprintf("/added/late%d", i), "order", 1200*time.Millisecond)
 		sent += 2
