--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # of deploy/system.toml. The build tag keeps it out of ./..., and so out of CI.
 set -eu
 cd "$(dirname "$0")/.."
-go build -tags review -o target/review2/ ./review/rig2
+go build -tags review -o target/review2/ ./review/platform/rig2
