peer, wire: bound header fields by bytes; a message that cannot be decoded ends alone

Cause: the way in bounds a head by its bytes, a message between nodes had at most 1,024 fields, and a message that could not be decoded ended its connection with all requests on it.

Change: a message's fields are bounded by bytes, above the largest limits.header_bytes. What is too large is not sent and leaves the connection as it was; what arrives whole but invalid ends its own request, by a Refusal or a Reset, and is counted in peer_undecodable. A node of the build before gets 1,000 fields at most; Supports tells gates which build dials. The test of invalid blocks has the new bound in place of the count.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -255,7 +255,9 @@
 	s := r.service
 	s.mu.Lock()
 	s.pool.Ended(now, a.server, balance.Result{Abandoned: true})
-	s.pool.MarkUnreachable(now, a.server)
+	if !eris.Is(err, wire.ErrHeaderTooLarge) { // That says nothing about the server.
+		s.pool.MarkUnreachable(now, a.server)
+	}
 	s.mu.Unlock()
 }
 
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -159,6 +159,7 @@
 		metric.Count("peer_request_sent", "bytes", "request frames sent", &c.RequestSent),
 		metric.Count("peer_request_received", "bytes", "request frames received", &c.RequestReceived),
 		metric.Count("peer_late_frames", "frames", "frames dropped because their request had ended", &c.LateFrames),
+		metric.Count("peer_undecodable", "frames", "requests and answers between nodes that could not be decoded", &c.Undecodable),
 		metric.Count("peer_wrong_keys", "connections", "connections whose peer did not prove that it has the shared key", &c.WrongKeys),
 		metric.Count("peer_dials", "connections", "connections opened to other nodes", &c.Dials),
 		metric.Count("peer_dial_failures", "connections", "connections to other nodes that could not be opened", &c.DialFailures),
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -127,6 +128,12 @@
 		hooks:             hooks,
 	}
 	c.suspicion.Store(newSuspicion())
+	if c.version >= wire.VersionLargeHeaders {
+		if err := c.w.send(&wire.Supports{Version: wire.VersionSupported}); err != nil {
+			nc.Close()
+			return nil, err
+		}
+	}
 	counters.Dialed.Add(1)
 	go c.w.run()
 	go c.readAll(reader)
@@ -139,6 +146,9 @@
 	if len(r.Body) > Window {
 		return nil, ErrOverflow // The peer would close the connection, and with it all calls.
 	}
+	if c.version < wire.VersionLargeHeaders && len(r.Header) > wire.MaxLegacyFields {
+		return nil, eris.Wrapf(wire.ErrHeaderTooLarge, "%d fields, for a peer of version %d", len(r.Header), c.version)
+	}
 	call := &Call{head: make(chan Head, 1), in: newPipe(), out: newSendCredit(), whole: r.Last}
 	call.conn.Store(c)
 	c.starting.Lock()
@@ -297,11 +307,16 @@
 func (c *Conn) readAll(r *wire.Reader) {
 	for {
 		m, err := r.Next(wire.MaxFrame)
-		if err != nil {
+		invalid, ok := errors.AsType[*wire.MessageError](err)
+		if err != nil && !ok {
 			c.end(eris.Wrap(err, "read from peer"))
 			return
 		}
 		c.noteReceived()
+		if ok {
+			c.receiveInvalid(invalid)
+			continue
+		}
 		c.counters.countReceived(m.Kind(), r.LastSize())
 		if err := c.receive(m); err != nil {
 			c.end(err)
@@ -385,6 +400,20 @@
 	return nil
 }
 
+// receiveInvalid ends the call whose answer cannot be decoded.
+func (c *Conn) receiveInvalid(invalid *wire.MessageError) {
+	c.counters.Undecodable.Add(1)
+	m, ok := invalid.Message.(*wire.Response)
+	if !ok {
+		return
+	}
+	if call := c.takeCall(m.ID); call != nil {
+		call.answer(Head{Reset: &wire.Reset{ID: m.ID, Message: invalid.Error(), Load: m.Load}, Moved: call.moved})
+		call.fail(eris.Wrap(ErrReset, invalid.Error()))
+		_ = c.w.send(&wire.Cancel{ID: m.ID}) // The gate need not send the rest of the answer.
+	}
+}
+
 // takeAnswer returns the call whose answer begins, or nil, and removes the call if the
 // answer is complete. The call is not moved to another connection from then on.
 func (c *Conn) takeAnswer(id uint64, last bool) *Call {
--- a/peer/counters.go
+++ b/peer/counters.go
@@ -18,6 +18,9 @@
 	RequestSent, RequestReceived atomic.Int64
 	// LateFrames counts frames for requests that had ended; these frames are dropped.
 	LateFrames atomic.Int64
+	// Undecodable counts requests and answers that could not be decoded and were refused or
+	// given up, while their connection continued.
+	Undecodable atomic.Int64
 	// WrongKeys counts connections whose peer did not prove the key.
 	WrongKeys atomic.Int64
 	// Dials counts the connections that this node tried to open, and DialFailures those
@@ -45,7 +48,7 @@
 func isControl(kind wire.Kind) bool {
 	switch kind {
 	case wire.KindPing, wire.KindPong, wire.KindAsk, wire.KindReply, wire.KindNotice, wire.KindSlowness, wire.KindHeadroom,
-		wire.KindFence, wire.KindFenced:
+		wire.KindFence, wire.KindFenced, wire.KindSupports:
 		return true
 	}
 	return false
--- a/peer/fence.go
+++ b/peer/fence.go
@@ -210,7 +210,7 @@
 		return false
 	}
 	a.server.sent.add(sentAnswer{conn: a, id: id, at: time.Now(), m: m})
-	_ = a.w.send(m) // The reader notices a lost connection.
+	_ = a.sendAnswer(m) // The reader notices a lost connection.
 	return true
 }
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -228,6 +229,8 @@
 	// last check, and knowsRequirements that the peer knows wire.Requirements and
 	// wire.Headroom.
 	ready, used, knowsRequirements atomic.Bool
+	// version is the version in the peer's wire.Supports, or 0 before that.
+	version atomic.Int64
 
 	mu      sync.Mutex
 	streams map[uint64]*Stream
@@ -306,13 +309,18 @@
 func (a *acceptedConn) readAll(r *wire.Reader) error {
 	for {
 		m, err := r.Next(wire.MaxFrame)
-		if err != nil {
+		invalid, ok := errors.AsType[*wire.MessageError](err)
+		if err != nil && !ok {
 			return err
 		}
 		a.used.Store(true)
-		a.server.Counters.countReceived(m.Kind(), r.LastSize())
 		a.receiving.Lock()
-		err = a.receive(m)
+		if ok {
+			err = a.receiveInvalid(invalid)
+		} else {
+			a.server.Counters.countReceived(m.Kind(), r.LastSize())
+			err = a.receive(m)
+		}
 		a.receiving.Unlock()
 		if err != nil {
 			return err
@@ -323,7 +331,14 @@
 func (a *acceptedConn) receive(m wire.Message) error {
 	switch m := m.(type) {
 	case *wire.Request:
-		return a.receiveRequest(m)
+		s, err := a.addStream(m)
+		if s != nil {
+			a.server.Handler.Request(s)
+		}
+		return err
+	case *wire.Supports:
+		a.version.Store(int64(m.Version))
+		return nil
 	case *wire.Data:
 		if s := a.stream(m.ID); s != nil {
 			return s.in.push(m.Bytes, m.Last)
@@ -358,9 +373,24 @@
 	return nil
 }
 
-func (a *acceptedConn) receiveRequest(m *wire.Request) error {
+// receiveInvalid refuses a request that cannot be decoded.
+func (a *acceptedConn) receiveInvalid(invalid *wire.MessageError) error {
+	a.server.Counters.Undecodable.Add(1)
+	m, ok := invalid.Message.(*wire.Request)
+	if !ok {
+		return nil
+	}
+	s, err := a.addStream(m)
+	if s != nil {
+		s.Refuse(wire.ReasonUndecodable, 0, wire.Load{})
+	}
+	return err
+}
+
+// addStream adds the stream of a request, or returns nil if the request is not to be handled.
+func (a *acceptedConn) addStream(m *wire.Request) (*Stream, error) {
 	if ok, err := a.acceptID(m.ID); !ok {
-		return err
+		return nil, err
 	}
 	now := time.Now()
 	youngest, oldest := a.age.age(now, time.Duration(m.SentMicros)*time.Microsecond)
@@ -379,14 +409,26 @@
 	}
 	s.conn.Store(a)
 	if err := s.in.push(m.Body, m.Last); err != nil {
-		return err
+		return nil, err
 	}
 	a.mu.Lock()
 	a.streams[m.ID] = s
 	a.lastRequest = now
 	a.mu.Unlock()
-	a.server.Handler.Request(s)
-	return nil
+	return s, nil
+}
+
+// sendAnswer sends a message of a stream, unless the peer could not decode it.
+func (a *acceptedConn) sendAnswer(m wire.Message) error {
+	if r, ok := m.(*wire.Response); ok && len(r.Header) > wire.MaxLegacyFields && a.version.Load() < wire.VersionLargeHeaders {
+		return eris.Wrapf(wire.ErrHeaderTooLarge, "%d fields, for a peer of an older version", len(r.Header))
+	}
+	return a.w.send(m)
+}
+
+// isTooLarge reports whether an error says that a message is too large to be sent.
+func isTooLarge(err error) bool {
+	return eris.Is(err, wire.ErrHeaderTooLarge) || eris.Is(err, wire.ErrFrameTooLarge)
 }
 
 // acceptID records a request's ID and reports whether the request is to be handled. It
@@ -427,7 +469,10 @@
 	if err != nil {
 		reply.Error = err.Error()
 	}
-	_ = a.w.send(reply) // The asking node notices a lost connection itself.
+	// The asking node notices a lost connection itself.
+	if err := a.w.send(reply); isTooLarge(err) {
+		_ = a.w.send(&wire.Reply{ID: m.ID, Error: err.Error()})
+	}
 }
 
 // abortStreams ends all streams after the connection was lost.
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -93,8 +93,9 @@
 	}
 	var err error
 	closed := s.withConn(func(conn *acceptedConn) {
-		s.answerStarted = true
-		err = conn.w.send(r)
+		if err = conn.sendAnswer(r); err == nil {
+			s.answerStarted = true
+		}
 	})
 	if closed != nil {
 		return closed
@@ -128,10 +129,15 @@
 // It is called with the lock held.
 func (a *acceptedConn) sendLast(s *Stream, m wire.Message) {
 	delete(a.streams, s.Request.ID)
+	err := a.sendAnswer(m)
+	if r, ok := m.(*wire.Response); ok && isTooLarge(err) {
+		m = &wire.Reset{ID: s.Request.ID, Message: err.Error(), Load: r.Load}
+		_ = a.w.send(m)
+	}
+	// Handler.Canceled reports a lost connection.
 	if !s.answerStarted {
 		a.server.sent.add(sentAnswer{conn: a, id: s.Request.ID, at: time.Now(), m: m})
 	}
-	_ = a.w.send(m) // Handler.Canceled reports a lost connection.
 	a.closeIfDrained()
 }
 
--- a/peer/writer.go
+++ b/peer/writer.go
@@ -61,6 +61,9 @@
 	}
 	before := len(w.buf)
 	buf, err := w.frames.Append(w.buf, m)
+	if isTooLarge(err) {
+		return err
+	}
 	if err != nil {
 		w.err = err // The tables of packed header fields no longer match on both sides.
 		w.nc.Close()
--- a/wire/doc.go
+++ b/wire/doc.go
@@ -10,6 +10,8 @@
 // know. An extension of the protocol is therefore a new kind, which is sent only to nodes
 // whose [Challenge] has a version that supports it.
 //
+// [Supports] tells the accepting node, in turn, what the dialing node supports.
+//
 // # Exchange of a request
 //
 // The entry sends [Request] and, if the body is long, [Data]. The gate replies with
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -85,7 +85,7 @@
 const maxReusedPayload = 64 << 10
 
 // Next reads one frame of at most limit bytes. It returns io.EOF if the stream ends
-// between two frames.
+// between two frames. After a [MessageError], the next frame can be read.
 func (r *Reader) Next(limit int) (Message, error) {
 	if _, err := io.ReadFull(r.r, r.length[:]); err != nil {
 		return nil, err
@@ -132,5 +132,8 @@
 	if err := r.msgpack.Decode(m); err != nil {
 		return nil, eris.Wrapf(err, "decode message of kind %d", kind)
 	}
-	return m, r.packed.restore(m)
+	if err := r.packed.restore(m); err != nil {
+		return nil, err
+	}
+	return m, nil
 }
--- a/wire/message.go
+++ b/wire/message.go
@@ -21,8 +21,11 @@
 	// Requirements. It may send Headroom on a connection on which it has received
 	// Requirements.
 	VersionRequirements = 4
+	// VersionLargeHeaders is the first version in Challenge whose sender accepts more than
+	// MaxLegacyFields header fields, and Supports from the dialing node.
+	VersionLargeHeaders = 5
 	// VersionSupported is the version that this node sends in Challenge.
-	VersionSupported = VersionRequirements
+	VersionSupported = VersionLargeHeaders
 )
 
 // Kind identifies the type of a message.
@@ -33,6 +36,7 @@
 	KindHello     Kind = 1
 	KindChallenge Kind = 2
 	KindProof     Kind = 3
+	KindSupports  Kind = 4
 	KindRequest   Kind = 10
 	KindData      Kind = 11
 	KindCredit    Kind = 12
@@ -81,17 +85,35 @@
 	MAC []byte
 }
 
+// Supports says which version the dialing node supports. It is the first message after the
+// handshake, and is sent only to nodes whose Challenge has VersionLargeHeaders or a later
+// version. A dialing node that does not send it supports VersionRequirements at most.
+type Supports struct {
+	Version int
+}
+
 // Field is one header field.
 type Field struct {
 	Name  string
 	Value string
 }
 
-// MaxFields is the maximum number of header fields of a message.
-const MaxFields = 1024
+// Limits of the header fields of a message.
+const (
+	// MaxHeaderBytes is the maximum size of a message's header fields, each counted with
+	// fieldOverhead, together with its other strings. It exceeds the largest head that a node
+	// accepts from callers, whose limit is in bytes too.
+	MaxHeaderBytes = 1<<20 + 64<<10
+	// fieldOverhead is the size in bytes of a field's delimiters in the shortest form of an
+	// HTTP head: a colon and a line feed.
+	fieldOverhead = 2
+	// MaxLegacyFields is the number of header fields that nodes accept which do not support
+	// VersionLargeHeaders.
+	MaxLegacyFields = 1000
+)
 
-// ErrTooManyFields is returned for a message with more than MaxFields header fields.
-var ErrTooManyFields = eris.New("message has too many header fields")
+// ErrHeaderTooLarge is returned for a message whose header fields exceed a limit.
+var ErrHeaderTooLarge = eris.New("message has too many or too large header fields")
 
 // Fields are the header fields of a message. They are decoded one by one, because the
 // codec would allocate memory for as many as the message claims to have.
@@ -107,18 +129,31 @@
 	if n < 0 {
 		return nil // The fields were encoded as nil.
 	}
-	if n > MaxFields {
-		return eris.Wrapf(ErrTooManyFields, "%d, limit %d", n, MaxFields)
+	if n > MaxHeaderBytes/fieldOverhead {
+		return eris.Wrapf(ErrHeaderTooLarge, "%d fields", n)
 	}
-	*f = make(Fields, n)
-	for i := range *f {
-		if err := d.Decode(&(*f)[i]); err != nil {
+	*f = Fields{}
+	for range n {
+		var field Field
+		if err := d.Decode(&field); err != nil {
 			return err
 		}
+		*f = append(*f, field)
 	}
 	return nil
 }
 
+// size returns the size of the fields as MaxHeaderBytes counts it.
+func (f Fields) size() int {
+	size := 0
+	for i := range f {
+		size += f[i].size()
+	}
+	return size
+}
+
+func (f Field) size() int { return len(f.Name) + len(f.Value) + fieldOverhead }
+
 // Special values of a body's length: not known in advance, and no body.
 const (
 	LengthUnknown int64 = -1
@@ -371,6 +406,9 @@
 // Kind implements Message.
 func (*Proof) Kind() Kind { return KindProof }
 
+// Kind implements Message.
+func (*Supports) Kind() Kind { return KindSupports }
+
 // Kind implements Message.
 func (*Request) Kind() Kind { return KindRequest }
 
@@ -428,6 +466,8 @@
 		return new(Challenge)
 	case KindProof:
 		return new(Proof)
+	case KindSupports:
+		return new(Supports)
 	case KindRequest:
 		return new(Request)
 	case KindData:
--- a/wire/pack.go
+++ b/wire/pack.go
@@ -20,7 +20,7 @@
 const headerTableBytes = 8 << 10
 
 // maxPackedString is the maximum size of a field's name or value in bytes.
-const maxPackedString = 1 << 20
+const maxPackedString = MaxHeaderBytes
 
 // The names of the header fields that hold fields of a message. They begin with a colon,
 // which no HTTP field name does.
@@ -38,6 +38,20 @@
 // ErrPacked is returned for packed header fields that cannot be decoded.
 var ErrPacked = eris.New("packed header fields cannot be decoded")
 
+// MessageError says that a message cannot be decoded although its frame and its packed header
+// fields can. The messages after it are not affected.
+type MessageError struct {
+	// Message is the message without its header fields.
+	Message Message
+	Err     error
+}
+
+// Error implements error.
+func (e *MessageError) Error() string { return e.Err.Error() }
+
+// Unwrap returns what is wrong with the message.
+func (e *MessageError) Unwrap() error { return e.Err }
+
 // Encoder encodes the frames of one connection. Frames must be sent in the order in which
 // they were encoded. It is not safe for concurrent use.
 type Encoder struct {
@@ -55,10 +69,30 @@
 	return e
 }
 
-// Append appends the frame of m to buf and returns the extended slice.
+// maxFirstBody is the maximum size of the body in a message that has header fields. Packed
+// header fields take at most half as much again as MaxHeaderBytes counts.
+const maxFirstBody = MaxFrame - MaxHeaderBytes*3/2 - 4<<10
+
+// checkSize returns an error if a message with header fields is too large to be decoded.
+func checkSize(header Fields, otherBytes, bodyBytes int) error {
+	if size := header.size() + otherBytes; size > MaxHeaderBytes {
+		return eris.Wrapf(ErrHeaderTooLarge, "%d bytes in %d fields", size, len(header))
+	}
+	if bodyBytes > maxFirstBody {
+		return eris.Wrapf(ErrFrameTooLarge, "body of %d bytes", bodyBytes)
+	}
+	return nil
+}
+
+// Append appends the frame of m to buf and returns the extended slice. A message that fails
+// with ErrHeaderTooLarge or ErrFrameTooLarge does not affect later ones.
 func (e *Encoder) Append(buf []byte, m Message) ([]byte, error) {
 	switch m := m.(type) {
 	case *Request:
+		names := len(m.Service) + len(m.Server) + len(m.Method) + len(m.Caller) + len(m.Tenant) + len(m.CallerRequestID)
+		if err := checkSize(m.Header, names+len(m.URI), len(m.Body)); err != nil {
+			return buf, err
+		}
 		packed := *m
 		e.packField(packedService, m.Service)
 		e.packField(packedServer, m.Server)
@@ -80,6 +114,9 @@
 		packed.Header = nil
 		return Append(buf, &packed)
 	case *Response:
+		if err := checkSize(m.Header, 0, len(m.Body)); err != nil {
+			return buf, err
+		}
 		packed := *m
 		if m.Origin != 0 {
 			e.packField(packedOrigin, strconv.Itoa(int(m.Origin)))
@@ -156,7 +193,8 @@
 type unpacker struct {
 	decoder *hpack.Decoder
 	fields  Fields
-	tooMany bool
+	// size is the size of the fields so far, as MaxHeaderBytes counts it.
+	size int
 }
 
 func newUnpacker() *unpacker {
@@ -167,29 +205,45 @@
 }
 
 func (u *unpacker) emit(f hpack.HeaderField) {
-	if len(u.fields) >= MaxFields {
-		u.tooMany = true
+	field := Field{Name: f.Name, Value: f.Value}
+	if u.size += field.size(); u.size > maxUnpackedBytes {
+		u.fields = nil // The rest is still decoded, since it may change the table.
 		return
 	}
-	u.fields = append(u.fields, Field{Name: f.Name, Value: f.Value})
+	u.fields = append(u.fields, field)
 }
 
+// maxUnpackedBytes is the maximum size of the packed fields of a message: its header fields and
+// the fields of the message that are packed with them.
+const maxUnpackedBytes = MaxHeaderBytes + 1<<10
+
+// unpack returns the fields of a block. If they are too large, it returns ErrHeaderTooLarge after
+// it has decoded the whole block.
 func (u *unpacker) unpack(block []byte) (Fields, error) {
-	u.fields, u.tooMany = nil, false
+	u.fields, u.size = nil, 0
 	if _, err := u.decoder.Write(block); err != nil {
 		return nil, eris.Wrap(ErrPacked, err.Error())
 	}
 	if err := u.decoder.Close(); err != nil {
 		return nil, eris.Wrap(ErrPacked, err.Error())
 	}
-	if u.tooMany {
-		return nil, ErrTooManyFields
+	if u.size > maxUnpackedBytes {
+		return nil, eris.Wrapf(ErrHeaderTooLarge, "%d bytes", u.size)
 	}
 	return u.fields, nil
 }
 
-// restore moves the packed fields back into their message.
+// restore moves the packed fields back into their message. It returns a MessageError unless the
+// connection's table of fields is no longer known.
 func (u *unpacker) restore(m Message) error {
+	err := u.restoreFields(m)
+	if err == nil || eris.Is(err, ErrPacked) {
+		return err
+	}
+	return &MessageError{Message: m, Err: err}
+}
+
+func (u *unpacker) restoreFields(m Message) error {
 	switch m := m.(type) {
 	case *Request:
 		if len(m.Packed) == 0 {
--- a/wire/pack_test.go
+++ b/wire/pack_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"reflect"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -73,13 +74,67 @@
 }
 
 func TestInvalidPackedFieldsAreRejected(t *testing.T) {
-	for _, block := range [][]byte{{0xff}, {0x40, 0x05}, bytes.Repeat([]byte{0x82}, MaxFields+1), {0xc0}} {
+	for _, block := range [][]byte{{0xff}, {0x40, 0x05}, bytes.Repeat([]byte{0x82}, maxUnpackedBytes/(Field{Name: ":method", Value: "GET"}).size()+1), {0xc0}} {
 		frame, err := Append(nil, &Response{ID: 1, Packed: block})
 		if err != nil {
 			t.Fatal(err)
 		}
-		if m, err := NewReader(bytes.NewReader(frame)).Next(MaxFrame); err == nil || !(errors.Is(err, ErrPacked) || errors.Is(err, ErrTooManyFields)) {
+		if m, err := NewReader(bytes.NewReader(frame)).Next(MaxFrame); err == nil || !(errors.Is(err, ErrPacked) || errors.Is(err, ErrHeaderTooLarge)) {
 			t.Errorf("% x: %+v, error %v", block[:1], m, err)
 		}
 	}
 }
+
+// The largest head that a node accepts from callers fits in one message, also if it consists of
+// the shortest fields.
+func TestLargestHeadIsDecodedUnchanged(t *testing.T) {
+	for _, field := range []Field{{"a", ""}, {"a", "b"}, {strings.Repeat("n", 100), strings.Repeat("v", 100)}, {"a", strings.Repeat("v", 1<<20-16)}} {
+		sent := sampleRequest(0)
+		sent.Header = nil
+		for range 1 << 20 / field.size() {
+			sent.Header = append(sent.Header, field)
+		}
+		sent.Body = make([]byte, 128<<10)
+		e := NewEncoder()
+		stream, err := e.Append(nil, sent)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := NewReader(bytes.NewReader(stream)).Next(MaxFrame)
+		if err != nil || !reflect.DeepEqual(got, sent) {
+			t.Errorf("%d fields of %d bytes: error %v", len(sent.Header), field.size(), err)
+		}
+	}
+}
+
+// A message that is too large, to encode or to decode, does not affect those after it. It ended
+// all requests of its connection before.
+func TestTooLargeMessageDoesNotAffectOthers(t *testing.T) {
+	e := NewEncoder()
+	stream, err := e.Append(nil, sampleRequest(0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	large := &Response{ID: 9, Header: Fields{{"a", strings.Repeat("v", MaxHeaderBytes)}}}
+	if _, err := e.Append(stream, large); !errors.Is(err, ErrHeaderTooLarge) {
+		t.Errorf("a header of %d bytes: error %v", large.Header.size(), err)
+	}
+	block := bytes.Repeat([]byte{0x82}, maxUnpackedBytes/(Field{Name: ":method", Value: "GET"}).size()+1)
+	if stream, err = Append(stream, &Request{ID: 7, Packed: block}); err != nil {
+		t.Fatal(err)
+	}
+	if stream, err = e.Append(stream, sampleRequest(1)); err != nil {
+		t.Fatal(err)
+	}
+	r := NewReader(bytes.NewReader(stream))
+	for n := range 3 {
+		got, err := r.Next(MaxFrame)
+		var invalid *MessageError
+		switch {
+		case n == 1 && (!errors.As(err, &invalid) || invalid.Message.(*Request).ID != 7):
+			t.Errorf("the message that is too large: error %v", err)
+		case n != 1 && !reflect.DeepEqual(got, sampleRequest(n/2)):
+			t.Errorf("message %d is %+v, error %v", n, got, err)
+		}
+	}
+}
--- a/wire/reason.go
+++ b/wire/reason.go
@@ -47,10 +47,12 @@
 	// ReasonRateLimit: the server has been sent as many requests as the limit allows that it
 	// reports.
 	ReasonRateLimit Reason = 15
+	// ReasonUndecodable: the message of the request could not be decoded.
+	ReasonUndecodable Reason = 16
 )
 
 // ReasonCount is the length of an array that is indexed by Reason.
-const ReasonCount = 16
+const ReasonCount = 17
 
 var reasonNames = map[Reason]string{
 	ReasonOverload: "overload",
@@ -68,7 +70,8 @@
 	ReasonLate:     "late",
 	ReasonCalls:    "calls",
 
-	ReasonRateLimit: "rate-limit",
+	ReasonRateLimit:   "rate-limit",
+	ReasonUndecodable: "undecodable",
 }
 
 // Full reports whether the server had no capacity for the request, so that another server,
