announce: a departure is about the current server unless that started later

Cause: after all nodes were killed, a node finds its server at the health path, which gives no start time. The DELETE names the start, so that it seemed to be about another incarnation; it was answered with 200 and changed nothing. The same for a server that leaves after a restart under its ID and before its first announcement, and before any server is known.

Change: a departure is about the current server if it has its ID and no earlier start; without a current server the one that left becomes current as gone, so that other nodes keep that.

Packages announce, spread, platform and node pass.

--- a/announce/incarnation_test.go
+++ b/announce/incarnation_test.go
@@ -54,6 +54,21 @@
 			mustAnnounce(t, r, announcementOf(2, 1))
 			r.Leave(incarnation(1))
 		}, 2, member.Live},
+		{"a departure before its first announcement", func(t *testing.T, r *Registry) {
+			mustAnnounce(t, r, announcementOf(1, 50))
+			r.Leave(incarnation(2))
+			mustAnnounce(t, r, announcementOf(2, 1))
+		}, 2, member.Gone},
+		{"a departure after it was adopted without a start time", func(t *testing.T, r *Registry) {
+			r.Adopt(member.Server{ID: "a", Service: "s", Slots: 12}, time.Time{})
+			r.Leave(incarnation(2))
+			mustAnnounce(t, r, announcementOf(2, 1))
+		}, 2, member.Gone},
+		{"a departure before any server is known", func(t *testing.T, r *Registry) {
+			r.Leave(incarnation(2))
+			r.Restore(member.Server{ID: nameOf(2), Service: "s", Slots: 12})
+			mustAnnounce(t, r, announcementOf(2, 1))
+		}, 2, member.Gone},
 		{"a departure without a start time", func(t *testing.T, r *Registry) {
 			mustAnnounce(t, r, announcementOf(2, 1))
 			r.Leave(incarnation(0))
--- a/announce/registry.go
+++ b/announce/registry.go
@@ -162,22 +162,25 @@
 }
 
 // Leave records a server's report that it is gone, and reports whether that changed the
-// current server. A report without a start time is taken to be about the current incarnation
-// if that has the ID.
+// current server. A report is about the current server if it has the server's ID and no earlier
+// start time: that of a server that was adopted is not known, and an incarnation may leave before
+// it has announced itself. If no server is known, the one that is gone becomes current, so that
+// other nodes learn of it.
 func (r *Registry) Leave(i member.ServerIncarnation) bool {
 	current := member.ServerIncarnationOf(r.current.ID)
-	if i.ID == current.ID && i.StartMillis == 0 {
+	if r.current.ID != "" && i.ID == current.ID && i.StartMillis == 0 {
 		i = current
 	}
-	if i != current || r.current.ID == "" {
-		r.markEnded(i.Name())
-		return false
-	}
-	if r.current.State == member.Gone {
-		return false
-	}
-	r.current.State = member.Gone
-	return true
+	before := r.current
+	switch {
+	case r.current.ID == "":
+		r.current = member.Server{ID: i.Name(), Service: r.Service, State: member.Gone}
+		r.restored = true // What other nodes have stored about another server is not disproved.
+	case i.ID == current.ID && i.StartMillis >= current.StartMillis:
+		r.current.ID, r.current.State = i.Name(), member.Gone
+	}
+	r.markEnded(i.Name())
+	return r.current != before
 }
 
 // MarkLeaving records that the current server has reported that it is leaving, if it has the given
