node, announce: ask a server at its address before its first request

Cause: that a server has left is known to the memories of nodes only. After all were killed, an announcement from before the departure, which arrived late, was believed; so was a record that other nodes had kept.

Change: a server known by an announcement or by other nodes' records is current once it has answered at its health path that it accepts requests. One that says there that it leaves is leaving. A departure and draining count at once.

--- a/announce/doc.go
+++ b/announce/doc.go
@@ -29,9 +29,13 @@
 //
 // A Registry starts empty. [Registry.Restore] takes what other nodes have stored about this
 // node's server. A departure that the node acknowledged before its restart remains in
-// force. A server that other nodes have stored as ready is current until it announces
-// otherwise. If no other node has stored anything, [Registry.Adopt] takes the server that
+// force. If no other node has stored anything, [Registry.Adopt] takes the server that
 // answers at the address.
 //
+// A server may have left since other nodes stored its record, and its last announcement may
+// arrive late, after its departure was acknowledged by a process of the node that has ended.
+// With [Registry.MustConfirm], a server that seems to be ready is therefore not current until
+// it has been asked.
+//
 // The package does no network I/O and does not read the clock.
 package announce
--- a/announce/registry.go
+++ b/announce/registry.go
@@ -44,6 +44,9 @@
 type Registry struct {
 	// Service is the only service whose servers are accepted; blank accepts any.
 	Service string
+	// MustConfirm says that a server which becomes known by an announcement or from other
+	// nodes' records is not current before Confirm, unless it is leaving.
+	MustConfirm bool
 
 	current member.Server
 	// seq is the number of the last announcement of the current incarnation; 0 if there was
@@ -53,6 +56,8 @@
 	// restored is set while the current server is known only from other nodes' records (see
 	// Restore).
 	restored bool
+	// unconfirmed is set while Confirm is missing for the current server.
+	unconfirmed bool
 	// displaced is the name of the incarnation in whose place another server answered.
 	// Announcements of it up to the number displacedSeq were made before that.
 	displaced    string
@@ -71,8 +76,29 @@
 const maxEndedIDs = 64
 
 // Current returns the current server. Its ID is the name of its incarnation
-// (member.ServerIncarnation), and blank while no server is known.
-func (r *Registry) Current() member.Server { return r.current }
+// (member.ServerIncarnation), and blank while no server is known or the one that is known must
+// be confirmed.
+func (r *Registry) Current() member.Server {
+	if r.Unconfirmed() != "" {
+		return member.Server{}
+	}
+	return r.current
+}
+
+// Unconfirmed returns the name of the incarnation that must be confirmed; blank if there is none.
+func (r *Registry) Unconfirmed() string {
+	if r.unconfirmed && r.current.State == member.Live {
+		return r.current.ID
+	}
+	return ""
+}
+
+// Confirm makes the server with the given incarnation name current, which must be confirmed.
+func (r *Registry) Confirm(name string) {
+	if name == r.current.ID {
+		r.unconfirmed = false
+	}
+}
 
 // LastAnnounced returns when the last announcement was accepted.
 func (r *Registry) LastAnnounced() time.Time { return r.lastAnnounced }
@@ -100,6 +126,7 @@
 	if name != r.current.ID {
 		r.markEnded(r.current.ID)
 		r.current = member.Server{ID: name, Service: a.Service}
+		r.unconfirmed = r.MustConfirm
 	}
 	r.lastAnnounced = now
 	r.restored = false
@@ -155,7 +182,7 @@
 	if !r.NeverHadServer() || s.ID == "" {
 		return false
 	}
-	r.current = s
+	r.current, r.unconfirmed = s, false
 	r.coldUntil = coldUntil
 	r.seq = 0
 	return true
@@ -209,6 +236,7 @@
 		return false
 	case r.current.ID == "", r.restored, past.ID == current.ID && past.StartMillis > current.StartMillis:
 		r.current, r.seq, r.restored = s, 0, true
+		r.unconfirmed = r.MustConfirm
 		return true
 	}
 	return false
--- a/gate/probe.go
+++ b/gate/probe.go
@@ -138,43 +138,39 @@
 	return exchange, nil
 }
 
-// ServerInfo describes a backend server that was found at an address.
+// ServerInfo is what the backend server at an address reports about itself.
 type ServerInfo struct {
-	ID    string
+	ID string
+	// Accepting says that the server accepts new requests. A server that does not is full, is
+	// failing or leaves; Leaving says that it leaves.
+	Accepting, Leaving bool
+	// Slots is 0 if the server does not report it.
 	Slots int
 	// Cold is how much longer the server is cold.
 	Cold time.Duration
 }
 
-// QueryServer requests the identity of the server at an address. A node uses it when no server
-// has announced itself. ok is false unless a server that accepts work has answered with its ID
-// and its slots.
+// QueryServer asks the server at an address about itself. ok is false unless a server has answered
+// with its ID.
 func QueryServer(address, path, service string, dialect *header.Dialect, limit time.Duration) (found ServerInfo, ok bool) {
 	answer, ok := probeAddress(address, path, service, dialect, limit)
-	if !ok || answer.StatusCode() != fasthttp.StatusOK {
+	if !ok {
 		return ServerInfo{}, false
 	}
-	load, ok := header.ParseLoad(string(answer.Header.Peek(dialect.Load)))
-	if !ok || load.Slots == 0 {
-		return ServerInfo{}, false
+	load, _ := header.ParseLoad(string(answer.Header.Peek(dialect.Load)))
+	found = ServerInfo{
+		ID:        string(answer.Header.Peek(dialect.ServerID)),
+		Leaving:   dialect.Leaving != "" && header.IsLeaving(answer.Header.Peek(dialect.Leaving)),
+		Accepting: answer.StatusCode() == fasthttp.StatusOK,
+		Slots:     load.Slots,
 	}
-	found = ServerInfo{ID: string(answer.Header.Peek(dialect.ServerID)), Slots: load.Slots}
+	found.Accepting = found.Accepting && !found.Leaving
 	if dialect.Cold != "" {
 		found.Cold, _ = header.ParseCold(string(answer.Header.Peek(dialect.Cold))) // The gate probes again.
 	}
 	return found, found.ID != ""
 }
 
-// QueryServerID requests the ID of the server at an address, whether it accepts work or not; it
-// is blank if nobody answers.
-func QueryServerID(address, path, service string, dialect *header.Dialect, limit time.Duration) string {
-	answer, ok := probeAddress(address, path, service, dialect, limit)
-	if !ok {
-		return ""
-	}
-	return string(answer.Header.Peek(dialect.ServerID))
-}
-
 // probeAddress sends a probe over a connection of its own and returns the head of the
 // response.
 func probeAddress(address, path, service string, dialect *header.Dialect, limit time.Duration) (*fasthttp.Response, bool) {
--- a/node/dispute.go
+++ b/node/dispute.go
@@ -9,7 +9,6 @@
 	"go.uber.org/zap"
 
 	"github.com/ryehaven/ryehaven/announce"
-	"github.com/ryehaven/ryehaven/gate"
 	"github.com/ryehaven/ryehaven/member"
 )
 
@@ -59,7 +58,8 @@
 	case !disputes || path == "":
 		return false
 	}
-	id := gate.QueryServerID(n.settings.Sidecar.Server, path, n.settings.Sidecar.Service, &n.dialect, serverQueryTimeout)
+	found, _ := n.queryServer(path, serverQueryTimeout)
+	id := found.ID
 	if id == a.ID {
 		return false
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -85,10 +85,12 @@
 	// draining is set when the gates refuse new requests because the node is stopping.
 	draining atomic.Bool
 	// idle is set while runTicks uses idleTickInterval and has to be woken by requests.
-	idle      atomic.Bool
-	wake      chan struct{}
-	aborted   chan struct{}
-	openConns atomic.Int64
+	idle    atomic.Bool
+	wake    chan struct{}
+	aborted chan struct{}
+	// unconfirmed wakes confirmServers.
+	unconfirmed chan struct{}
+	openConns   atomic.Int64
 	// acceptFailures counts connections that could not be accepted.
 	acceptFailures atomic.Int64
 	renewals       renewalLimiter
@@ -139,7 +141,7 @@
 
 // New returns a node with open listeners. Run starts it.
 func New(s settings.Settings, log *zap.Logger, options Options) (*Node, error) {
-	n := &Node{started: time.Now(), settings: s, log: log.With(zap.String("host", s.Host)), gates: map[gateKey]*gate.Gate{}, wake: make(chan struct{}, 1), aborted: make(chan struct{})}
+	n := &Node{started: time.Now(), settings: s, log: log.With(zap.String("host", s.Host)), gates: map[gateKey]*gate.Gate{}, wake: make(chan struct{}, 1), unconfirmed: make(chan struct{}, 1), aborted: make(chan struct{})}
 	n.dialect = options.Dialect
 	if n.dialect.Deadline == "" {
 		n.dialect = header.DefaultDialect()
@@ -147,6 +149,7 @@
 	n.dialect.Prepare()
 	n.recorder = options.Recorder
 	n.registry.Service = s.Sidecar.Service
+	n.registry.MustConfirm = n.dialect.ServerID != ""
 	n.blame.node = n
 	n.suspendDetector.Total = options.Suspended
 	if err := n.listen(); err != nil {
@@ -287,6 +290,7 @@
 	wait.Go(func() { n.runTicks(background) })
 	if n.settings.Sidecar.Control != "" {
 		wait.Go(func() { n.findServer(background) })
+		wait.Go(func() { n.confirmServers(background) })
 	}
 	n.log.Info("node started",
 		zap.String("caller", n.CallerAddress()),
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -25,16 +25,16 @@
 		return eris.Wrapf(ErrAnnouncementRejected, "announcement of %q", a.ID)
 	}
 	var err error
-	n.updateRegistry("announced", func(r *announce.Registry) (changed bool) {
-		changed, err = r.Announce(time.Now(), a)
-		return changed
-	})
+	n.updateRegistry("announced", func(r *announce.Registry) { _, err = r.Announce(time.Now(), a) })
+	if err == nil {
+		n.confirmAnnounced(a)
+	}
 	return err
 }
 
 // Leave applies a backend server's report that it is gone.
 func (n *Node) Leave(i member.ServerIncarnation) {
-	n.updateRegistry("left", func(r *announce.Registry) bool { return r.Leave(i) })
+	n.updateRegistry("left", func(r *announce.Registry) { r.Leave(i) })
 }
 
 // Finding the server at the start of the node.
@@ -61,26 +61,30 @@
 			return
 		case <-timer.C:
 		}
-		if n.queryServer() {
+		if n.adoptServer() {
 			return
 		}
 	}
 }
 
-// queryServer queries the server once and reports whether no further query is needed because
+// queryServer asks the server at its address about itself.
+func (n *Node) queryServer(path string, limit time.Duration) (gate.ServerInfo, bool) {
+	return gate.QueryServer(n.settings.Sidecar.Server, path, n.settings.Sidecar.Service, &n.dialect, limit)
+}
+
+// adoptServer queries the server once and reports whether no further query is needed because
 // a server is or was known.
-func (n *Node) queryServer() bool {
+func (n *Node) adoptServer() bool {
 	path, known := n.healthPath()
 	if known || path == "" {
 		return known
 	}
-	service := n.settings.Sidecar.Service
-	found, ok := gate.QueryServer(n.settings.Sidecar.Server, path, service, &n.dialect, findTimeout)
-	if !ok {
+	found, ok := n.queryServer(path, findTimeout)
+	if !ok || !found.Accepting || found.Slots == 0 {
 		return false
 	}
-	n.updateRegistry("answered a query at its address", func(r *announce.Registry) bool {
-		return r.Adopt(member.Server{ID: found.ID, Service: service, Slots: found.Slots}, time.Now().Add(found.Cold))
+	n.updateRegistry("answered a query at its address", func(r *announce.Registry) {
+		r.Adopt(member.Server{ID: found.ID, Service: n.settings.Sidecar.Service, Slots: found.Slots}, time.Now().Add(found.Cold))
 	})
 	return true
 }
@@ -111,20 +115,22 @@
 // serverDisplaced is called when another server answers at the address of the server with
 // the given incarnation name.
 func (n *Node) serverDisplaced(name string) {
-	n.updateRegistry("another server answered at its address", func(r *announce.Registry) bool { return r.MarkDisplaced(name) })
+	n.updateRegistry("another server answered at its address", func(r *announce.Registry) { r.MarkDisplaced(name) })
 }
 
 // serverLeaving is called when the server with the given incarnation name reports in a response that
 // it is leaving.
 func (n *Node) serverLeaving(name string) {
-	n.updateRegistry("reported in a response that it is leaving", func(r *announce.Registry) bool { return r.MarkLeaving(name) })
+	n.updateRegistry("reported in a response that it is leaving", func(r *announce.Registry) { r.MarkLeaving(name) })
 }
 
 // updateRegistry changes the registry. If that changes the current server, it puts the
 // change in force and announces it to other nodes.
-func (n *Node) updateRegistry(why string, change func(r *announce.Registry) (changed bool)) {
+func (n *Node) updateRegistry(why string, change func(r *announce.Registry)) {
 	n.mu.Lock()
-	changed := change(&n.registry)
+	before := n.registry.Current()
+	change(&n.registry)
+	changed := n.registry.Current() != before
 	if changed {
 		n.applyServer(why)
 	}
@@ -142,9 +148,14 @@
 	if past.Server.Service != n.settings.Sidecar.Service {
 		return
 	}
-	if n.registry.Restore(past.Server) {
+	before := n.registry.Current()
+	n.registry.Restore(past.Server)
+	if n.registry.Current() != before {
 		n.applyServer("restored from other nodes")
 	}
+	if n.registry.Unconfirmed() != "" {
+		n.wakeConfirmation()
+	}
 }
 
 // applyServer puts the current server of the registry in force and logs it. It is called
