header, backend, store, client: check the bytes of a response before they are read

Cause: the HTTP library takes status 000 for "not set" and accepts such names, chunks in HTTP/1.0, a length beside chunks, any version, an unasked 101, and what it likes in interim heads and trailers.

Change: header.CheckResponse checks a head by RFC 9112 before the library reads it; backend reads bodies and trailers itself. The store's client and the callers' library read through the same code; the latter uses backend.Pool in place of an HTTP client of its own.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -12,6 +12,8 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
+
+	"github.com/ryehaven/ryehaven/header"
 )
 
 // ErrStale is returned by Send when a kept connection was closed by the server before the
@@ -32,7 +34,7 @@
 
 // Exchange is one request and its response, on a connection that it owns.
 type Exchange struct {
-	// Response holds the head of the response after Send; its body is a stream.
+	// Response holds the head of the response after Send. Body returns its body.
 	Response fasthttp.Response
 
 	// TagField names the header field in which the server returns the request's tag; blank if
@@ -48,6 +50,8 @@
 	// under the next request, which would then get no response.
 	ownership atomic.Int32
 	ended     bool
+	isHead    bool
+	body      io.Reader
 	// written is closed when writing the request has ended, with or without an error.
 	written  chan struct{}
 	sent     atomic.Bool
@@ -122,8 +126,8 @@
 	if e.Aborted() {
 		return net.ErrClosed
 	}
-	e.Response.StreamBody = true
-	e.Response.SkipBody = r.Header.IsHead()
+	e.Response.SkipBody = true
+	e.isHead = r.Header.IsHead()
 	e.Response.Header.SetNoDefaultContentType(true)
 	e.startWrite(r)
 	readErr := e.readResponse()
@@ -157,21 +161,24 @@
 // requests may come first; they are skipped.
 func (e *Exchange) readResponse() error {
 	for skipped := 0; ; skipped++ {
+		if err := header.CheckResponse(e.conn.reader); err != nil {
+			return err
+		}
 		if err := e.Response.Read(e.conn.reader); err != nil {
 			return err
 		}
+		e.body = e.bodyReader()
 		if e.TagField == "" || string(e.Response.Header.Peek(e.TagField)) == e.Tag {
 			return nil
 		}
 		if !e.conn.used || skipped == maxStaleResponses || e.Response.ConnectionClose() {
 			return ErrMismatchedResponse
 		}
-		if body := e.Response.BodyStream(); body != nil {
-			if _, err := io.Copy(io.Discard, body); err != nil {
+		if e.body != nil {
+			if _, err := io.Copy(io.Discard, e.body); err != nil {
 				return ErrMismatchedResponse
 			}
 		}
-		_ = e.Response.CloseBodyStream() // The body was read to its end.
 	}
 }
 
@@ -220,10 +227,9 @@
 	}()
 }
 
-// Body returns the answer's body, or nil when it has none.
-func (e *Exchange) Body() io.Reader {
-	return e.Response.BodyStream()
-}
+// Body returns the body of the response, or nil if it has none. Reading a body that was cut off
+// ends with an error other than io.EOF.
+func (e *Exchange) Body() io.Reader { return e.body }
 
 // Extend moves the deadline, for a response body that makes progress.
 func (e *Exchange) Extend(deadline time.Time) { _ = e.conn.SetDeadline(deadline) }
@@ -248,9 +254,6 @@
 	e.ended = true
 	reusable := whole && !e.Response.ConnectionClose() &&
 		e.written != nil && e.writeEnded() && e.writeErr == nil
-	if whole {
-		_ = e.Response.CloseBodyStream() // The body was read to its end.
-	}
 	if e.ownership.CompareAndSwap(owned, released) && reusable && e.conn.SetDeadline(time.Time{}) == nil {
 		e.pool.put(e.conn)
 		return
--- a/client/client.go
+++ b/client/client.go
@@ -17,7 +17,7 @@
 
 import (
 	"errors"
-	"net"
+	"io"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -25,6 +25,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"github.com/ryehaven/ryehaven/backend"
 	"github.com/ryehaven/ryehaven/header"
 )
 
@@ -86,26 +87,22 @@
 // Client sends requests to the nodes of a site. Create it with New. It is safe for
 // concurrent use.
 type Client struct {
-	hosts []*fasthttp.HostClient
+	nodes []*backend.Pool
 	next  atomic.Uint64
 }
 
+// Limits of the connections to one node.
+const (
+	maxConns    = 4096
+	dialTimeout = time.Second
+)
+
 // New returns a client of the nodes with the given caller addresses. There must be at least
 // one.
 func New(nodes []string) *Client {
 	c := &Client{}
 	for _, node := range nodes {
-		c.hosts = append(c.hosts, &fasthttp.HostClient{
-			Addr:                      node,
-			MaxConns:                  4096,
-			MaxIdleConnDuration:       maxIdleTime,
-			MaxIdemponentCallAttempts: 1,
-			DisablePathNormalizing:    true,
-			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-			Dial: func(address string) (net.Conn, error) {
-				return net.DialTimeout("tcp", address, time.Second)
-			},
-		})
+		c.nodes = append(c.nodes, &backend.Pool{Address: node, MaxConns: maxConns, IdleTimeout: maxIdleTime, DialTimeout: dialTimeout})
 	}
 	return c
 }
@@ -119,9 +116,9 @@
 	deadline := time.Now().Add(r.Timeout)
 	first := c.next.Load()
 	var err error
-	for i := range uint64(len(c.hosts)) {
+	for i := range uint64(len(c.nodes)) {
 		var answer Answer
-		answer, err = c.send(c.hosts[(first+i)%uint64(len(c.hosts))], r, deadline)
+		answer, err = send(c.nodes[(first+i)%uint64(len(c.nodes))], r, deadline)
 		if err == nil || !r.mayTryNextNode(err) || time.Now().After(deadline) {
 			return answer, err
 		}
@@ -142,29 +139,31 @@
 	return r.Repeatable != nil && *r.Repeatable
 }
 
-func (c *Client) send(host *fasthttp.HostClient, r Request, deadline time.Time) (Answer, error) {
+func send(node *backend.Pool, r Request, deadline time.Time) (Answer, error) {
+	node.CloseExpired(time.Now())
+	exchange, err := node.Open(false)
+	if err != nil {
+		return Answer{}, eris.Wrap(ErrNotRun, err.Error())
+	}
 	request := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(request)
-	response := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(response)
-	response.Header.SetNoDefaultContentType(true)
-	timeLeft := time.Until(deadline)
-	r.writeTo(request, host.Addr, timeLeft)
-	// Leaves time for the node's own reply at the deadline to arrive.
-	const grace = 50 * time.Millisecond
-	if err := host.DoDeadline(request, response, deadline.Add(grace)); err != nil {
-		return Answer{}, classifyError(err)
+	defer exchange.AfterWrite(func() { fasthttp.ReleaseRequest(request) })
+	r.writeTo(request, time.Until(deadline))
+	body, err := receive(exchange, request, deadline)
+	exchange.Finish(err == nil)
+	if err != nil {
+		return Answer{}, eris.Wrap(ErrUnknown, err.Error())
 	}
+	response := &exchange.Response
 	switch string(response.Header.Peek(header.Outcome)) {
 	case header.NotRun:
-		return Answer{}, refusalOf(response)
+		return Answer{}, refusalOf(response, body)
 	case header.Unknown:
-		return Answer{}, eris.Wrap(ErrUnknown, string(response.Body()))
+		return Answer{}, eris.Wrap(ErrUnknown, string(body))
 	}
 	answer := Answer{
 		Status: response.StatusCode(),
 		Header: map[string]string{},
-		Body:   append([]byte(nil), response.Body()...),
+		Body:   body,
 	}
 	for name, value := range response.Header.All() {
 		answer.Header[string(name)] = string(value)
@@ -172,9 +171,21 @@
 	return answer, nil
 }
 
-func (r *Request) writeTo(request *fasthttp.Request, node string, left time.Duration) {
-	request.SetRequestURI("http://" + node + r.Path)
-	request.UseHostHeader = true
+// receive sends a request and returns the body of its response.
+func receive(exchange *backend.Exchange, request *fasthttp.Request, deadline time.Time) ([]byte, error) {
+	// Leaves time for the node's own reply at the deadline to arrive.
+	const grace = 50 * time.Millisecond
+	if err := exchange.Send(request, deadline.Add(grace)); err != nil {
+		return nil, err
+	}
+	if exchange.Body() == nil {
+		return nil, nil
+	}
+	return io.ReadAll(exchange.Body())
+}
+
+func (r *Request) writeTo(request *fasthttp.Request, left time.Duration) {
+	request.SetRequestURI(r.Path)
 	request.Header.DisableSpecialHeader() // Otherwise the library rewrites cookies and adds fields.
 	request.Header.Set(fasthttp.HeaderHost, r.Service)
 	request.Header.SetMethod(r.Method)
@@ -195,20 +206,7 @@
 	request.SetBodyRaw(r.Body)
 }
 
-// classifyError returns ErrNotRun if no connection was available. After any other error
-// the request may have been sent, and it returns ErrUnknown.
-func classifyError(err error) error {
-	var network *net.OpError
-	if errors.As(err, &network) && network.Op == "dial" {
-		return eris.Wrap(ErrNotRun, err.Error())
-	}
-	if errors.Is(err, fasthttp.ErrNoFreeConns) {
-		return eris.Wrap(ErrNotRun, err.Error())
-	}
-	return eris.Wrap(ErrUnknown, err.Error())
-}
-
-func refusalOf(response *fasthttp.Response) *Refusal {
+func refusalOf(response *fasthttp.Response, body []byte) *Refusal {
 	ms, err := strconv.Atoi(string(response.Header.Peek(header.RetryAfterMs)))
 	if err != nil {
 		ms = 0 // The refusal has no retry time, as for an invalid request.
@@ -216,7 +214,7 @@
 	status := response.StatusCode()
 	return &Refusal{
 		RetryAfter: time.Duration(ms) * time.Millisecond,
-		Detail:     string(response.Body()),
+		Detail:     string(body),
 		Final: string(response.Header.Peek(header.Retry)) == header.No ||
 			status < fasthttp.StatusInternalServerError || status == fasthttp.StatusGatewayTimeout,
 	}
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -3,6 +3,8 @@
 package client
 
 import (
+	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -60,3 +62,32 @@
 		}
 	}
 }
+
+// Bytes of a node that are no answer, and answers that are cut off, are not returned as answers.
+// Status 000 was returned as 200.
+func TestBytesThatAreNoAnswerAreErrors(t *testing.T) {
+	for _, bytes := range []string{
+		"HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX A: 1\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab",
+	} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer listener.Close()
+		go func() {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			http.ReadRequest(bufio.NewReader(c))
+			io.WriteString(c, bytes)
+		}()
+		answer, err := New([]string{listener.Addr().String()}).Do(Request{Service: "s", Method: "GET", Path: "/"})
+		if !errors.Is(err, ErrUnknown) {
+			t.Errorf("%q: answer %+v, error %v", bytes, answer, err)
+		}
+	}
+}
--- a/header/raw.go
+++ b/header/raw.go
@@ -45,7 +45,7 @@
 
 func trim(s string) string { return strings.Trim(s, " \t") }
 
-func isToken(name string) bool {
+func isToken[T ~string | ~[]byte](name T) bool {
 	for i := range len(name) {
 		c := name[i]
 		alphanumeric := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
@@ -53,5 +53,5 @@
 			return false
 		}
 	}
-	return name != ""
+	return len(name) > 0
 }
--- a/store/conn.go
+++ b/store/conn.go
@@ -11,6 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/ryehaven/ryehaven/header"
 	"github.com/ryehaven/ryehaven/internal/sock"
 )
 
@@ -58,6 +59,9 @@
 	if err := c.writer.Flush(); err != nil {
 		return err
 	}
+	if err := header.CheckResponse(c.reader); err != nil {
+		return err
+	}
 	return response.ReadLimitBody(c.reader, c.maxBody)
 }
 
