backend: a response without a length is whole only if the request was written

Cause: the writer of the upload took the socket's error, and the reader saw the end of the connection in its place, which ends a response without a length.

Change: such a response is whole only if its request was written completely and without an error.

--- a/backend/body.go
+++ b/backend/body.go
@@ -6,12 +6,18 @@
 	"bufio"
 	"io"
 	"net/http/httputil"
+	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
 	"github.com/ryehaven/ryehaven/header"
 )
 
+// ErrCutOff is returned for a body that only the end of its connection ends, if the connection did
+// not end in order.
+var ErrCutOff = eris.New("connection ended out of order within a response without a length")
+
 // bodyReader returns a reader of the body of the response whose head was read, or nil if it has
 // none. The reader returns io.EOF only at the end of a whole body.
 func (e *Exchange) bodyReader() io.Reader {
@@ -69,9 +75,33 @@
 	return n, io.EOF
 }
 
-// untilCloseBody is a body that ends with its connection.
+// untilCloseBody is a body that ends with its connection. If the connection was reset, either
+// the reader or the writer gets the error, and the other one sees a connection that ended in
+// order. The body is therefore whole only if the request was written completely.
 type untilCloseBody struct {
 	exchange *Exchange
 }
 
-func (b *untilCloseBody) Read(p []byte) (int, error) { return b.exchange.conn.reader.Read(p) }
+func (b *untilCloseBody) Read(p []byte) (int, error) {
+	n, err := b.exchange.conn.reader.Read(p)
+	if err == io.EOF && !b.exchange.sentWithin(writeEndGrace) {
+		err = ErrCutOff
+	}
+	return n, err
+}
+
+// writeEndGrace is how long a writer that has written everything may take to report that.
+const writeEndGrace = 100 * time.Millisecond
+
+// sentWithin reports whether all of the request was written, for which it waits up to a limit.
+func (e *Exchange) sentWithin(limit time.Duration) bool {
+	if !e.writeEnded() {
+		timer := time.NewTimer(limit)
+		defer timer.Stop()
+		select {
+		case <-e.written:
+		case <-timer.C:
+		}
+	}
+	return e.Sent()
+}
