--- a/store/store.go
+++ b/store/store.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"net"
+	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -100,14 +101,17 @@
 	if err := json.Unmarshal(text, &h); err != nil {
 		return Host{}, err
 	}
-	_, port, err := net.SplitHostPort(h.Address)
+	name, port, err := net.SplitHostPort(h.Address)
+	number, portErr := strconv.ParseUint(port, 10, 16)
 	switch {
 	case h.Host == "":
 		return Host{}, eris.New("host is blank")
 	case err != nil:
 		return Host{}, eris.Errorf("address: %v", err)
-	case port == "" || port == "0":
-		return Host{}, eris.Errorf("address %q has no port", h.Address)
+	case name == "":
+		return Host{}, eris.Errorf("address %q names no host", h.Address)
+	case portErr != nil || number == 0:
+		return Host{}, eris.Errorf("address %q has no port from 1 to 65535", h.Address)
 	case h.State != "" && h.State != HostLive && h.State != HostLeaving:
 		return Host{}, eris.Errorf("state %q is neither %s nor %s", h.State, HostLive, HostLeaving)
 	}
