announce: draining that arrives late counts; an unanswered server may be back

Cause: an announcement with an older number was dropped whole. A late announcement of a former server, repeated while nobody answered at the address, marked the present server as ended for good.

Change: draining counts whatever its number; a server that is replaced because nobody answered is not marked as ended.

Result: two new parts of TestDelayedAnnouncementsChangeNothing; the first fails before (state live). The second needs the new field; without its effect the present server stays unknown.

--- a/announce/doc.go
+++ b/announce/doc.go
@@ -19,7 +19,8 @@
 // # Order
 //
 // The announcements of an incarnation carry an increasing sequence number; an older
-// announcement changes nothing. An incarnation's state only advances: ready, draining, gone.
+// announcement changes nothing, unless it says that the server drains. An incarnation's state
+// only advances: ready, draining, gone.
 //
 // An ID that the node has not received before may still be older than the current one, if
 // the node has restarted in between. [Registry.Disputes] detects such announcements; the
--- a/announce/registry.go
+++ b/announce/registry.go
@@ -32,6 +32,9 @@
 	// it seems to be older than the current one, but keeps announcing itself while nothing
 	// is received from the current one.
 	ClockSetBack bool
+	// Unanswered says that another server is current, but none answered at the address. The
+	// other one may be current again.
+	Unanswered bool
 }
 
 // incarnation returns the incarnation that made the announcement.
@@ -107,7 +110,7 @@
 func (r *Registry) ColdUntil() time.Time { return r.coldUntil }
 
 // Announce applies an announcement and reports whether it changed the server. A delayed
-// announcement changes nothing and is no error.
+// announcement is no error and changes nothing, unless it says that the server drains.
 func (r *Registry) Announce(now time.Time, a Announcement) (changed bool, err error) {
 	if r.Service != "" && a.Service != r.Service {
 		return false, eris.Wrapf(ErrWrongService, "%q, want %q", a.Service, r.Service)
@@ -117,14 +120,16 @@
 		return false, nil
 	}
 	if name == r.current.ID && a.Seq <= r.seq && r.seq != 0 {
-		return false, nil
+		return a.Draining && r.MarkLeaving(name), nil // A server that drains never stops to.
 	}
 	if name == r.displaced && a.Seq <= r.displacedSeq {
 		return false, nil
 	}
 	before := r.current
 	if name != r.current.ID {
-		r.markEnded(r.current.ID)
+		if !a.Unanswered {
+			r.markEnded(r.current.ID)
+		}
 		r.current = member.Server{ID: name, Service: a.Service}
 		r.unconfirmed = r.MustConfirm
 	}
--- a/announce/registry_test.go
+++ b/announce/registry_test.go
@@ -66,6 +66,17 @@
 			r.MarkDisplaced("a")
 			mustAnnounce(t, r, ready("a", 6))
 		}, "a", member.Live},
+		{"draining before a ready one with a higher sequence number", func(t *testing.T, r *Registry) {
+			mustAnnounce(t, r, ready("a", 6))
+			mustAnnounce(t, r, draining("a", 5))
+		}, "a", member.Leaving},
+		{"the current server after a late announcement of a former one, while none answered", func(t *testing.T, r *Registry) {
+			mustAnnounce(t, r, ready("b", 1))
+			late := ready("a", 7)
+			late.Unanswered = true
+			mustAnnounce(t, r, late)
+			mustAnnounce(t, r, ready("b", 2))
+		}, "b", member.Live},
 		{"a departure of an unknown server", func(t *testing.T, r *Registry) {
 			mustAnnounce(t, r, ready("b", 1))
 			r.Leave(member.ServerIncarnation{ID: "a"})
--- a/node/dispute.go
+++ b/node/dispute.go
@@ -68,6 +68,7 @@
 	now := time.Now()
 	name := member.ServerIncarnation{ID: a.ID, StartMillis: a.StartMillis}.Name()
 	if id == "" && n.lastRejected.persistsFor(name, acceptRepeatAfter, now) {
+		a.Unanswered = true
 		return false
 	}
 	current := n.registry.Current().ID
