node: exchange with other nodes until a planned stop has ended

Cause: the exchange with other nodes ended before the node waited for its callers' connections, while departures were still acknowledged. The next process restored the server as ready from other nodes.

Change: the exchange, and the node's checks of its connections, end after the callers' connections.

--- a/node/node.go
+++ b/node/node.go
@@ -304,14 +304,16 @@
 		err = n.stop()
 		limit = n.shutdownTimeout(began)
 	case err = <-failed:
+		cancel()
 	case <-n.aborted:
 		err = ErrAborted
+		cancel()
 	}
-	cancel()
 	n.closeListeners()
 	ended, done := context.WithTimeout(context.Background(), max(limit, finalStateDelay))
 	defer done()
 	_ = callers.ShutdownWithContext(ended) // Requests still pending after stop are aborted.
+	cancel()                               // Until here, what the server reports still reaches other nodes.
 	_ = admin.ShutdownWithContext(ended)
 	_ = metricsServer.ShutdownWithContext(ended)
 	n.dialer.Close()
