--- a/peer/idle_test.go
+++ b/peer/idle_test.go
@@ -43,6 +43,8 @@
 	idle.sync(t)
 	checkFor(50 * time.Second)
 	wantOpen(3)
+	writeFrame(idle.nc, &wire.Supports{Version: wire.VersionSupported}) // It is no use of the connection.
+	time.Sleep(50 * time.Millisecond)
 	checkFor(30 * time.Second)
 	wantOpen(2)
 	if _, err := idle.r.Next(wire.MaxFrame); err == nil {
--- a/peer/server.go
+++ b/peer/server.go
@@ -313,7 +313,9 @@
 		if err != nil && !ok {
 			return err
 		}
-		a.used.Store(true)
+		if _, opening := m.(*wire.Supports); !opening {
+			a.used.Store(true)
+		}
 		a.receiving.Lock()
 		if ok {
 			err = a.receiveInvalid(invalid)
