node, announce: an unused parameter and an unneeded condition removed

No behaviour changes. mustAskAgain was always called with the same limit, and a departure without an ID does not reach the registry. Packages announce and node build and vet; announce passes.

--- a/announce/registry.go
+++ b/announce/registry.go
@@ -120,7 +120,7 @@
 		return false, nil
 	}
 	if name == r.current.ID && a.Seq <= r.seq && r.seq != 0 {
-		return a.Draining && r.MarkLeaving(name), nil // A server that drains never stops to.
+		return a.Draining && r.MarkLeaving(name), nil // Draining is never revoked.
 	}
 	if name == r.displaced && a.Seq <= r.displacedSeq {
 		return false, nil
@@ -200,7 +200,7 @@
 // other nodes learn of it.
 func (r *Registry) Leave(i member.ServerIncarnation) bool {
 	current := member.ServerIncarnationOf(r.current.ID)
-	if r.current.ID != "" && i.ID == current.ID && i.StartMillis == 0 {
+	if i.ID == current.ID && i.StartMillis == 0 {
 		i = current
 	}
 	before := r.current
--- a/node/confirm.go
+++ b/node/confirm.go
@@ -29,7 +29,7 @@
 
 // confirmAnnounced asks the server that has announced itself, if that must be confirmed.
 func (n *Node) confirmAnnounced(a announce.Announcement) {
-	if !n.mustAskAgain(serverQueryTimeout) {
+	if !n.mustAskAgain() {
 		return
 	}
 	if time.Since(n.started) < maxAnnouncementDelay {
@@ -55,7 +55,7 @@
 			return
 		case <-n.unconfirmed:
 		}
-		for pause := minConfirmInterval; n.mustAskAgain(serverQueryTimeout); pause = min(2*pause, maxConfirmInterval) {
+		for pause := minConfirmInterval; n.mustAskAgain(); pause = min(2*pause, maxConfirmInterval) {
 			select {
 			case <-ctx.Done():
 				return
@@ -67,7 +67,7 @@
 
 // mustAskAgain asks the server that must be confirmed, if there is one, and reports whether it must
 // be asked again.
-func (n *Node) mustAskAgain(limit time.Duration) bool {
+func (n *Node) mustAskAgain() bool {
 	n.mu.Lock()
 	name, path, hasTable := n.registry.Unconfirmed(), n.servicePath(), n.applied != nil
 	n.mu.Unlock()
@@ -78,7 +78,7 @@
 		n.updateRegistry("known, and its service has no health path", func(r *announce.Registry) { r.Confirm(name) })
 		return false
 	}
-	found, ok := n.queryServer(path, limit)
+	found, ok := n.queryServer(path, serverQueryTimeout)
 	switch {
 	case !ok:
 		return true
