--- a/internal/e2e/drain_test.go
+++ b/internal/e2e/drain_test.go
@@ -5,8 +5,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
-	"strings"
+	"net"
 	"syscall"
 	"testing"
 	"time"
@@ -188,10 +189,14 @@
 		request.Header.SetMethod("POST")
 		request.Header.Set(standin.RequestNumberField, "stop")
 		err := host.DoTimeout(request, response, 5*time.Second)
-		refused := err != nil && strings.Contains(err.Error(), "connection refused")
+		var dial *net.OpError
+		dialing := errors.As(err, &dial) && dial.Op == "dial"
+		refused := dialing && errors.Is(err, syscall.ECONNREFUSED)
+		// The kernel resets a connection that nobody has accepted when the listener closes.
+		notAccepted := dialing && errors.Is(err, syscall.ECONNRESET)
 		s.mu.Lock()
 		switch {
-		case refused:
+		case refused, notAccepted:
 		case err != nil:
 			s.failed = append(s.failed, err.Error())
 		case response.StatusCode() != 200:
