spread, member: the first node of a group that is cut off watches the store

Cause: two nodes of each zone watch the store. Nodes that are cut off together reach each other, so that none counts as isolated, and none reads the store if none of them is a watcher.

Change: a node that could not reach another one of its zone asks those before it in rank until one answers. If none does, it watches. If only the zone's watchers do not answer, it asks the first that does to check, too.

--- a/member/view.go
+++ b/member/view.go
@@ -3,6 +3,8 @@
 package member
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 	"time"
 
@@ -340,14 +342,51 @@
 
 // StoreLostBefore returns how many of the nodes that come before this one in rank report that
 // their calls to the store fail.
-func (v *View) StoreLostBefore(purpose string) int {
-	count := 0
-	for _, e := range v.higherRanked(purpose) {
+func (v *View) StoreLostBefore(purpose string) int { return v.Standing(purpose).StoreLost }
+
+// HigherRanked returns the live nodes of this node's zone that come before it in rank, in the
+// order of their rank, with those that could not be reached recently if unreachable is set, and
+// at most limit.
+func (v *View) HigherRanked(purpose string, unreachable bool, limit int) []Record {
+	higher := v.higherRanked(purpose)
+	if !unreachable {
+		higher = slices.DeleteFunc(higher, func(e *entry) bool { return !e.unreachableSince.IsZero() })
+	}
+	slices.SortFunc(higher, func(a, b *entry) int {
+		if byRank := cmp.Compare(rendezvous(purpose, b.Host), rendezvous(purpose, a.Host)); byRank != 0 {
+			return byRank
+		}
+		return cmp.Compare(a.Host, b.Host)
+	})
+	records := make([]Record, min(len(higher), limit))
+	for i := range records {
+		records[i] = higher[i].Record
+	}
+	return records
+}
+
+// Standing is what a view tells about the nodes that come before its own node in rank.
+type Standing struct {
+	// Rank is their number; see Rank.
+	Rank int
+	// StoreLost is how many of them report that their calls to the store fail, and Reachable how
+	// many were reached when they were last queried, or never queried.
+	StoreLost, Reachable int
+}
+
+// Standing returns this node's standing among the nodes of its zone.
+func (v *View) Standing(purpose string) Standing {
+	higher := v.higherRanked(purpose)
+	standing := Standing{Rank: len(higher)}
+	for _, e := range higher {
 		if e.StoreLost {
-			count++
+			standing.StoreLost++
+		}
+		if e.unreachableSince.IsZero() {
+			standing.Reachable++
 		}
 	}
-	return count
+	return standing
 }
 
 // higherRanked returns the live nodes of this node's zone that come before it in rank.
--- a/spread/answer.go
+++ b/spread/answer.go
@@ -27,6 +27,9 @@
 	case TopicTable:
 		reply, err = s.answerTable()
 		return reply, true, err
+	case TopicRankCheck:
+		wake(s.unreached)
+		return nil, true, nil
 	case TopicBlame:
 		reply, err = s.answerBlame(payload)
 		return reply, true, err
--- a/spread/exchange.go
+++ b/spread/exchange.go
@@ -59,6 +59,7 @@
 	if err != nil {
 		s.Counters.ExchangeFailures.Add(1)
 		s.View(func(v *member.View) { v.MarkUnreachable(now, target.Host) })
+		wake(s.unreached)
 		return false
 	}
 	s.noteExchange(now)
--- a/spread/fleet_test.go
+++ b/spread/fleet_test.go
@@ -31,6 +31,10 @@
 	partitioned func(a, b string) bool
 	// dead are hosts that can't be reached.
 	dead map[string]bool
+	// cutOff are hosts that reach only each other. With silentCut, queries to others are not
+	// answered; else no connection to them can be made.
+	cutOff    map[string]bool
+	silentCut bool
 	// connected is the incarnation to which each connection was last opened; nil if
 	// connections are not tracked.
 	connected map[fleetConnection]*fleetNode
@@ -96,10 +100,33 @@
 	if to == nil || f.dead[to.record.Host] || f.dead[from.record.Host] || (f.partitioned != nil && f.partitioned(from.record.Zone, to.record.Zone)) {
 		return nil, errUnreachable
 	}
+	if f.cutOff[from.record.Host] != f.cutOff[to.record.Host] {
+		if f.silentCut {
+			return silentLink{}, nil
+		}
+		return nil, errUnreachable
+	}
 	f.noteConnection(from, to)
 	return fleetLink{to}, nil
 }
 
+// silentLink is a connection on which nothing is answered.
+type silentLink struct{}
+
+func (silentLink) Version() int { return wire.VersionSupported }
+
+func (silentLink) Ask(_ wire.Topic, _ []byte, limit time.Duration) ([]byte, error) {
+	time.Sleep(limit)
+	return nil, errUnreachable
+}
+
+// cut cuts hosts off from the others; nil ends the cut.
+func (f *fleet) cut(silent bool, hosts map[string]bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cutOff, f.silentCut = hosts, silent
+}
+
 // fleetLink passes queries to a node directly.
 type fleetLink struct{ to *fleetNode }
 
--- a/spread/message.go
+++ b/spread/message.go
@@ -30,6 +30,9 @@
 	TopicRecords wire.Topic = "records"
 	// TopicTable is the topic of an empty query; the reply is a tableReply.
 	TopicTable wire.Topic = "table"
+	// TopicRankCheck is the topic of an empty query with an empty reply: the receiver checks
+	// whether it can reach the nodes before it in rank.
+	TopicRankCheck wire.Topic = "rank"
 )
 
 // digest summarizes the state of a node: its table, member records and evacuations. It is sent
--- a/spread/round.go
+++ b/spread/round.go
@@ -43,6 +43,7 @@
 	wait.Go(func() { s.runMonitor(ctx) })
 	if s.platform != nil {
 		wait.Go(func() { s.runWatch(ctx) })
+		wait.Go(func() { s.runRankChecks(ctx) })
 		wait.Go(func() { s.runProbes(ctx) })
 		wait.Go(func() { s.runRegister(ctx) })
 		wait.Go(func() { s.runHosts(ctx) })
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -119,6 +119,8 @@
 	// These channels wake the rounds: gossip to exchange digests with a few nodes, broadcast
 	// to do so with nodes of every zone, ownUpdate to push this node's record.
 	gossip, broadcast, ownUpdate chan struct{}
+	// unreached wakes the check of higher-ranked nodes.
+	unreached chan struct{}
 	// recheck makes the probe check the platform at once.
 	recheck      chan struct{}
 	watches      openWatches
@@ -189,6 +191,7 @@
 		gossip:       make(chan struct{}, 1),
 		broadcast:    make(chan struct{}, 1),
 		ownUpdate:    make(chan struct{}, 1),
+		unreached:    make(chan struct{}, 1),
 		recheck:      make(chan struct{}, 1),
 		pullRequests: make(chan string, 1),
 		registered:   make(chan struct{}),
--- a/spread/stall_test.go
+++ b/spread/stall_test.go
@@ -233,6 +233,7 @@
 		cancelExchanges := n.cancel
 		n.cancel = func() { cancelExchanges(); cancel() }
 		wait.Go(func() { n.spread.runWatch(watchContext) })
+		wait.Go(func() { n.spread.runRankChecks(watchContext) })
 		wait.Go(func() { n.spread.runProbes(watchContext) })
 		wait.Go(func() { n.spread.runEvacuations(watchContext) })
 	}
