--- a/node/forwarding_test.go
+++ b/node/forwarding_test.go
@@ -23,38 +23,17 @@
 // some texts. It returns the server's address.
 func startScriptedServer(t *testing.T, answers []string) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				reader := bufio.NewReader(c)
-				for {
-					r, err := http.ReadRequest(reader)
-					var n int
-					if err == nil {
-						_, err = fmt.Sscanf(r.URL.Path, "/%d", &n)
-					}
-					if err != nil {
-						return
-					}
-					io.WriteString(c, answers[n])
-					if strings.HasSuffix(answers[n], untilClose) {
-						return
-					}
-				}
-			}()
+	return startRawServer(t, func(path string, c net.Conn) {
+		var n int
+		if _, err := fmt.Sscanf(path, "/%d", &n); err != nil {
+			c.Close()
+			return
+		}
+		io.WriteString(c, answers[n])
+		if strings.HasSuffix(answers[n], untilClose) {
+			c.Close()
 		}
-	}()
-	return listener.Addr().String()
+	})
 }
 
 // Status, header fields and body of an answer reach the caller unchanged, whatever they say and
